Skeleton: workspace, wire protocol, resource kinds, checks

Cause: nothing stands yet; every later part needs the dependencies, the wire protocol and the formatter and linter settings fixed first.

--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,1 @@
+//! The daemon before one target.
--- /dev/null
+++ b/src/bin/agent.rs
@@ -0,0 +1,3 @@
+//! The daemon in the one slot of a target host.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/entry.rs
@@ -0,0 +1,3 @@
+//! The daemon of an entry host.
+
+fn main() {}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The daemon of an entry host.
--- /dev/null
+++ b/src/expert_map/mod.rs
@@ -0,0 +1,1 @@
+//! Expert maps: which rank of a group holds which experts.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/src/resources/mod.rs
@@ -0,0 +1,3 @@
+//! What operators declare: the kinds of resource and their checks.
+
+pub mod kinds;
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,3 @@
+//! Logs and metrics.
+
+pub mod events;
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,15 @@
+//! The protocol between the system's own processes; docs/DESIGN.md tells why it is one stream.
+
+pub use generated::*;
+
+#[allow(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    clippy::allow_attributes_without_reason,
+    clippy::as_conversions,
+    clippy::missing_errors_doc,
+    reason = "tools/wiregen writes this file from proto/link.proto"
+)]
+#[rustfmt::skip]
+mod generated;
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the outside systems.
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs one stand-in.
+
+fn main() {}
