Carry crash counts and key reuse on the wire

Cause: a fingerprint that crashed one target must be known as suspect before the second, and a key sent again with another body must not get the first answer. Change: two refusal reasons, a crash count on each fingerprint.

--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -72,9 +72,9 @@
     pub config_age_ms: u64,
     #[prost(message, optional, tag = "5")]
     pub load: ::core::option::Option<Load>,
-    /// Fingerprints that the sender refuses since they crashed targets.
+    /// Requests that crashed targets, as far as the sender knows.
     #[prost(message, repeated, tag = "6")]
-    pub refused_fingerprints: ::prost::alloc::vec::Vec<Fingerprint>,
+    pub fingerprints: ::prost::alloc::vec::Vec<Fingerprint>,
     /// The lowest revision that every live process the sender knows of has in force, for a region.
     #[prost(message, repeated, tag = "7")]
     pub regions: ::prost::alloc::vec::Vec<RegionProgress>,
@@ -101,6 +101,9 @@
     pub hash: u64,
     #[prost(uint64, tag = "2")]
     pub ttl_ms: u64,
+    /// Targets that died while they ran it; from two on it is refused.
+    #[prost(uint32, tag = "3")]
+    pub crashes: u32,
 }
 /// RegionProgress is the configuration progress of one data centre.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -327,6 +330,9 @@
     Cancelled = 9,
     TargetUnreachable = 10,
     TargetCrashed = 11,
+    /// The idempotency key was used before with another body.
+    KeyReused = 12,
+    NotPermitted = 13,
 }
 impl RefusalReason {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -347,6 +353,8 @@
             Self::Cancelled => "REFUSAL_REASON_CANCELLED",
             Self::TargetUnreachable => "REFUSAL_REASON_TARGET_UNREACHABLE",
             Self::TargetCrashed => "REFUSAL_REASON_TARGET_CRASHED",
+            Self::KeyReused => "REFUSAL_REASON_KEY_REUSED",
+            Self::NotPermitted => "REFUSAL_REASON_NOT_PERMITTED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -364,6 +372,8 @@
             "REFUSAL_REASON_CANCELLED" => Some(Self::Cancelled),
             "REFUSAL_REASON_TARGET_UNREACHABLE" => Some(Self::TargetUnreachable),
             "REFUSAL_REASON_TARGET_CRASHED" => Some(Self::TargetCrashed),
+            "REFUSAL_REASON_KEY_REUSED" => Some(Self::KeyReused),
+            "REFUSAL_REASON_NOT_PERMITTED" => Some(Self::NotPermitted),
             _ => None,
         }
     }
