--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,3 +1,4 @@
-//! The platform's services: the key-value service and the host list.
+//! The platform's services: the key-value service and the list of hosts.
 
+pub mod host_list;
 pub mod store;
