resources: envelope, names and checks of specifications; problem documents

Cause: the configuration readers need the stored form, the callers' API the problem documents. Change: Resource is the JSON envelope at /bitternwall/config/{kind}/{name}; Spec::parse gives the path of the bad field, its value and what is allowed; Problem carries executed and Retry-After. Ruled out: refusing unknown fields in the envelope, which would stop an older process from reading what a newer one wrote; specifications themselves do refuse them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod expert_map;
 pub mod platform;
+pub mod problem;
 pub mod resources;
 pub mod settings;
 pub mod telemetry;
--- a/src/resources/kinds.rs
+++ b/src/resources/kinds.rs
@@ -1,6 +1,8 @@
 //! The specification of each kind of resource; docs/OPERATING.md shows one of each.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +22,48 @@
     Group,
 }
 
+impl Kind {
+    /// Every kind, in the order in which they may refer to each other.
+    pub const ALL: [Self; 5] =
+        [Self::Customer, Self::Service, Self::Policy, Self::Target, Self::Group];
+
+    /// Returns the name that keys and paths use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Customer => "customer",
+            Self::Service => "service",
+            Self::Policy => "policy",
+            Self::Target => "target",
+            Self::Group => "group",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// UnknownKind is a text that names no kind.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error(
+    "There is no kind of resource {text:?}; there are customer, service, policy, target and group."
+)]
+pub struct UnknownKind {
+    /// The text.
+    pub text: String,
+}
+
+impl FromStr for Kind {
+    type Err = UnknownKind;
+
+    fn from_str(text: &str) -> Result<Self, UnknownKind> {
+        let found = Self::ALL.into_iter().find(|kind| kind.as_str() == text);
+        found.ok_or_else(|| UnknownKind { text: String::from(text) })
+    }
+}
+
 /// CustomerSpec declares one customer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/src/resources/mod.rs
+++ b/src/resources/mod.rs
@@ -1,3 +1,6 @@
-//! What operators declare: the kinds of resource and their checks.
+//! The resources that operators declare.
 
 pub mod kinds;
+pub mod names;
+pub mod specs;
+pub mod stored;
