Entry: decision core, callers' API, links to agents

Cause: nothing took callers' requests yet. Change: the entry's core (admission, routing, retries, ejection, crash memory, deadlines) as pure systems over tables; the actor around it; the relay that lets only whole, numbered answers through; chat and plain-service routes; the daemon with its graceful stop.

--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,5 @@
+//! What the daemons share: their command line and how they are told to stop.
+
+pub mod app;
+pub mod options;
+pub mod signals;
--- /dev/null
+++ b/src/entry/core/admission.rs
@@ -0,0 +1,158 @@
+//! Decides whether a request is taken, and for whom.
+
+use std::time::Duration;
+
+use sha2::{Digest as _, Sha256};
+
+use crate::config::view;
+use crate::entry::core::events::{
+    AttemptFailure, Effect, Executed, NewRequest, Refusal, RefusalReason, Route, ServingState,
+};
+use crate::entry::core::tables::{ClaimKey, Request, RequestId};
+use crate::entry::core::{EntryWorld, crashes, retry, routing};
+use crate::resources::kinds;
+
+/// When a customer with too many requests in flight should come back.
+const IN_FLIGHT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When to come back to an entry that is stopping or has no current configuration; the caller
+/// should ask another entry at once.
+const NOT_SERVING_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The methods that HTTP itself calls safe.
+const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+/// Admits a request and starts its first attempt, or refuses it as not run.
+pub fn submit(
+    world: &mut EntryWorld,
+    now: Duration,
+    request: NewRequest,
+    effects: &mut Vec<Effect>,
+) {
+    let id = request.id;
+    let admitted = match admit(world, now, request) {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            effects.push(Effect::Refuse { request: id, refusal });
+            return;
+        }
+    };
+    world.deadlines.insert(admitted.deadline, id);
+    *world.tables.in_flight.entry(admitted.customer.clone()).or_default() += 1;
+    world.tables.requests.insert(id, admitted);
+    world.budget.earn();
+    start_first(world, now, id, effects);
+}
+
+fn start_first(world: &mut EntryWorld, now: Duration, id: RequestId, effects: &mut Vec<Effect>) {
+    match routing::start(world, now, id) {
+        Some(start) => effects.push(Effect::Start(start)),
+        None => world.refuse(id, retry::no_target(), effects),
+    }
+}
+
+fn admit(world: &EntryWorld, now: Duration, request: NewRequest) -> Result<Request, Refusal> {
+    if world.tables.serving != ServingState::Serving {
+        return Err(not_run(RefusalReason::NotServing, Some(NOT_SERVING_RETRY_AFTER)));
+    }
+    let view = &world.tables.view;
+    let (customer_id, customer) = view
+        .customer_by_key(&request.key_hash)
+        .ok_or_else(|| not_run(RefusalReason::UnknownCustomer, None))?;
+    let (service_id, service) = find_service(view, &request.route)
+        .ok_or_else(|| not_run(RefusalReason::UnknownService, None))?;
+    let grant = view
+        .grant(customer_id, service_id)
+        .ok_or_else(|| not_run(RefusalReason::NotPermitted, None))?;
+    let in_flight = world.tables.in_flight.get(&customer.name).copied().unwrap_or_default();
+    if in_flight >= grant.max_in_flight {
+        return Err(not_run(RefusalReason::TooManyInFlight, Some(IN_FLIGHT_RETRY_AFTER)));
+    }
+    refuse_crashing(world, now, request.fingerprint)?;
+    let claim_key = claim_key(service, &customer.name, &request)?;
+    let limit = Duration::from_millis(service.spec.timeout_ms);
+    let timeout = request.timeout.map_or(limit, |asked| asked.min(limit));
+    Ok(Request {
+        customer: customer.name.clone(),
+        service: service.name.clone(),
+        claim_key,
+        claim_shards: service.spec.claim_shards,
+        weight: grant.weight,
+        config_revision: view.revision(),
+        deadline: now + timeout,
+        attempt: None,
+        tries: 0,
+        avoided: Vec::new(),
+        passed_on: false,
+        may_have_run: false,
+        submitted: request,
+    })
+}
+
+fn refuse_crashing(world: &EntryWorld, now: Duration, fingerprint: u64) -> Result<(), Refusal> {
+    let count = crashes::crashes_of(&world.tables, fingerprint);
+    if !world.options.refuse_crashing || count < crashes::MAX_CRASHES {
+        return Ok(());
+    }
+    let until = world.tables.crashes.get(&fingerprint).map(|known| known.until.saturating_sub(now));
+    Err(not_run(RefusalReason::Attempt(AttemptFailure::CrashingRequest), until))
+}
+
+fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> Refusal {
+    Refusal { reason, executed: Executed::No, retry_after }
+}
+
+fn find_service<'a>(
+    view: &'a view::View,
+    route: &Route,
+) -> Option<(view::ServiceId, &'a view::Service)> {
+    match route {
+        Route::Model { model } => view.service_by_model(model),
+        Route::Plain { service, .. } => {
+            let found = view.service_by_name(service)?;
+            (found.1.spec.kind == kinds::ServiceKind::Plain).then_some(found)
+        }
+    }
+}
+
+/// Returns the claim key of an operation that may not be repeated, and none for an idempotent one.
+fn claim_key(
+    service: &view::Service,
+    customer: &str,
+    request: &NewRequest,
+) -> Result<Option<ClaimKey>, Refusal> {
+    let Route::Plain { method, path, .. } = &request.route else { return Ok(None) };
+    if is_idempotent(&service.spec, method, path) {
+        return Ok(None);
+    }
+    let key = request
+        .idempotency_key
+        .as_deref()
+        .ok_or_else(|| not_run(RefusalReason::KeyRequired, None))?;
+    Ok(Some(hash_claim(&[customer, &service.name, method, path, key])))
+}
+
+/// Tells whether a call of a plain service may run twice; the longest declared path decides.
+pub fn is_idempotent(service: &kinds::ServiceSpec, method: &str, path: &str) -> bool {
+    let fits =
+        |operation: &&kinds::Operation| operation.method == method && covers(&operation.path, path);
+    let declared = service.operations.iter().filter(fits).max_by_key(|found| found.path.len());
+    declared.map_or_else(|| SAFE_METHODS.contains(&method), |found| found.idempotent)
+}
+
+/// A declared path covers itself and what lies below it.
+fn covers(declared: &str, path: &str) -> bool {
+    let declared = declared.trim_end_matches('/');
+    path.strip_prefix(declared).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// Hashes the parts with their lengths, so that no two lists of parts give the same input.
+fn hash_claim(parts: &[&str]) -> ClaimKey {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update(part.len().to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let digest = hasher.finalize();
+    let mut key = [0; 16];
+    key.copy_from_slice(&digest[..16]);
+    ClaimKey(key)
+}
--- /dev/null
+++ b/src/entry/core/deadlines.rs
@@ -0,0 +1,54 @@
+//! Ends requests whose deadline has passed.
+
+use std::collections;
+use std::time::Duration;
+
+use crate::entry::core::EntryWorld;
+use crate::entry::core::events::{AttemptFailure, Effect, Executed, Refusal, RefusalReason};
+use crate::entry::core::tables::RequestId;
+
+/// How long an agent's own verdict on a deadline may take to arrive; it alone knows whether the
+/// request ran.
+pub const VERDICT_GRACE: Duration = Duration::from_millis(100);
+
+/// Deadlines holds the open requests in the order in which they are due.
+#[derive(Debug, Default)]
+pub struct Deadlines {
+    due: collections::BTreeSet<(Duration, RequestId)>,
+}
+
+impl Deadlines {
+    /// Adds a request.
+    pub fn insert(&mut self, deadline: Duration, request: RequestId) {
+        self.due.insert((deadline, request));
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, deadline: Duration, request: RequestId) {
+        self.due.remove(&(deadline, request));
+    }
+
+    fn pop_due(&mut self, now: Duration) -> Option<RequestId> {
+        let (deadline, request) = *self.due.first()?;
+        if deadline + VERDICT_GRACE > now {
+            return None;
+        }
+        self.due.pop_first();
+        Some(request)
+    }
+}
+
+/// Gives every request that is past its deadline its final answer.
+pub fn expire(world: &mut EntryWorld, now: Duration, effects: &mut Vec<Effect>) {
+    while let Some(request) = world.deadlines.pop_due(now) {
+        let Some(open) = world.tables.requests.get(&request) else { continue };
+        let attempt = open.attempt;
+        let executed = match attempt.is_some() || open.may_have_run {
+            true => Executed::Unknown,
+            false => Executed::No,
+        };
+        world.cancel(attempt, effects);
+        let reason = RefusalReason::Attempt(AttemptFailure::Deadline);
+        world.refuse(request, Refusal { reason, executed, retry_after: None }, effects);
+    }
+}
--- /dev/null
+++ b/src/entry/core/routing.rs
@@ -0,0 +1,170 @@
+//! Chooses the target of an attempt; docs/DESIGN.md weighs the ways.
+//!
+//! An idempotent request goes to the target that likely caches its prefix, as long as that one is
+//! not much busier than the others, else to the less loaded of two drawn at random. A request that
+//! may not be repeated goes to the agent that keeps its claim.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use xxhash_rust::xxh3;
+
+use crate::entry::core::events::StartAttempt;
+use crate::entry::core::tables::{Attempt, AttemptNumber, ClaimKey, Request, RequestId, Target};
+use crate::entry::core::{EntryWorld, crashes};
+
+/// How much busier than the mean a target may be and still get a request for its cached prefix.
+const AFFINITY_LOAD_FACTOR: f64 = 1.25;
+/// Requests that any target may have before it counts as busy.
+const AFFINITY_LOAD_SLACK: f64 = 2.0;
+/// The share of its work that a returning target gets at once.
+const SLOW_START_FLOOR: f64 = 0.1;
+
+/// Chooses a target and makes the attempt; none where no target takes work.
+pub fn start(world: &mut EntryWorld, now: Duration, id: RequestId) -> Option<StartAttempt> {
+    let target = choose(world, now, id)?;
+    let attempt = AttemptNumber(world.tables.next_attempt);
+    world.tables.next_attempt += 1;
+    let suspects =
+        crashes::crashes_of(&world.tables, world.tables.requests.get(&id)?.submitted.fingerprint);
+    let request = world.tables.requests.get_mut(&id)?;
+    request.tries += 1;
+    request.attempt = Some(attempt);
+    let start = StartAttempt {
+        request: id,
+        attempt,
+        target: target.clone(),
+        customer: request.customer.clone(),
+        service: request.service.clone(),
+        claim_key: request.claim_key,
+        time_left: request.deadline.saturating_sub(now),
+        config_revision: request.config_revision,
+        estimated_tokens: request.submitted.estimated_tokens,
+        weight: request.weight,
+        fingerprint: request.submitted.fingerprint,
+        suspect: suspects > 0,
+        resume: request.passed_on,
+    };
+    world.tables.attempts.insert(attempt, Attempt { request: id, target: target.clone() });
+    if let Some(chosen) = world.tables.targets.get_mut(&target) {
+        chosen.in_flight += 1;
+    }
+    Some(start)
+}
+
+fn choose(world: &mut EntryWorld, now: Duration, id: RequestId) -> Option<String> {
+    let draws: (u64, u64) = (world.rng.random(), world.rng.random());
+    let request = world.tables.requests.get(&id)?;
+    let mut candidates = candidates(world, now, request);
+    if candidates.is_empty() {
+        return None;
+    }
+    if let Some(key) = request.claim_key.filter(|_| world.options.guard_claims) {
+        return claim_holder(&candidates, key, request.claim_shards);
+    }
+    let affinity = request.submitted.affinity;
+    if crashes::crashes_of(&world.tables, request.submitted.fingerprint) > 0 {
+        return highest_weight(&candidates, affinity);
+    }
+    prefer_data_centre(&mut candidates, &world.options.data_centre);
+    if let Some(cached) = cached_target(&candidates, affinity) {
+        return Some(cached);
+    }
+    let (first, second) = (drawn(&candidates, draws.0)?, drawn(&candidates, draws.1)?);
+    let less_loaded = if first.load <= second.load { first } else { second };
+    Some(less_loaded.name.to_owned())
+}
+
+fn drawn<'a, 'b>(candidates: &'b [Candidate<'a>], draw: u64) -> Option<&'b Candidate<'a>> {
+    let count = u64::try_from(candidates.len()).ok()?;
+    let index = draw.checked_rem(count)?;
+    candidates.get(usize::try_from(index).ok()?)
+}
+
+/// Candidate is a target that takes new work.
+struct Candidate<'a> {
+    name: &'a str,
+    data_centre: &'a str,
+    /// Requests there for each slot, raised for a target that is coming back.
+    load: f64,
+    /// Requests there.
+    requests: f64,
+}
+
+fn candidates<'a>(world: &'a EntryWorld, now: Duration, request: &Request) -> Vec<Candidate<'a>> {
+    let view = &world.tables.view;
+    let Some((service, _)) = view.service_by_name(&request.service) else { return Vec::new() };
+    let declared = view.targets_of(service).map(|(_, declared)| declared);
+    declared
+        .filter(|declared| !declared.spec.drain)
+        .filter(|declared| !request.avoided.contains(&declared.name))
+        .filter_map(|declared| {
+            let target = world.tables.targets.get(&declared.name)?;
+            takes_work(target, now).then(|| Candidate {
+                name: &declared.name,
+                data_centre: &declared.spec.data_centre,
+                load: load(target, now, world.options.slow_start),
+                requests: requests_at(target),
+            })
+        })
+        .collect()
+}
+
+/// Tells whether a target may get new work from this entry.
+pub fn takes_work(target: &Target, now: Duration) -> bool {
+    let reachable = target.incarnation.is_some() && target.report.healthy;
+    reachable && !target.report.draining && target.ejected_until <= now
+}
+
+/// The agent's report lags, so the entry's own attempts count where they are more.
+fn requests_at(target: &Target) -> f64 {
+    let reported = target.report.running.saturating_add(target.report.queued);
+    f64::from(reported.max(target.in_flight))
+}
+
+fn load(target: &Target, now: Duration, slow_start: Duration) -> f64 {
+    let slots = f64::from(target.report.slots.max(1));
+    let back_for = now.saturating_sub(target.returned_at).as_secs_f64();
+    let share = (back_for / slow_start.as_secs_f64()).clamp(SLOW_START_FLOOR, 1.0);
+    (requests_at(target) + 1.0) / (slots * share)
+}
+
+/// Keeps the candidates of the own data centre, where there are any with room.
+fn prefer_data_centre(candidates: &mut Vec<Candidate<'_>>, data_centre: &str) {
+    let near_with_room =
+        candidates.iter().any(|near| near.data_centre == data_centre && near.load <= 1.0);
+    if near_with_room {
+        candidates.retain(|near| near.data_centre == data_centre);
+    }
+}
+
+fn cached_target(candidates: &[Candidate<'_>], affinity: u64) -> Option<String> {
+    let count = u32::try_from(candidates.len()).map(f64::from).unwrap_or(f64::MAX);
+    let mean = candidates.iter().map(|candidate| candidate.requests).sum::<f64>() / count;
+    let bound = mean * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_SLACK;
+    let weight = |candidate: &&Candidate<'_>| rendezvous(candidate.name, affinity);
+    let cached = candidates.iter().max_by_key(weight)?;
+    (cached.requests <= bound).then(|| cached.name.to_owned())
+}
+
+fn highest_weight(candidates: &[Candidate<'_>], hash: u64) -> Option<String> {
+    let weight = |candidate: &&Candidate<'_>| rendezvous(candidate.name, hash);
+    candidates.iter().max_by_key(weight).map(|candidate| candidate.name.to_owned())
+}
+
+/// All entries send a shard's requests to the same agent while they see the same targets; where
+/// they do not, the compare-and-swap on the claims still lets only one of them run.
+fn claim_holder(candidates: &[Candidate<'_>], key: ClaimKey, shards: u32) -> Option<String> {
+    highest_weight(candidates, u64::from(shard_of(key, shards)))
+}
+
+/// Returns the claim shard of a key; agents compute the same.
+pub fn shard_of(key: ClaimKey, shards: u32) -> u32 {
+    let hash = xxh3::xxh3_64(&key.0);
+    let shard = hash % u64::from(shards.max(1));
+    u32::try_from(shard).unwrap_or(0)
+}
+
+fn rendezvous(name: &str, hash: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(name.as_bytes(), hash)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod collections;
 pub mod config;
+pub mod daemon;
 pub mod entry;
 pub mod expert_map;
 pub mod platform;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,8 @@
 //! Settings files: JSON, checked whole before anything starts.
 
+pub mod common;
+pub mod entry;
+
 use std::{fs, io, path, result};
 
 use serde::de::DeserializeOwned;
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -37,8 +37,18 @@
 pub const STOP_FINISHED: LogEvent =
     LogEvent { number: 3, severity: Severity::Info, title: "graceful stop finished" };
 
+/// A link to an agent is up.
+pub const LINK_UP: LogEvent = LogEvent { number: 1001, severity: Severity::Info, title: "link up" };
+/// A link to an agent is gone.
+pub const LINK_DOWN: LogEvent =
+    LogEvent { number: 1002, severity: Severity::Warning, title: "link down" };
+/// The configuration could not be read from the key-value service.
+pub const CONFIG_READ_FAILED: LogEvent =
+    LogEvent { number: 1003, severity: Severity::Warning, title: "configuration not read" };
+
 /// Every event, in the order of its number.
-pub const CATALOGUE: &[LogEvent] = &[PROCESS_STARTED, STOP_STARTED, STOP_FINISHED];
+pub const CATALOGUE: &[LogEvent] =
+    &[PROCESS_STARTED, STOP_STARTED, STOP_FINISHED, LINK_UP, LINK_DOWN, CONFIG_READ_FAILED];
 
 /// Logs one event with its details.
 pub fn log(event: LogEvent, details: fmt::Arguments<'_>) {
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,3 +1,5 @@
 //! Logs and metrics.
 
+pub mod admin;
 pub mod events;
+pub mod logs;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -95,15 +95,16 @@
     pub target_healthy: bool,
 }
 /// Fingerprint is the hash of a request's body, refused for a while.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Fingerprint {
     #[prost(fixed64, tag = "1")]
     pub hash: u64,
     #[prost(uint64, tag = "2")]
     pub ttl_ms: u64,
-    /// Targets that died while they ran it; from two on it is refused.
-    #[prost(uint32, tag = "3")]
-    pub crashes: u32,
+    /// Deaths of targets that were running it, each with an id that its agent drew; a body with two
+    /// of them is refused.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub crash_ids: ::prost::alloc::vec::Vec<u64>,
 }
 /// RegionProgress is the configuration progress of one data centre.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
