--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`agent`] turn I/O into their events and their effects into I/O.
 
 pub mod agent;
+pub mod audit;
 pub mod clock;
 pub mod collections;
 pub mod config;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -177,17 +177,6 @@
         gateway::decode_range(&answer)
     }
 
-    /// Reads the last `limit` keys under a prefix, the greatest key first.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StoreError`] where the service gives no answer.
-    pub async fn range_last(&self, prefix: &str, limit: u32) -> Result<Range> {
-        let request = gateway::RangeRequest::prefix(prefix).last(limit);
-        let answer = self.transport.read(calls::CallKind::Range, &request).await?;
-        gateway::decode_range(&answer)
-    }
-
     /// Reads the first `limit` keys under a prefix.
     ///
     /// # Errors
--- a/src/platform/store/gateway.rs
+++ b/src/platform/store/gateway.rs
@@ -21,21 +21,11 @@
     range_end: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     limit: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    sort_order: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    sort_target: Option<&'static str>,
 }
 
 impl RangeRequest {
     pub(super) fn key(key: &str) -> Self {
-        Self {
-            key: STANDARD.encode(key),
-            range_end: None,
-            limit: None,
-            sort_order: None,
-            sort_target: None,
-        }
+        Self { key: STANDARD.encode(key), range_end: None, limit: None }
     }
 
     pub(super) fn prefix(prefix: &str) -> Self {
@@ -45,10 +35,6 @@
     pub(super) fn first(self, limit: u32) -> Self {
         Self { limit: Some(limit.to_string()), ..self }
     }
-
-    pub(super) fn last(self, limit: u32) -> Self {
-        Self { sort_order: Some("DESCEND"), sort_target: Some("KEY"), ..self.first(limit) }
-    }
 }
 
 #[derive(Serialize)]
--- a/src/platform/store/transport.rs
+++ b/src/platform/store/transport.rs
@@ -13,6 +13,7 @@
 
 use super::calls::{CallCounts, CallKind, Counters};
 use super::{Result, StoreError, StoreOptions};
+use crate::telemetry::events;
 
 /// A connection that is idle for longer is not used again: it may have gone silent.
 const IDLE_CONNECTION_LIMIT: Duration = Duration::from_secs(15);
@@ -116,7 +117,7 @@
         match time::timeout(self.options.call_timeout, exchange).await {
             Ok(answer) => answer,
             Err(elapsed) => {
-                self.forget_connections();
+                self.forget_connections(index, kind);
                 Err(self.unknown(index, kind, &elapsed))
             }
         }
@@ -142,7 +143,7 @@
     async fn open(&self, index: usize, kind: CallKind, request: &impl Serialize) -> Result<Body> {
         let head = time::timeout(self.options.call_timeout, self.send(index, kind, request));
         let mut answer = head.await.map_err(|elapsed| {
-            self.forget_connections();
+            self.forget_connections(index, kind);
             self.unknown(index, kind, &elapsed)
         })??;
         if answer.status().is_success() {
@@ -169,7 +170,9 @@
     }
 
     /// Drops pooled connections, since one that went silent would swallow the next call as well.
-    fn forget_connections(&self) {
+    fn forget_connections(&self, index: usize, kind: CallKind) {
+        let endpoint = &self.options.endpoints[index];
+        events::log(events::STORE_CALL_TIMED_OUT, format_args!("{} at {endpoint}", kind.name()));
         *self.client.borrow_mut() = new_client(self.options.call_timeout);
     }
 
--- a/src/platform/store/watch.rs
+++ b/src/platform/store/watch.rs
@@ -10,6 +10,7 @@
 use super::calls::CallKind;
 use super::transport::{Body, Transport};
 use super::{KeyValue, Result, StoreError, gateway};
+use crate::telemetry::events;
 
 /// A watch that says nothing for longer is opened again: its connection may be dead, and nothing
 /// else would show it.
@@ -100,6 +101,7 @@
     }
 
     async fn reopen(&mut self) -> Result<WatchBatch> {
+        events::log(events::STORE_WATCH_SILENT, format_args!("prefix {}", self.prefix));
         let transport = Rc::clone(&self.transport);
         *self = Self::open(transport, &self.prefix, self.next_revision).await?;
         Ok(WatchBatch { revision: self.next_revision.saturating_sub(1), events: Vec::new() })
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -37,8 +37,50 @@
 pub const STOP_FINISHED: LogEvent =
     LogEvent { number: 3, severity: Severity::Info, title: "graceful stop finished" };
 
+/// A watch of the key-value service said nothing for too long and is opened again.
+pub const STORE_WATCH_SILENT: LogEvent =
+    LogEvent { number: 3001, severity: Severity::Info, title: "store watch reopened" };
+/// The connections to the key-value service are dropped since a call timed out.
+pub const STORE_CALL_TIMED_OUT: LogEvent =
+    LogEvent { number: 3002, severity: Severity::Warning, title: "store call timed out" };
+
+/// A change was accepted.
+pub const CHANGE_ACCEPTED: LogEvent =
+    LogEvent { number: 4001, severity: Severity::Info, title: "change accepted" };
+/// The answer to a change was lost; its marker is read back.
+pub const CHANGE_IN_DOUBT: LogEvent =
+    LogEvent { number: 4002, severity: Severity::Warning, title: "change in doubt" };
+/// Reading back told what became of a change.
+pub const CHANGE_SETTLED: LogEvent =
+    LogEvent { number: 4003, severity: Severity::Info, title: "change settled" };
+/// A change could not be settled in time.
+pub const CHANGE_UNSETTLED: LogEvent =
+    LogEvent { number: 4004, severity: Severity::Error, title: "change not settled" };
+/// A key holds no resource and is passed over.
+pub const RESOURCE_UNREADABLE: LogEvent =
+    LogEvent { number: 4005, severity: Severity::Error, title: "resource unreadable" };
+/// The oldest records of the audit trail were removed.
+pub const AUDIT_PRUNED: LogEvent =
+    LogEvent { number: 4006, severity: Severity::Info, title: "audit trail pruned" };
+/// The audit trail could not be pruned; a later change tries again.
+pub const AUDIT_PRUNE_FAILED: LogEvent =
+    LogEvent { number: 4007, severity: Severity::Warning, title: "audit trail not pruned" };
+
 /// Every event, in the order of its number.
-pub const CATALOGUE: &[LogEvent] = &[PROCESS_STARTED, STOP_STARTED, STOP_FINISHED];
+pub const CATALOGUE: &[LogEvent] = &[
+    PROCESS_STARTED,
+    STOP_STARTED,
+    STOP_FINISHED,
+    STORE_WATCH_SILENT,
+    STORE_CALL_TIMED_OUT,
+    CHANGE_ACCEPTED,
+    CHANGE_IN_DOUBT,
+    CHANGE_SETTLED,
+    CHANGE_UNSETTLED,
+    RESOURCE_UNREADABLE,
+    AUDIT_PRUNED,
+    AUDIT_PRUNE_FAILED,
+];
 
 /// Logs one event with its details.
 pub fn log(event: LogEvent, details: fmt::Arguments<'_>) {
