--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,3 @@
 //! The daemon of an entry host.
+
+pub mod operator_api;
--- a/src/platform/store/watch.rs
+++ b/src/platform/store/watch.rs
@@ -57,6 +57,8 @@
     next_revision: u64,
     body: Body,
     buf: BytesMut,
+    /// When the silence has lasted too long; kept here since a wait may be given up and begun anew.
+    silence_deadline: time::Instant,
 }
 
 impl Watch {
@@ -73,6 +75,7 @@
             next_revision: from_revision,
             body,
             buf: BytesMut::new(),
+            silence_deadline: time::Instant::now() + SILENCE_LIMIT,
         })
     }
 
@@ -86,9 +89,10 @@
     /// revision after the last batch.
     pub async fn next(&mut self) -> Result<WatchBatch> {
         loop {
-            let Ok(line) = time::timeout(SILENCE_LIMIT, self.next_line()).await else {
+            let Ok(line) = time::timeout_at(self.silence_deadline, self.next_line()).await else {
                 return self.reopen().await;
             };
+            self.silence_deadline = time::Instant::now() + SILENCE_LIMIT;
             match gateway::decode_watch(&line?)? {
                 gateway::WatchMessage::Created => {}
                 gateway::WatchMessage::Cancelled { reason } => return Err(broken(&reason)),
--- a/src/problem.rs
+++ b/src/problem.rs
@@ -85,6 +85,9 @@
         if let Some(delay) = self.retry_after {
             response.insert_header((header::RETRY_AFTER, whole_seconds(delay).to_string()));
         }
+        if self.status == StatusCode::UNAUTHORIZED {
+            response.insert_header((header::WWW_AUTHENTICATE, "Bearer"));
+        }
         let body = serde_json::to_vec(self).unwrap_or_default();
         response.content_type(MEDIA_TYPE).body(body)
     }
--- a/src/resources/mod.rs
+++ b/src/resources/mod.rs
@@ -4,6 +4,7 @@
 //! with its audit record and its marker; docs/OPERATING.md tells what operators may rely on.
 
 pub mod changes;
+pub mod documents;
 pub mod error;
 pub mod kinds;
 pub mod names;
