cli: apply, get, watch, delete, audit, change, drain, check and hash-key

Cause: operators drive the system from a terminal and from scripts. Change: a clap builder, a checked options struct, and a client that sends a change whose answer was lost again under the same id, to the entries in turn; exit codes tell conflict, not in force in time and outcome unknown apart. check parses JSON only until the daemons' settings types are wired in cli::check. Ruled out: giving up at the first lost answer, since the API answers a resend with the first outcome.

--- /dev/null
+++ b/src/cli/check.rs
@@ -0,0 +1,25 @@
+//! Checks a settings file as the daemon would, without starting it.
+
+use std::path::Path;
+
+use crate::settings;
+
+/// Role is the daemon that a settings file is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// `bitternwall-entry`.
+    Entry,
+    /// `bitternwall-agent`.
+    Agent,
+}
+
+/// Checks a settings file.
+///
+/// # Errors
+///
+/// Returns a [`settings::SettingsError`] that names the file and the field.
+pub fn check(role: Role, file: &Path) -> settings::Result<()> {
+    match role {
+        Role::Entry | Role::Agent => settings::load::<serde_json::Value>(file, |_| None).map(drop),
+    }
+}
--- /dev/null
+++ b/src/cli/client.rs
@@ -0,0 +1,308 @@
+//! The client of the resource API: entries in turn, and changes that are made at most once.
+//!
+//! Each change carries an id, so one whose answer was lost is sent again under the same id: the
+//! API answers it with its first outcome.
+
+use std::time::Duration;
+
+use actix_web::http::{Method, StatusCode, header};
+use awc::error::{ConnectError, SendRequestError};
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use tokio::time;
+
+use crate::cli::error::{CliError, Result};
+use crate::cli::options::Connection;
+use crate::resources::documents::{AuditDocument, ChangeDocument, Document, ListDocument};
+use crate::resources::kinds::Kind;
+
+/// How long an entry may take for one answer; longer than it settles a change in doubt.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long connecting to an entry may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a call is sent again to entries that cannot answer it now.
+const RETRY_LIMIT: Duration = Duration::from_secs(30);
+/// The pause after all entries were asked in vain.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// The largest answer that is read, in bytes.
+const LARGEST_ANSWER: usize = 256 << 20;
+/// The header that carries the id of a change.
+const CHANGE_ID_HEADER: &str = "change-id";
+
+/// Client calls the resource API; it lives on one arbiter.
+pub struct Client {
+    client: awc::Client,
+    connection: Connection,
+}
+
+/// Call is one call, which may be sent several times.
+struct Call {
+    method: Method,
+    path: String,
+    body: Option<Document>,
+    version: Option<u64>,
+    /// The id of the change; none for a call that changes nothing.
+    change_id: Option<String>,
+}
+
+/// Reply is the answer of one entry.
+struct Reply {
+    entry: String,
+    status: StatusCode,
+    body: Bytes,
+}
+
+/// Failure is why an entry gave no reply.
+struct Failure {
+    entry: String,
+    reason: String,
+    /// True where the call may have been carried out.
+    in_doubt: bool,
+}
+
+#[derive(Default, Deserialize)]
+struct ProblemBody {
+    #[serde(default, rename = "type")]
+    type_: String,
+    #[serde(default)]
+    detail: String,
+    executed: Option<String>,
+}
+
+impl Client {
+    /// Returns a client; nothing is connected until the first call.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Argument`] where no entry is named.
+    pub fn new(connection: Connection) -> Result<Self> {
+        if connection.entries.is_empty() {
+            let (argument, value) = ("--entry", String::new());
+            return Err(CliError::Argument { argument, value, allowed: "at least one" });
+        }
+        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
+        let client = awc::Client::builder().connector(connector).disable_timeout().finish();
+        Ok(Self { client, connection })
+    }
+
+    /// Reads one resource.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CliError`], with status 404 where there is none.
+    pub async fn read(&self, kind: Kind, name: &str) -> Result<Document> {
+        self.call(&Call::get(format!("/v1/resources/{kind}/{name}"))).await
+    }
+
+    /// Reads all resources of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CliError`] where no entry answers.
+    pub async fn list(&self, kind: Kind) -> Result<ListDocument> {
+        self.call(&Call::get(format!("/v1/resources/{kind}"))).await
+    }
+
+    /// Reads the newest records of the audit trail.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CliError`] where no entry answers.
+    pub async fn audit(&self, limit: u32) -> Result<AuditDocument> {
+        self.call(&Call::get(format!("/v1/audit?limit={limit}"))).await
+    }
+
+    /// Asks what became of a change.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CliError`] where no entry answers.
+    pub async fn change(&self, id: &str) -> Result<ChangeDocument> {
+        self.call(&Call::get(format!("/v1/changes/{id}"))).await
+    }
+
+    /// Creates a resource.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Conflict`] where it exists.
+    pub async fn create(&self, document: &Document) -> Result<Document> {
+        let path = format!("/v1/resources/{}", document.kind);
+        self.call(&Call::change(Method::POST, path, Some(document.clone()), None)).await
+    }
+
+    /// Replaces a resource at the version that the document names.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Conflict`] where another change came first.
+    pub async fn replace(&self, document: &Document) -> Result<Document> {
+        let path = format!("/v1/resources/{}/{}", document.kind, document.metadata.name);
+        let version = document.metadata.resource_version;
+        self.call(&Call::change(Method::PUT, path, Some(document.clone()), version)).await
+    }
+
+    /// Removes a resource at a version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError::Conflict`] where another change came first.
+    pub async fn delete(&self, kind: Kind, name: &str, version: u64) -> Result<ChangeDocument> {
+        let path = format!("/v1/resources/{kind}/{name}");
+        self.call(&Call::change(Method::DELETE, path, None, Some(version))).await
+    }
+
+    /// Opens a watch at the first entry that takes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CliError`] where none does.
+    pub async fn watch(&self, kind: Kind, after: Option<u64>) -> Result<awc::ClientResponse> {
+        let mut path = format!("/v1/resources/{kind}?watch=true");
+        if let Some(version) = after {
+            path.push_str(&format!("&resource_version={version}"));
+        }
+        let call = Call::get(path);
+        let mut failure = None;
+        for entry in &self.connection.entries {
+            let sent = time::timeout(CALL_TIMEOUT, self.send(entry, &call)).await;
+            match sent.unwrap_or_else(|elapsed| Err(Failure::lost(entry, &elapsed))) {
+                Ok(answer) if answer.status().is_success() => return Ok(answer),
+                Ok(mut answer) => {
+                    let body = answer.body().await.unwrap_or_default();
+                    return Err(refusal(answer.status(), &body));
+                }
+                Err(error) => failure = Some(error),
+            }
+        }
+        Err(failure.map_or_else(no_entry, |failure| failure.into_error(&call)))
+    }
+
+    /// Sends a call to the entries in turn until one answers it or the time is up.
+    async fn call<T: DeserializeOwned>(&self, call: &Call) -> Result<T> {
+        let deadline = time::Instant::now() + RETRY_LIMIT;
+        let mut in_doubt = false;
+        loop {
+            let mut failure = None;
+            for entry in &self.connection.entries {
+                match self.exchange(entry, call).await {
+                    Ok(reply) if reply.status.is_success() => return decode(&reply),
+                    Ok(reply) if !is_temporary(reply.status) => {
+                        return Err(refusal(reply.status, &reply.body));
+                    }
+                    Ok(reply) => failure = Some(Failure::temporary(reply)),
+                    Err(error) => failure = Some(error),
+                }
+                in_doubt |= failure.as_ref().is_some_and(|failure| failure.in_doubt);
+            }
+            if time::Instant::now() + RETRY_PAUSE >= deadline {
+                let failure = failure.map(|failure| Failure { in_doubt, ..failure });
+                return Err(failure.map_or_else(no_entry, |failure| failure.into_error(call)));
+            }
+            time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn exchange(&self, entry: &str, call: &Call) -> std::result::Result<Reply, Failure> {
+        let exchange = async {
+            let mut answer = self.send(entry, call).await?;
+            let body = answer.body().limit(LARGEST_ANSWER).await;
+            let body = body.map_err(|error| Failure::lost(entry, &error))?;
+            Ok(Reply { entry: String::from(entry), status: answer.status(), body })
+        };
+        let answered = time::timeout(CALL_TIMEOUT, exchange).await;
+        answered.unwrap_or_else(|elapsed| Err(Failure::lost(entry, &elapsed)))
+    }
+
+    async fn send(
+        &self,
+        entry: &str,
+        call: &Call,
+    ) -> std::result::Result<awc::ClientResponse, Failure> {
+        let mut request = self.client.request(call.method.clone(), format!("{entry}{}", call.path));
+        if let Some(token) = &self.connection.token {
+            request = request.bearer_auth(token);
+        }
+        if let Some(id) = &call.change_id {
+            request = request.insert_header((CHANGE_ID_HEADER, id.as_str()));
+        }
+        if let Some(version) = call.version {
+            request = request.insert_header((header::IF_MATCH, format!("\"{version}\"")));
+        }
+        let sent = match &call.body {
+            Some(document) => request.send_json(document).await,
+            None => request.send().await,
+        };
+        sent.map_err(|error| Failure::of_send(entry, &error))
+    }
+}
+
+impl Call {
+    fn get(path: String) -> Self {
+        Self { method: Method::GET, path, body: None, version: None, change_id: None }
+    }
+
+    fn change(method: Method, path: String, body: Option<Document>, version: Option<u64>) -> Self {
+        let change_id = format!("{:032x}", rand::random::<u128>());
+        Self { method, path, body, version, change_id: Some(change_id) }
+    }
+}
+
+impl Failure {
+    fn lost(entry: &str, reason: &dyn std::fmt::Display) -> Self {
+        Self { entry: String::from(entry), reason: reason.to_string(), in_doubt: true }
+    }
+
+    fn of_send(entry: &str, error: &SendRequestError) -> Self {
+        let not_sent = match error {
+            // The client says `Disconnected` also when the far end closed after the request.
+            SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => false,
+            SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
+            _ => false,
+        };
+        Self { in_doubt: !not_sent, ..Self::lost(entry, error) }
+    }
+
+    fn temporary(reply: Reply) -> Self {
+        let problem: ProblemBody = serde_json::from_slice(&reply.body).unwrap_or_default();
+        let in_doubt = problem.executed.as_deref() != Some("no");
+        Self { entry: reply.entry, reason: problem.detail, in_doubt }
+    }
+
+    fn into_error(self, call: &Call) -> CliError {
+        match &call.change_id {
+            Some(id) if self.in_doubt => CliError::OutcomeUnknown { change_id: id.clone() },
+            _ => CliError::Unreachable { entry: self.entry, reason: self.reason },
+        }
+    }
+}
+
+fn is_temporary(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT | StatusCode::BAD_GATEWAY
+    )
+}
+
+fn decode<T: DeserializeOwned>(reply: &Reply) -> Result<T> {
+    serde_json::from_slice(&reply.body).map_err(|error| CliError::Garbled {
+        entry: reply.entry.clone(),
+        reason: error.to_string(),
+    })
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> CliError {
+    let ProblemBody { type_, mut detail, .. } = serde_json::from_slice(body).unwrap_or_default();
+    if detail.is_empty() {
+        detail = format!("The entry answered with status {status}.");
+    }
+    match status {
+        StatusCode::CONFLICT => CliError::Conflict { detail },
+        _ => CliError::Refused { status: status.as_u16(), type_, detail },
+    }
+}
+
+fn no_entry() -> CliError {
+    CliError::Unreachable { entry: String::from("(none)"), reason: String::from("none is named") }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,114 @@
+//! The operator's command line; docs/OPERATING.md tells what each command does and returns.
+
+pub mod apply;
+pub mod check;
+pub mod client;
+pub mod command;
+pub mod error;
+pub mod options;
+mod show;
+mod watch;
+
+use std::io::{self, Read, Write};
+
+use sha2::Digest;
+
+use crate::cli::client::Client;
+use crate::cli::error::{CliError, Result};
+use crate::cli::options::{Action, Options, Output};
+use crate::resources::documents::Document;
+use crate::resources::kinds::Kind;
+
+/// Runs one command and writes its result.
+///
+/// # Errors
+///
+/// Returns a [`CliError`], which knows the exit code of the program.
+pub async fn run(options: Options, out: &mut impl Write) -> Result<()> {
+    let Options { action, connection, output } = options;
+    match action {
+        Action::HashKey => return hash_key(io::stdin().lock(), out),
+        Action::Check { role, file } => return check_file(role, &file, out),
+        _ => {}
+    }
+    let client = Client::new(connection)?;
+    match action {
+        Action::Apply(action) => apply::apply(&client, &action, output, out).await,
+        Action::Get { kind, name } => get(&client, kind, name.as_deref(), output, out).await,
+        Action::Watch { kind } => watch::watch(&client, kind, output, out).await,
+        Action::Delete { kind, name } => delete(&client, kind, &name, output, out).await,
+        Action::Audit { limit } => {
+            let audit = client.audit(limit).await?;
+            show::audit(&audit, output, out)
+        }
+        Action::Change { id } => {
+            let change = client.change(&id).await?;
+            show::change(&change, output, out)
+        }
+        Action::Drain { target, drain } => set_drain(&client, &target, drain, output, out).await,
+        Action::HashKey | Action::Check { .. } => Ok(()),
+    }
+}
+
+async fn get(
+    client: &Client,
+    kind: Kind,
+    name: Option<&str>,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<()> {
+    match name {
+        Some(name) => {
+            let document = client.read(kind, name).await?;
+            show::document(&document, output, out)
+        }
+        None => {
+            let list = client.list(kind).await?;
+            show::list(&list, output, out)
+        }
+    }
+}
+
+async fn delete(
+    client: &Client,
+    kind: Kind,
+    name: &str,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<()> {
+    let present = client.read(kind, name).await?;
+    let version = present.metadata.resource_version.unwrap_or_default();
+    let change = client.delete(kind, name, version).await?;
+    show::change(&change, output, out)
+}
+
+async fn set_drain(
+    client: &Client,
+    target: &str,
+    drain: bool,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<()> {
+    let mut document = client.read(Kind::Target, target).await?;
+    if let Some(spec) = document.spec.as_object_mut() {
+        spec.insert(String::from("drain"), serde_json::Value::Bool(drain));
+    }
+    let document: Document = client.replace(&document).await?;
+    show::document(&document, output, out)
+}
+
+/// Hashes the first line of the input, so that the key is in no argument and no history.
+fn hash_key(input: impl Read, out: &mut impl Write) -> Result<()> {
+    let key = io::read_to_string(input).map_err(|source| CliError::Input { source })?;
+    let key = key.lines().next().unwrap_or_default();
+    if key.is_empty() {
+        return Err(CliError::EmptyKey);
+    }
+    let hash = sha2::Sha256::digest(key);
+    writeln!(out, "{hash:x}").map_err(|source| CliError::Output { source })
+}
+
+fn check_file(role: check::Role, file: &std::path::Path, out: &mut impl Write) -> Result<()> {
+    check::check(role, file)?;
+    writeln!(out, "{}: fine", file.display()).map_err(|source| CliError::Output { source })
+}
--- /dev/null
+++ b/src/cli/options.rs
@@ -0,0 +1,199 @@
+//! The checked options of one run, made from what the parser matched.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use clap::ArgMatches;
+
+use crate::cli::check::Role;
+use crate::cli::error::{CliError, Result};
+use crate::resources::kinds::Kind;
+
+/// The entry that is asked where none is named.
+const DEFAULT_ENTRY: &str = "http://127.0.0.1:8080";
+
+/// Output is how results are written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// One JSON document or line for each result.
+    Json,
+    /// Columns of text.
+    Table,
+}
+
+/// Connection is how to reach the system.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Connection {
+    /// Base addresses of entries, tried in order.
+    pub entries: Vec<String>,
+    /// The operator's bearer token, if any.
+    pub token: Option<String>,
+}
+
+/// ApplyOptions is what to apply and how long to wait.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ApplyOptions {
+    /// The files.
+    pub files: Vec<PathBuf>,
+    /// Whether to wait until all is in force.
+    pub wait: bool,
+    /// How long to wait.
+    pub timeout: Duration,
+}
+
+/// Action is the command.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// `apply`
+    Apply(ApplyOptions),
+    /// `get`
+    Get {
+        /// The kind.
+        kind: Kind,
+        /// The name; all where there is none.
+        name: Option<String>,
+    },
+    /// `watch`
+    Watch {
+        /// The kind.
+        kind: Kind,
+    },
+    /// `delete`
+    Delete {
+        /// The kind.
+        kind: Kind,
+        /// The name.
+        name: String,
+    },
+    /// `audit`
+    Audit {
+        /// The most records.
+        limit: u32,
+    },
+    /// `change`
+    Change {
+        /// The change's id.
+        id: String,
+    },
+    /// `drain`
+    Drain {
+        /// The target's name.
+        target: String,
+        /// False to put it back into service.
+        drain: bool,
+    },
+    /// `check`
+    Check {
+        /// The daemon that the file is for.
+        role: Role,
+        /// The settings file.
+        file: PathBuf,
+    },
+    /// `hash-key`
+    HashKey,
+}
+
+/// Options is all that one run needs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// The command.
+    pub action: Action,
+    /// How to reach the system.
+    pub connection: Connection,
+    /// How results are written.
+    pub output: Output,
+}
+
+impl Options {
+    /// Checks what the parser matched.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CliError`] that names the argument and its value.
+    pub fn from_matches(matches: &ArgMatches) -> Result<Self> {
+        let (name, matches) = matches.subcommand().ok_or_else(|| missing("command"))?;
+        let action = action(name, matches)?;
+        let output = match text(matches, "output")?.as_str() {
+            "json" => Output::Json,
+            _ => Output::Table,
+        };
+        Ok(Self { action, connection: connection(matches)?, output })
+    }
+}
+
+fn action(name: &str, matches: &ArgMatches) -> Result<Action> {
+    Ok(match name {
+        "apply" => Action::Apply(apply(matches)?),
+        "get" => {
+            Action::Get { kind: kind(matches)?, name: matches.get_one::<String>("name").cloned() }
+        }
+        "watch" => Action::Watch { kind: kind(matches)? },
+        "delete" => Action::Delete { kind: kind(matches)?, name: text(matches, "name")? },
+        "audit" => Action::Audit { limit: matches.get_one("limit").copied().unwrap_or_default() },
+        "change" => Action::Change { id: text(matches, "id")? },
+        "drain" => {
+            Action::Drain { target: text(matches, "target")?, drain: !matches.get_flag("undo") }
+        }
+        "check" => Action::Check { role: role(matches)?, file: path(matches, "file")? },
+        _ => Action::HashKey,
+    })
+}
+
+fn apply(matches: &ArgMatches) -> Result<ApplyOptions> {
+    let files = matches.get_many::<PathBuf>("file").ok_or_else(|| missing("file"))?;
+    let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
+    let (files, timeout) = (files.cloned().collect(), Duration::from_secs(seconds));
+    Ok(ApplyOptions { files, wait: matches.get_flag("wait"), timeout })
+}
+
+fn connection(matches: &ArgMatches) -> Result<Connection> {
+    let given = matches.get_many::<String>("entry").into_iter().flatten();
+    let mut entries: Vec<_> = given.map(|url| String::from(url.trim_end_matches('/'))).collect();
+    if entries.is_empty() {
+        entries.push(String::from(DEFAULT_ENTRY));
+    }
+    if let Some(url) = entries.iter().find(|url| !url.starts_with("http://")) {
+        let allowed = "a base address that starts with `http://`";
+        return Err(CliError::Argument { argument: "--entry", value: url.clone(), allowed });
+    }
+    let token =
+        matches.get_one::<PathBuf>("token-file").map(|file| read_token(file)).transpose()?;
+    Ok(Connection { entries, token })
+}
+
+fn read_token(file: &Path) -> Result<String> {
+    let text = fs::read_to_string(file)
+        .map_err(|source| CliError::Unreadable { file: file.to_owned(), source })?;
+    let token = text.lines().next().map(str::trim).filter(|token| !token.is_empty());
+    token.map(String::from).ok_or_else(|| CliError::Argument {
+        argument: "--token-file",
+        value: file.display().to_string(),
+        allowed: "a file whose first line is a token",
+    })
+}
+
+fn kind(matches: &ArgMatches) -> Result<Kind> {
+    let value = text(matches, "kind")?;
+    let allowed = "customer, service, policy, target or group";
+    value.parse().map_err(|_| CliError::Argument { argument: "KIND", value, allowed })
+}
+
+fn role(matches: &ArgMatches) -> Result<Role> {
+    Ok(match text(matches, "role")?.as_str() {
+        "entry" => Role::Entry,
+        _ => Role::Agent,
+    })
+}
+
+fn text(matches: &ArgMatches, argument: &'static str) -> Result<String> {
+    matches.get_one::<String>(argument).cloned().ok_or_else(|| missing(argument))
+}
+
+fn path(matches: &ArgMatches, argument: &'static str) -> Result<PathBuf> {
+    matches.get_one::<PathBuf>(argument).cloned().ok_or_else(|| missing(argument))
+}
+
+fn missing(argument: &'static str) -> CliError {
+    CliError::Argument { argument, value: String::new(), allowed: "a value" }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agent;
 pub mod audit;
+pub mod cli;
 pub mod clock;
 pub mod collections;
 pub mod config;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,27 @@
 //! The operator's command line.
 
-fn main() {}
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use bitternwall::cli;
+use bitternwall::cli::error::CliError;
+use bitternwall::cli::options::Options;
+
+fn main() -> ExitCode {
+    let matches = cli::command::command().get_matches();
+    match run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let code = error.exit_code();
+            // Nothing is left to do where even the error cannot be written.
+            let _ = writeln!(io::stderr(), "bitternwall: {:#}", anyhow::Error::from(error));
+            ExitCode::from(code)
+        }
+    }
+}
+
+fn run(matches: &clap::ArgMatches) -> Result<(), CliError> {
+    let options = Options::from_matches(matches)?;
+    let system = actix::System::new();
+    system.block_on(cli::run(options, &mut io::stdout()))
+}
