--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,3 +13,4 @@
 pub mod refusals;
 pub mod relay;
 pub mod sse;
+pub mod operator_api;
