Stand-ins: key-value service, model engine, plain service

Cause: tests and the demo need the systems outside, with their faults, and none of them may be a third-party server.

Change: one `standin` program with the subcommands kv, engine and service, each also a `start` function for tests in the same process. The key-value service speaks the etcd v3 JSON gateway as published: numbers as strings, default fields left out, one revision for all writes of a transaction, values up to 1,000,000 bytes, at most 128 operations in a transaction.

Ruled out: testing cuts with awc. The tests read cut answers from a plain socket instead. Whoever passes on bodies read through awc has to check their length or end marker.

--- /dev/null
+++ b/standins/src/engine/run.rs
@@ -0,0 +1,135 @@
+//! One run of one request: its tokens, one by one, at the engine's pace.
+
+use std::sync::Arc;
+
+use tokio::time;
+
+use super::Engine;
+use super::answer;
+use super::messages::{
+    ChatChunk, ChatCompletion, ChatRequest, Choice, ChunkChoice, Delta, Message, Usage,
+};
+use super::slots::Slot;
+use crate::reply::{self, Cut};
+
+const ASSISTANT: &str = "assistant";
+const STOP: &str = "stop";
+
+/// Run makes the answer to one request; dropping it early cancels it.
+pub(super) struct Run {
+    engine: Arc<Engine>,
+    id: String,
+    key: String,
+    req: ChatRequest,
+    tokens: Vec<String>,
+    next: usize,
+    slot: Option<Slot>,
+    finished: bool,
+}
+
+impl Run {
+    /// Returns the run of a request that was checked; `key` is what it is counted by.
+    pub(super) fn new(engine: Arc<Engine>, key: String, req: ChatRequest) -> Self {
+        let tokens = answer::expected_tokens(&req.model, &req.messages, req.max_tokens);
+        let id = engine.next_run_id();
+        let next = req.resume_from;
+        Self { engine, id, key, req, tokens, next, slot: None, finished: false }
+    }
+
+    /// Returns the next token, or nothing after the last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Cut`] where the connection is to be cut here.
+    pub(super) async fn next_token(&mut self) -> Result<Option<String>, Cut> {
+        self.begin().await;
+        let Some(token) = self.tokens.get(self.next).cloned() else {
+            self.finish();
+            return Ok(None);
+        };
+        if self.engine.cuts_after(self.next - self.req.resume_from) {
+            return Err(reply::flush_before_cut().await);
+        }
+        time::sleep(self.engine.options.token_time).await;
+        self.engine.wait_out_stall().await;
+        self.next += 1;
+        Ok(Some(token))
+    }
+
+    /// Makes all tokens and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Cut`] where the connection is to be cut on the way.
+    pub(super) async fn complete(mut self) -> Result<ChatCompletion, Cut> {
+        let mut content = String::new();
+        while let Some(token) = self.next_token().await? {
+            content.push_str(&token);
+        }
+        let message = Message { role: ASSISTANT.to_owned(), content };
+        let choice = Choice { index: 0, message, finish_reason: STOP.to_owned() };
+        Ok(ChatCompletion {
+            id: self.id.clone(),
+            object: "chat.completion".to_owned(),
+            model: self.req.model.clone(),
+            system_fingerprint: self.engine.options.name.clone(),
+            choices: vec![choice],
+            usage: self.usage(),
+        })
+    }
+
+    /// Returns the event for one token.
+    pub(super) fn token_chunk(&self, token: String) -> ChatChunk {
+        let delta = Delta { role: Some(ASSISTANT.to_owned()), content: Some(token) };
+        self.chunk(ChunkChoice { index: 0, delta, finish_reason: None }, None)
+    }
+
+    /// Returns the event after the last token.
+    pub(super) fn last_chunk(&self) -> ChatChunk {
+        let finish_reason = Some(STOP.to_owned());
+        let choice = ChunkChoice { index: 0, delta: Delta::default(), finish_reason };
+        self.chunk(choice, Some(self.usage()))
+    }
+
+    fn chunk(&self, choice: ChunkChoice, usage: Option<Usage>) -> ChatChunk {
+        ChatChunk {
+            id: self.id.clone(),
+            object: "chat.completion.chunk".to_owned(),
+            model: self.req.model.clone(),
+            system_fingerprint: self.engine.options.name.clone(),
+            choices: vec![choice],
+            usage,
+        }
+    }
+
+    async fn begin(&mut self) {
+        if self.slot.is_some() || self.finished {
+            return;
+        }
+        self.slot = Some(self.engine.slots.acquire(self.req.priority).await);
+        self.engine.count_start(&self.key);
+        self.engine.crash_if_asked(&self.req.prompt());
+        time::sleep(self.engine.options.first_token_time).await;
+    }
+
+    fn finish(&mut self) {
+        self.finished = true;
+        self.slot = None;
+        self.engine.count_finish();
+    }
+
+    fn usage(&self) -> Usage {
+        let prompt_tokens = self.req.prompt().split_whitespace().count();
+        let completion_tokens = self.next - self.req.resume_from;
+        let total_tokens = prompt_tokens + completion_tokens;
+        Usage { prompt_tokens, completion_tokens, total_tokens }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.engine.count_cancel();
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,13 @@
-//! Small fakes of the outside systems.
+//! Small fakes of the systems outside, for tests and the demo only.
+//!
+//! Each module is one fake with a `start` function that serves it on the caller's actix runtime;
+//! the `standin` program serves the same fakes as processes of their own.
+
+pub mod engine;
+pub mod kv;
+pub mod lagged;
+pub mod reply;
+pub mod server;
+pub mod service;
+
+pub use server::Running;
