--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -17,8 +17,9 @@
 use crate::clock::Clock;
 use crate::daemon::signals;
 use crate::entry::core::Options;
-use crate::entry::{actor, addresses, caller_api, config_reader, metrics};
+use crate::entry::{actor, addresses, caller_api, config_reader, metrics, operator_api};
 use crate::platform::store;
+use crate::resources::status;
 use crate::settings::entry::EntrySettings;
 use crate::telemetry::{admin, events, logs};
 use crate::wire::client;
@@ -77,13 +78,19 @@
         ..Options::default()
     };
     let dialler = dialler(Arc::clone(&settings), Rc::clone(&board), incarnation);
-    let actor =
-        actor::EntryActor::new(options, clock, incarnation, Rc::clone(&board), dialler, metrics)
-            .start();
+    let actor = actor::EntryActor::new(
+        options,
+        clock.clone(),
+        incarnation,
+        Rc::clone(&board),
+        dialler,
+        metrics,
+    )
+    .start();
     let store = store::Store::new(settings.store.options());
     let reader = actix_rt::spawn(config_reader::run(store, actor.clone()));
     let ready = Arc::new(AtomicBool::new(true));
-    let callers = serve_callers(&settings, &actor)?;
+    let callers = serve_callers(&settings, &actor, &clock)?;
     let admin = serve_admin(&settings, &registry, &ready)?;
     let (callers_handle, admin_handle) = (callers.handle(), admin.handle());
     let callers = actix_rt::spawn(callers);
@@ -120,7 +127,17 @@
     }
 }
 
-fn serve_callers(settings: &EntrySettings, actor: &Addr<actor::EntryActor>) -> Result<Server> {
+fn serve_callers(
+    settings: &EntrySettings,
+    actor: &Addr<actor::EntryActor>,
+    clock: &Clock,
+) -> Result<Server> {
+    let operators = operator_api::Options {
+        store: settings.store.options(),
+        settings: settings.operator_api.clone(),
+        clock: clock.clone(),
+        status: Arc::new(|_, _, _| status::Status::default()),
+    };
     let api = caller_api::CallerApi {
         entry: settings.name.clone(),
         actor: actor.clone(),
@@ -134,6 +151,7 @@
             .app_data(web::Data::new(addresses.clone()))
             .configure(caller_api::configure)
             .configure(addresses::configure)
+            .configure(|cfg| operator_api::configure(cfg, &operators))
     };
     let server = HttpServer::new(app)
         .workers(settings.http_workers)
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use crate::entry::operator_api;
 use crate::settings::{Problem, common};
 
 /// EntrySettings is the whole settings file of `bitternwall-entry`.
@@ -30,8 +31,8 @@
     /// Other entries, for as long as the host list says nothing.
     #[serde(default)]
     pub peers: Vec<Peer>,
-    /// Who may declare resources.
-    pub operators: Vec<OperatorSettings>,
+    /// Who may declare resources, and the limits of the resource API.
+    pub operator_api: operator_api::OperatorSettings,
     /// Milliseconds between heartbeats on a link.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
@@ -67,16 +68,6 @@
     pub link: SocketAddr,
 }
 
-/// OperatorSettings is one operator.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct OperatorSettings {
-    /// The name that the audit trail records.
-    pub name: String,
-    /// Lower-case hex SHA-256 of the bearer token.
-    pub token_sha256: String,
-}
-
 const DEFAULT_HEARTBEAT_MS: u64 = 1_000;
 const DEFAULT_LINK_DEADLINE_MS: u64 = 2_500;
 const DEFAULT_FRESHNESS_MS: u64 = 10_000;
@@ -129,18 +120,14 @@
         .or_else(|| common::check_name("data_centre", &settings.data_centre))
         .or_else(|| common::check_name("region", &settings.region))
         .or_else(|| common::check_store(&settings.store))
-        .or_else(|| check_operators(&settings.operators))
+        .or_else(|| check_operator_api(&settings.operator_api))
         .or_else(|| check_times(settings))
         .or_else(|| check_sizes(settings))
 }
 
-fn check_operators(operators: &[OperatorSettings]) -> Option<Problem> {
-    operators.iter().enumerate().find_map(|(index, operator)| {
-        common::check_name(&format!("operators[{index}].name"), &operator.name).or_else(|| {
-            let field = format!("operators[{index}].token_sha256");
-            common::check_sha256(&field, &operator.token_sha256)
-        })
-    })
+fn check_operator_api(settings: &operator_api::OperatorSettings) -> Option<Problem> {
+    let problem = operator_api::check(settings)?;
+    Some(Problem { field: format!("operator_api.{}", problem.field), ..problem })
 }
 
 fn check_times(settings: &EntrySettings) -> Option<Problem> {
--- /dev/null
+++ b/standins/src/fleet/mod.rs
@@ -0,0 +1,270 @@
+//! A whole system on loopback, each part its own process, for the demo, the tests and the
+//! measurements.
+
+pub mod documents;
+pub mod process;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use std::{env, fs, process as std_process};
+
+use serde_json::{Value, json};
+
+pub use process::{Process, ProcessError, Result};
+
+/// The bearer token of the fleet's operator.
+pub const OPERATOR_TOKEN: &str = "demo-operator-token";
+/// SHA-256 of [`OPERATOR_TOKEN`].
+pub const OPERATOR_TOKEN_SHA256: &str =
+    "61112491d046c3f6f8ab801f170d9b2d0c734a17ceff60dee92123fb507cfc3f";
+/// The name of the model service.
+pub const MODEL_SERVICE: &str = "summary-llm";
+/// The name of the plain service.
+pub const PLAIN_SERVICE: &str = "dispatch-api";
+/// The data centres that processes are spread over.
+pub const DATA_CENTRES: [&str; 3] = ["kafr", "damietta", "tanta"];
+const REGION: &str = "delta-north";
+
+/// Plan is how large a fleet is, and how it differs from the usual.
+pub struct Plan {
+    /// Entries.
+    pub entries: usize,
+    /// Model engines, each with an agent.
+    pub engines: usize,
+    /// Targets of the plain service, each with an agent.
+    pub services: usize,
+    /// Further arguments of the engines.
+    pub engine_arguments: Vec<String>,
+    /// Changes an entry's settings before they are written.
+    pub adjust_entry: fn(&mut Value),
+    /// Changes an agent's settings before they are written.
+    pub adjust_agent: fn(&mut Value),
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 1,
+            engines: 1,
+            services: 1,
+            engine_arguments: Vec::new(),
+            adjust_entry: |_| {},
+            adjust_agent: |_| {},
+        }
+    }
+}
+
+/// Target is one back end with the agent before it.
+pub struct Target {
+    /// The name of its resource.
+    pub name: String,
+    /// The service that it serves.
+    pub service: &'static str,
+    /// The data centre that it stands in.
+    pub data_centre: &'static str,
+    /// The stand-in.
+    pub back_end: Process,
+    /// Its agent; the address is where entries connect.
+    pub agent: Process,
+    settings: PathBuf,
+}
+
+impl Target {
+    /// Starts the agent again after it ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not start.
+    pub fn restart_agent(&mut self) -> Result<()> {
+        let address = self.agent.address;
+        self.agent = Process::daemon(&self.name, AGENT, &self.settings, address)?;
+        Ok(())
+    }
+}
+
+/// Entry is one entry process; its address is where callers connect.
+pub struct Entry {
+    /// The process.
+    pub process: Process,
+    /// Where its metrics are read.
+    pub admin: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Entry {
+    /// Starts the entry again after it ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not start.
+    pub fn restart(&mut self) -> Result<()> {
+        let (name, address) = (self.process.name.clone(), self.process.address);
+        self.process = Process::daemon(&name, ENTRY, &self.settings, address)?;
+        Ok(())
+    }
+}
+
+const AGENT: &str = "bitternwall-agent";
+const ENTRY: &str = "bitternwall-entry";
+
+/// Fleet is a running system; dropping it ends every process.
+pub struct Fleet {
+    /// The entries, which end first.
+    pub entries: Vec<Entry>,
+    /// The targets with their agents.
+    pub targets: Vec<Target>,
+    /// The platform's key-value service.
+    pub store: Process,
+    /// Where settings and logs are.
+    pub dir: PathBuf,
+}
+
+impl Fleet {
+    /// Starts every process of a plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where one does not start.
+    pub fn start(plan: &Plan) -> Result<Self> {
+        let dir = fresh_dir()?;
+        let store = Process::stand_in("store", &["kv"])?;
+        let mut targets = Vec::new();
+        for index in 0..plan.engines {
+            let name = format!("engine-{index}");
+            let mut arguments = vec!["engine", "--name", &name];
+            arguments.extend(plan.engine_arguments.iter().map(String::as_str));
+            let back_end = Process::stand_in(&name, &arguments)?;
+            targets.push(target(plan, &dir, &store, index, MODEL_SERVICE, back_end)?);
+        }
+        for index in 0..plan.services {
+            let name = format!("service-{index}");
+            let back_end = Process::stand_in(&name, &["service", "--name", &name])?;
+            targets.push(target(plan, &dir, &store, index, PLAIN_SERVICE, back_end)?);
+        }
+        let entries = entries(plan, &dir, &store)?;
+        Ok(Self { entries, targets, store, dir })
+    }
+
+    /// Returns the address of an entry.
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.entries[index].process.address
+    }
+
+    /// Returns the resources that the operator of this fleet declares.
+    pub fn documents(&self) -> Vec<Value> {
+        documents::all(&self.targets)
+    }
+
+    /// Asks every process to stop gracefully and waits for it, entries first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for the first process that does not end in `limit`.
+    pub fn stop(&mut self, limit: Duration) -> Result<()> {
+        let entries = self.entries.iter_mut().map(|entry| &mut entry.process);
+        stop_all(entries.collect(), limit)?;
+        let agents = self.targets.iter_mut().map(|target| &mut target.agent);
+        stop_all(agents.collect(), limit)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if env::var_os("BITTERNWALL_KEEP_LOGS").is_none() {
+            drop(fs::remove_dir_all(&self.dir));
+        }
+    }
+}
+
+fn stop_all(mut processes: Vec<&mut Process>, limit: Duration) -> Result<()> {
+    for process in &processes {
+        process.signal("TERM")?;
+    }
+    processes.iter_mut().try_for_each(|process| process.wait(limit).map(drop))
+}
+
+fn fresh_dir() -> Result<PathBuf> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let dir = env::temp_dir().join(format!("bitternwall-{}-{number}", std_process::id()));
+    fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
+
+fn data_centre(index: usize) -> &'static str {
+    DATA_CENTRES[index % DATA_CENTRES.len()]
+}
+
+fn store_url(store: &Process) -> String {
+    format!("http://{}", store.address)
+}
+
+fn target(
+    plan: &Plan,
+    dir: &Path,
+    store: &Process,
+    index: usize,
+    service: &'static str,
+    back_end: Process,
+) -> Result<Target> {
+    let addresses = process::free_addresses(2)?;
+    let mut settings = json!({
+        "target": back_end.name,
+        "service": service,
+        "data_centre": data_centre(index),
+        "region": REGION,
+        "listen": addresses[0],
+        "admin_listen": addresses[1],
+        "target_url": format!("http://{}", back_end.address),
+        "store": { "endpoints": [store_url(store)] },
+    });
+    (plan.adjust_agent)(&mut settings);
+    let file = write_settings(dir, &format!("agent-{}", back_end.name), &settings)?;
+    let agent = Process::daemon(&back_end.name, AGENT, &file, addresses[0])?;
+    let (name, data_centre) = (back_end.name.clone(), data_centre(index));
+    Ok(Target { name, service, data_centre, back_end, agent, settings: file })
+}
+
+fn entries(plan: &Plan, dir: &Path, store: &Process) -> Result<Vec<Entry>> {
+    let addresses = process::free_addresses(3 * plan.entries)?;
+    let name = |index| format!("entry-{index}");
+    let peer = |index: usize| {
+        json!({
+            "name": name(index),
+            "address": addresses[3 * index],
+            "link": addresses[3 * index + 1],
+        })
+    };
+    let mut entries = Vec::new();
+    for index in 0..plan.entries {
+        let peers: Vec<Value> =
+            (0..plan.entries).filter(|other| *other != index).map(peer).collect();
+        let mut settings = json!({
+            "name": name(index),
+            "data_centre": data_centre(index),
+            "region": REGION,
+            "listen": addresses[3 * index],
+            "link_listen": addresses[3 * index + 1],
+            "admin_listen": addresses[3 * index + 2],
+            "store": { "endpoints": [store_url(store)] },
+            "peers": peers,
+            "operator_api": {
+                "operators": [{ "name": "amal", "token_sha256": OPERATOR_TOKEN_SHA256 }],
+            },
+            "address_keep_ms": 1_000,
+        });
+        (plan.adjust_entry)(&mut settings);
+        let file = write_settings(dir, &name(index), &settings)?;
+        let process = Process::daemon(&name(index), ENTRY, &file, addresses[3 * index])?;
+        entries.push(Entry { process, admin: addresses[3 * index + 2], settings: file });
+    }
+    Ok(entries)
+}
+
+fn write_settings(dir: &Path, name: &str, settings: &Value) -> Result<PathBuf> {
+    let file = dir.join(format!("{name}.json"));
+    fs::write(&file, settings.to_string())?;
+    Ok(file)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! the `standin` program serves the same fakes as processes of their own.
 
 pub mod engine;
+pub mod fleet;
 pub mod kv;
 pub mod lagged;
 pub mod reply;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,177 @@
+//! Small helpers of the tests that drive the real programs.
+
+#![allow(dead_code, reason = "each test file uses its own part of the helpers")]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::http::StatusCode;
+use awc::http::header::HeaderMap;
+use serde_json::{Value, json};
+use standins::fleet::{self, Fleet, documents};
+
+/// How long a fleet may take to serve; only a broken one needs it.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const POLL_STEP: Duration = Duration::from_millis(50);
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The bearer key of the fleet's first customer.
+pub const KEY: &str = documents::CUSTOMERS[0].1;
+
+/// Answer is a whole HTTP answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("the body is JSON")
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Call is one HTTP call to be sent.
+pub struct Call<'a> {
+    pub method: &'a str,
+    pub address: SocketAddr,
+    pub path: &'a str,
+    pub token: &'a str,
+    pub headers: &'a [(&'a str, &'a str)],
+    pub body: Vec<u8>,
+}
+
+impl<'a> Call<'a> {
+    pub fn get(address: SocketAddr, path: &'a str) -> Self {
+        Self { method: "GET", address, path, token: KEY, headers: &[], body: Vec::new() }
+    }
+
+    pub fn post(address: SocketAddr, path: &'a str, body: &Value) -> Self {
+        Self { method: "POST", body: body.to_string().into_bytes(), ..Self::get(address, path) }
+    }
+
+    /// Sends the call; none where the connection failed or was cut.
+    pub async fn send(self) -> Option<Answer> {
+        let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+        let method = self.method.parse().expect("the test names a method");
+        let url = format!("http://{}{}", self.address, self.path);
+        let mut request = client.request(method, url).bearer_auth(self.token);
+        request = request.insert_header(("content-type", "application/json"));
+        for (name, value) in self.headers {
+            request = request.insert_header((*name, *value));
+        }
+        let mut response = request.send_body(self.body).await.ok()?;
+        let (status, headers) = (response.status(), response.headers().clone());
+        let body = response.body().limit(64 * 1024 * 1024).await.ok()?.to_vec();
+        Some(Answer { status, headers, body })
+    }
+}
+
+/// Declares every resource of a fleet and waits until it serves both services everywhere.
+pub async fn declare_and_wait(fleet: &Fleet) {
+    wait_for("the operator API", async || {
+        let call = Call { token: fleet::OPERATOR_TOKEN, ..Call::get(fleet.entry(0), "/v1/audit") };
+        call.send().await.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+    for document in fleet.documents() {
+        declare(fleet.entry(0), &document).await;
+    }
+    for index in 0..fleet.entries.len() {
+        wait_until_serving(fleet, fleet.entry(index)).await;
+    }
+}
+
+/// Creates one resource.
+pub async fn declare(entry: SocketAddr, document: &Value) {
+    let kind = document["kind"].as_str().expect("a document has a kind");
+    let path = format!("/v1/resources/{kind}");
+    let call = Call { token: fleet::OPERATOR_TOKEN, ..Call::post(entry, &path, document) };
+    let answer = call.send().await.expect("the entry answers");
+    let text = String::from_utf8_lossy(&answer.body);
+    assert_eq!(answer.status, StatusCode::CREATED, "{document}: {text}");
+}
+
+async fn wait_until_serving(fleet: &Fleet, entry: SocketAddr) {
+    if fleet.targets.iter().any(|target| target.service == fleet::MODEL_SERVICE) {
+        wait_for("a chat", async || {
+            chat(entry, "ready?", 1, false).await.is_some_and(|a| a.status == StatusCode::OK)
+        })
+        .await;
+    }
+    if fleet.targets.iter().any(|target| target.service == fleet::PLAIN_SERVICE) {
+        wait_for("a plain call", async || {
+            let call = Call::get(entry, "/v1/services/dispatch-api/quality");
+            call.send().await.is_some_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+}
+
+/// Asks again and again until the answer is true.
+pub async fn wait_for(what: &str, mut is_so: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !is_so().await {
+        assert!(start.elapsed() < READY_LIMIT, "{what} did not come to be");
+        actix_rt::time::sleep(POLL_STEP).await;
+    }
+}
+
+/// Returns the body of a chat request.
+pub fn chat_body(prompt: &str, tokens: usize, stream: bool) -> Value {
+    json!({
+        "model": documents::MODEL,
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": tokens,
+        "stream": stream,
+    })
+}
+
+/// Sends a chat request.
+pub async fn chat(entry: SocketAddr, prompt: &str, tokens: usize, stream: bool) -> Option<Answer> {
+    Call::post(entry, "/v1/chat/completions", &chat_body(prompt, tokens, stream)).send().await
+}
+
+/// Returns the text that an engine gives to [`chat_body`].
+pub fn expected_text(prompt: &str, tokens: usize) -> String {
+    let message =
+        standins::engine::messages::Message { role: "user".to_owned(), content: prompt.to_owned() };
+    standins::engine::expected_answer(documents::MODEL, &[message], tokens)
+}
+
+/// Returns the text of a whole answer.
+pub fn whole_text(answer: &Answer) -> String {
+    answer.json()["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
+}
+
+/// Returns the text of a streamed answer, and whether its last event says that it is whole.
+pub fn streamed_text(answer: &Answer) -> (String, bool) {
+    let body = String::from_utf8(answer.body.clone()).expect("a stream is text");
+    let events: Vec<&str> = body.split("\n\n").filter(|event| !event.is_empty()).collect();
+    let chunks = events.iter().filter_map(|event| event.strip_prefix("data: "));
+    let text = chunks
+        .filter_map(|chunk| serde_json::from_str::<Value>(chunk).ok())
+        .filter_map(|chunk| chunk["choices"][0]["delta"]["content"].as_str().map(str::to_owned))
+        .collect();
+    (text, events.last() == Some(&"data: [DONE]"))
+}
+
+/// Returns how often the plain-service stand-ins ran a call with this idempotency key.
+pub async fn runs_with_key(fleet: &Fleet, key: &str) -> u64 {
+    let mut runs = 0;
+    let plain = fleet.targets.iter().filter(|target| target.service == fleet::PLAIN_SERVICE);
+    for target in plain {
+        let call = Call::get(target.back_end.address, "/control/runs");
+        let Some(answer) = call.send().await else { continue };
+        let listed = answer.json();
+        let listed = listed["calls"].as_array().cloned().unwrap_or_default();
+        let with_key = listed.iter().filter(|run| run["key"] == key);
+        runs += with_key.filter_map(|run| run["runs"].as_u64()).sum::<u64>();
+    }
+    runs
+}
