--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,1 +1,20 @@
-//! The daemon before one target.
+//! The daemon before one target: the only way to it.
+//!
+//! [`world::AgentWorld`] takes every decision (admission, the fair queue, claims, suspects,
+//! drain) without I/O; [`actor`] turns frames and answers into its events and its effects into
+//! I/O. docs/DESIGN.md tells why the agent decides all this alone.
+
+pub mod actor;
+pub mod admin;
+pub mod cli;
+pub mod config_view;
+pub mod daemon;
+pub mod events;
+pub mod links;
+pub mod metrics;
+pub mod options;
+pub mod relay;
+pub mod systems;
+pub mod tables;
+pub mod target;
+pub mod world;
--- /dev/null
+++ b/src/agent/systems/retry.rs
@@ -0,0 +1,175 @@
+//! Crashing requests: what ran when the target died is suspect, suspects run alone, and a
+//! fingerprint that was there twice is refused for a while (docs/DESIGN.md).
+
+use std::time::Duration;
+
+use crate::agent::events;
+use crate::agent::systems::{admission, answers};
+use crate::agent::tables;
+use crate::agent::world;
+use crate::wire;
+
+/// Crashes after which a fingerprint is refused.
+const CRASHES_TO_REFUSE: u32 = 2;
+/// Fingerprints that are refused or counted at once.
+const MAX_FINGERPRINTS: usize = 1_024;
+
+/// Takes in that the target gave no whole answer to a job.
+pub fn failed(world: &mut world::AgentWorld, id: events::JobId, failure: events::Failure, effects: &mut Vec<events::Effect>) {
+    if world.jobs.get(id).is_none_or(|job| job.state != tables::JobState::Running) {
+        return;
+    }
+    match failure {
+        events::Failure::Unreachable => unreachable_target(world, id, effects),
+        events::Failure::Broken => {
+            world.jobs.set_state(id, tables::JobState::Broken);
+            effects.push(events::Effect::Probe);
+        }
+    }
+}
+
+/// Takes in a health probe and settles the jobs whose connection broke.
+pub fn probed(world: &mut world::AgentWorld, probe: events::Probe, effects: &mut Vec<events::Effect>) {
+    let healthy = probe == events::Probe::Healthy;
+    if world.target.healthy != healthy {
+        world.target.healthy = healthy;
+        effects.push(events::Effect::Beat);
+    }
+    let broken: Vec<events::JobId> = in_state(world, tables::JobState::Broken);
+    let died = probe == events::Probe::Refused || all_broke(world, &broken);
+    for id in broken {
+        if died {
+            count_crash(world, id);
+            end(world, id, wire::RefusalReason::TargetCrashed, effects);
+        } else {
+            end(world, id, wire::RefusalReason::TargetFailed, effects);
+        }
+    }
+    if !healthy {
+        refuse_waiting(world, effects);
+    }
+}
+
+/// Takes over the fingerprints that a peer refuses.
+pub fn learn(world: &mut world::AgentWorld, list: &[wire::Fingerprint]) {
+    for fingerprint in list {
+        let ttl = Duration::from_millis(fingerprint.ttl_ms).min(world.options.fingerprint_ttl);
+        refuse_fingerprint(world, fingerprint.hash, world.now + ttl);
+    }
+}
+
+/// Forgets crashes and refusals whose time has passed.
+pub fn expire(world: &mut world::AgentWorld) {
+    let now = world.now;
+    world.suspects.refused.retain(|_, until| *until > now);
+    world.suspects.crashes.retain(|_, crash| crash.expires_at > now);
+}
+
+/// Returns the refused fingerprints with the time that is left of each.
+pub fn refused(world: &world::AgentWorld) -> Vec<wire::Fingerprint> {
+    let left = |until: Duration| until.saturating_sub(world.now).as_millis();
+    world
+        .suspects
+        .refused
+        .iter()
+        .map(|(hash, until)| wire::Fingerprint {
+            hash: *hash,
+            ttl_ms: u64::try_from(left(*until)).unwrap_or(u64::MAX),
+        })
+        .collect()
+}
+
+/// Returns how long a fingerprint stays refused, where it is.
+pub fn refusal_left(world: &world::AgentWorld, fingerprint: u64) -> Option<Duration> {
+    let until = world.suspects.refused.get(&fingerprint)?;
+    Some(until.saturating_sub(world.now))
+}
+
+/// Returns whether a suspect has the turn: `None` where none has, else the suspect to hand on
+/// now or `None` while the slots are being emptied for it or it runs.
+pub fn suspect_turn(world: &world::AgentWorld) -> Option<Option<events::JobId>> {
+    if world.suspects.running.is_some() {
+        return Some(None);
+    }
+    let id = *world.suspects.waiting.front()?;
+    if world.jobs.running() == 0 {
+        return Some(Some(id));
+    }
+    let since = world.jobs.get(id)?.admitted_at;
+    let patience_over = world.now.saturating_sub(since) >= world.options.suspect_patience;
+    patience_over.then_some(None)
+}
+
+/// Notes that a suspect is handed on.
+pub fn take_suspect(world: &mut world::AgentWorld, id: events::JobId) {
+    if world.suspects.waiting.front() == Some(&id) {
+        world.suspects.waiting.pop_front();
+        world.suspects.running = Some(id);
+    }
+}
+
+fn unreachable_target(world: &mut world::AgentWorld, id: events::JobId, effects: &mut Vec<events::Effect>) {
+    effects.push(events::Effect::Probe);
+    world.jobs.set_state(id, tables::JobState::Ready);
+    admission::refuse_all(
+        world,
+        id,
+        wire::RefusalReason::TargetUnreachable,
+        wire::Executed::No,
+        effects,
+    );
+}
+
+/// Returns true where the target answers again, but every one of several connections broke: it
+/// died and was started again between two probes.
+fn all_broke(world: &world::AgentWorld, broken: &[events::JobId]) -> bool {
+    broken.len() > 1 && broken.len() == world.jobs.running()
+}
+
+fn end(world: &mut world::AgentWorld, id: events::JobId, reason: wire::RefusalReason, effects: &mut Vec<events::Effect>) {
+    let Some(job) = world.jobs.get_mut(id) else { return };
+    let subscribers = std::mem::take(&mut job.subscribers);
+    let partial = job.head && reason == wire::RefusalReason::TargetFailed;
+    for to in subscribers {
+        if partial {
+            effects.push(events::Effect::EndIncomplete { job: id, to });
+        } else {
+            world.refuse(to, reason, wire::Executed::Unknown, effects);
+        }
+    }
+    answers::drop_job(world, id, effects);
+}
+
+fn count_crash(world: &mut world::AgentWorld, id: events::JobId) {
+    let Some(job) = world.jobs.get(id) else { return };
+    let (fingerprint, suspect) = (job.request.fingerprint, job.request.suspect);
+    let expires_at = world.now + world.options.fingerprint_ttl;
+    let before = world.suspects.crashes.get(&fingerprint).map_or(0, |crash| crash.count);
+    let count = before + 1 + u32::from(suspect);
+    if count >= CRASHES_TO_REFUSE {
+        refuse_fingerprint(world, fingerprint, expires_at);
+    } else if world.suspects.crashes.len() < MAX_FINGERPRINTS {
+        world.suspects.crashes.insert(fingerprint, tables::CrashCount { count, expires_at });
+    }
+}
+
+fn refuse_fingerprint(world: &mut world::AgentWorld, fingerprint: u64, until: Duration) {
+    let known = world.suspects.refused.contains_key(&fingerprint);
+    if known || world.suspects.refused.len() < MAX_FINGERPRINTS {
+        let entry = world.suspects.refused.entry(fingerprint).or_insert(until);
+        *entry = (*entry).max(until);
+    }
+}
+
+fn refuse_waiting(world: &mut world::AgentWorld, effects: &mut Vec<events::Effect>) {
+    for state in [tables::JobState::Queued, tables::JobState::Ready] {
+        for id in in_state(world, state) {
+            let reason = wire::RefusalReason::TargetUnreachable;
+            admission::refuse_all(world, id, reason, wire::Executed::No, effects);
+        }
+    }
+}
+
+fn in_state(world: &world::AgentWorld, state: tables::JobState) -> Vec<events::JobId> {
+    world.jobs.iter().filter(|(_, job)| job.state == state).map(|(id, _)| id).collect()
+}
--- /dev/null
+++ b/src/agent/world.rs
@@ -0,0 +1,204 @@
+//! The decision core of an agent: tables, and systems that run over them on each tick.
+
+use std::time::{Duration, SystemTime};
+
+use crate::agent::events;
+use crate::agent::systems::{admission, answers, drain, queue, retry};
+use crate::agent::{config_view, tables};
+use crate::collections;
+use crate::wire;
+
+/// Attempt ids that are remembered, so that a second copy starts nothing.
+const SEEN_ATTEMPTS: usize = 65_536;
+/// Ended jobs that are remembered for resends, besides the bound in bytes.
+pub(crate) const KEPT_JOBS: usize = 16_384;
+/// Revisions whose arrival is remembered.
+pub(crate) const REMEMBERED_REVISIONS: usize = 64;
+
+/// QueueOrder tells in which order waiting jobs are handed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueueOrder {
+    /// By customers' weighted shares.
+    Fair,
+    /// First come, first served: only to measure the fair order against.
+    FirstComeFirstServed,
+}
+
+/// Options are the core's settings.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Jobs that the target runs at once.
+    pub slots: usize,
+    /// Jobs that may wait.
+    pub max_queued: usize,
+    /// How long a job may wait.
+    pub max_wait: Duration,
+    /// How long a configuration counts as current after it was heard to be.
+    pub freshness: Duration,
+    /// The shortest time after which a refused caller is told to come back.
+    pub retry_after: Duration,
+    /// How long a suspect waits before the slots are emptied for it.
+    pub suspect_patience: Duration,
+    /// How long a fingerprint is refused after its second crash.
+    pub fingerprint_ttl: Duration,
+    /// Bytes of answers that are kept for resends.
+    pub kept_bytes: u64,
+    /// The order of the queue.
+    pub order: QueueOrder,
+}
+
+/// Revision is when the agent came to hold a revision.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Revision {
+    pub(crate) revision: u64,
+    pub(crate) since: Duration,
+}
+
+/// AgentWorld holds all that an agent decides on.
+#[derive(Debug)]
+pub struct AgentWorld {
+    pub(crate) options: Options,
+    pub(crate) now: Duration,
+    pub(crate) wall: SystemTime,
+    pub(crate) jobs: tables::Jobs,
+    pub(crate) seen: tables::SeenAttempts,
+    pub(crate) kept: tables::KeptJobs,
+    pub(crate) keys: collections::Map<[u8; 16], events::JobId>,
+    pub(crate) queue: tables::FairQueue,
+    pub(crate) ready: std::collections::VecDeque<events::JobId>,
+    pub(crate) suspects: tables::Suspects,
+    pub(crate) target: tables::Target,
+    pub(crate) drains: tables::Drains,
+    pub(crate) config: Option<config_view::ConfigView>,
+    pub(crate) revisions: std::collections::VecDeque<Revision>,
+    pub(crate) next_expiry: Option<Duration>,
+}
+
+impl AgentWorld {
+    /// Returns a core without work.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            now: Duration::ZERO,
+            wall: SystemTime::UNIX_EPOCH,
+            jobs: tables::Jobs::default(),
+            seen: tables::SeenAttempts::default(),
+            kept: tables::KeptJobs::default(),
+            keys: collections::Map::default(),
+            queue: tables::FairQueue::default(),
+            ready: std::collections::VecDeque::new(),
+            suspects: tables::Suspects::default(),
+            target: tables::Target { healthy: true, micros_per_token: 0, micros_per_job: 0 },
+            drains: tables::Drains::default(),
+            config: None,
+            revisions: std::collections::VecDeque::new(),
+            next_expiry: None,
+        }
+    }
+
+    /// Takes in what happened and appends what is to be done to `effects`.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        wall: SystemTime,
+        events: Vec<events::Event>,
+        effects: &mut Vec<events::Effect>,
+    ) {
+        self.now = now;
+        self.wall = wall;
+        for event in events {
+            self.apply(event, effects);
+        }
+        admission::expire(self, effects);
+        retry::expire(self);
+        queue::run(self, effects);
+        drain::run(self, effects);
+    }
+
+    /// Returns when the next tick is due though nothing happens.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.next_expiry
+    }
+
+    /// Returns what entries are told of the target's load.
+    pub fn load(&self) -> wire::Load {
+        wire::Load {
+            running: count(self.jobs.running()),
+            queued: count(self.jobs.queued() + self.jobs.ahead()),
+            slots: count(self.options.slots),
+            tokens_ahead: self.jobs.cost(),
+            target_healthy: self.target.healthy,
+        }
+    }
+
+    /// Returns true while the agent takes nothing new.
+    pub fn draining(&self) -> bool {
+        !self.drains.causes.is_empty()
+    }
+
+    /// Returns the configuration in force, where one is known.
+    pub fn config(&self) -> Option<config_view::ConfigView> {
+        self.config
+    }
+
+    /// Returns the fingerprints that are refused, with the time that is left of each.
+    pub fn refused_fingerprints(&self) -> Vec<wire::Fingerprint> {
+        retry::refused(self)
+    }
+
+    fn apply(&mut self, event: events::Event, effects: &mut Vec<events::Effect>) {
+        match event {
+            events::Event::LinkDown(link) => answers::link_down(self, link, effects),
+            events::Event::Start { link, request } => admission::start(self, link, request, effects),
+            events::Event::Cancel(id) => admission::cancel(self, id, effects),
+            events::Event::Head(job) => answers::head(self, job),
+            events::Event::Ended { job, bytes, tokens } => {
+                answers::ended(self, job, bytes, tokens, effects);
+            }
+            events::Event::Failed { job, failure } => retry::failed(self, job, failure, effects),
+            events::Event::Probed(probe) => retry::probed(self, probe, effects),
+            events::Event::Config(view) => admission::configure(self, view),
+            events::Event::Drain { cause, on } => drain::set(self, cause, on),
+            events::Event::RefusedFingerprints(list) => retry::learn(self, &list),
+        }
+    }
+
+    /// Ends an attempt without an answer and remembers that it never starts.
+    pub(crate) fn refuse(
+        &mut self,
+        to: events::Subscriber,
+        reason: wire::RefusalReason,
+        executed: wire::Executed,
+        effects: &mut Vec<events::Effect>,
+    ) {
+        let retry_after = self.options.retry_after;
+        self.refuse_until(to, reason, executed, retry_after, effects);
+    }
+
+    /// Ends an attempt without an answer and names the time to come back.
+    pub(crate) fn refuse_until(
+        &mut self,
+        to: events::Subscriber,
+        reason: wire::RefusalReason,
+        executed: wire::Executed,
+        retry_after: Duration,
+        effects: &mut Vec<events::Effect>,
+    ) {
+        self.remember(to.id, tables::Seen::Closed);
+        effects.push(events::Effect::Refuse { to, reason, executed, retry_after });
+    }
+
+    /// Remembers what became of an attempt.
+    pub(crate) fn remember(&mut self, id: wire::AttemptId, seen: tables::Seen) {
+        self.seen.set(id, seen, SEEN_ATTEMPTS);
+    }
+
+    /// Makes sure that a tick comes at the given time.
+    pub(crate) fn wake_at(&mut self, at: Duration) {
+        self.next_expiry = Some(self.next_expiry.map_or(at, |next| next.min(at)));
+    }
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! Settings files: JSON, checked whole before anything starts.
 
+pub mod agent;
+
 use std::{fs, io, path, result};
 
 use serde::de::DeserializeOwned;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,5 +1,7 @@
 //! The protocol between the system's own processes; docs/DESIGN.md tells why it is one stream.
 
+pub mod server;
+
 pub use generated::*;
 
 #[allow(
