Agent: admission, fair queue, drain, suspects and streamed answers

Ruled out: deficit round robin for the queue. A customer that comes back goes to the end of a round there and waits for the quanta of everyone before it; start-time fair queueing serves it next. Also ruled out: trusting the HTTP client's end of stream. It takes a connection that closes between two chunks for the end of the answer.

Change: the decision core (tables and systems), the actor, links served by tonic, the target's client on connections where an end of file is an error, settings, metrics, health pages, graceful stop.

Seen to fail first: with the end of file taken for an end, an_answer_cut_between_chunks_is_not_whole fails ("a cut answer must not look whole"); with this change all three tests of agent_process pass.

Conclusion: the agent queues, hands on, streams back and drains as a process.

--- /dev/null
+++ b/src/agent/daemon.rs
@@ -0,0 +1,118 @@
+//! The agent as a process: starts the actor and its servers, and stops them gracefully.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use anyhow::Context as _;
+use tokio::signal::unix;
+use tokio::sync::oneshot;
+
+use crate::agent::events;
+use crate::agent::{actor, admin, config_view, metrics, options, target, world};
+use crate::clock;
+use crate::settings::agent as agent_settings;
+use crate::telemetry::events as log;
+use crate::wire;
+use crate::wire::server;
+
+/// How often the end of a stop is checked for.
+const STOP_POLL: Duration = Duration::from_millis(10);
+/// How long connections may take to close after all work is done.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Runs an agent until a signal, and drains it.
+///
+/// # Errors
+///
+/// Returns an error where an address cannot be listened on or a server fails.
+pub fn run(settings: agent_settings::AgentSettings) -> anyhow::Result<()> {
+    actix::System::new().block_on(serve(settings))
+}
+
+async fn serve(settings: agent_settings::AgentSettings) -> anyhow::Result<()> {
+    let listener = server::listen(settings.listen).await?;
+    let metrics = metrics::Metrics::new()?;
+    let readiness = admin::Readiness::default();
+    let admin = admin::start(settings.admin_listen, metrics.clone(), readiness.clone())
+        .with_context(|| format!("The address {} cannot be listened on", settings.admin_listen))?;
+    let admin_handle = admin.handle();
+    actix_rt::spawn(admin);
+    let (drained, done) = oneshot::channel();
+    let agent = actor::AgentActor::new(parts(&settings, metrics, readiness, drained)).start();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let links = server::serve(listener, handler(&agent), async {
+        // A dropped sender stops the server as well.
+        let _ = stopped.await;
+    });
+    let links = actix_rt::spawn(links);
+    log::log(log::PROCESS_STARTED, format_args!("agent of {}", settings.target));
+    wait_for_signal().await?;
+    log::log(log::STOP_STARTED, format_args!("agent of {}", settings.target));
+    agent.do_send(actor::Happened(events::Event::Drain {
+        cause: events::DrainCause::Signal,
+        on: true,
+    }));
+    done.await.context("The agent ended before its work was done")?;
+    while !agent.send(actor::IsIdle).await? {
+        actix_rt::time::sleep(STOP_POLL).await;
+    }
+    let _ = stop.send(());
+    agent.send(actor::CloseLinks).await?;
+    if let Ok(ended) = tokio::time::timeout(CLOSE_TIMEOUT, links).await {
+        ended??;
+    }
+    admin_handle.stop(true).await;
+    log::log(log::STOP_FINISHED, format_args!("agent of {}", settings.target));
+    Ok(())
+}
+
+fn parts(
+    settings: &agent_settings::AgentSettings,
+    metrics: metrics::Metrics,
+    readiness: admin::Readiness,
+    drained: oneshot::Sender<()>,
+) -> actor::Parts {
+    let links = &settings.links;
+    let probe_timeout = Duration::from_millis(links.probe_timeout_ms);
+    let probe_path = settings.probe_path.as_deref();
+    actor::Parts {
+        clock: clock::Clock::system(),
+        member: member(settings),
+        world: world::AgentWorld::new(options::core(settings)),
+        target: target::TargetClient::new(&settings.target_url, probe_path, probe_timeout),
+        config: config_view::ConfigHolder::new(&settings.target, &settings.service),
+        metrics,
+        readiness,
+        timing: actor::Timing {
+            heartbeat: Duration::from_millis(links.heartbeat_ms),
+            deadline: Duration::from_millis(links.deadline_ms),
+            freshness: Duration::from_millis(links.freshness_ms),
+        },
+        drained,
+    }
+}
+
+fn member(settings: &agent_settings::AgentSettings) -> wire::Member {
+    wire::Member {
+        name: settings.target.clone(),
+        incarnation: rand::random(),
+        role: wire::Role::Agent.into(),
+        data_centre: settings.data_centre.clone(),
+        address: String::new(),
+        region: settings.region.clone(),
+    }
+}
+
+fn handler(agent: &Addr<actor::AgentActor>) -> server::Handler {
+    let agent = agent.clone();
+    Arc::new(move |event| agent.do_send(actor::OnLink(event)))
+}
+
+async fn wait_for_signal() -> anyhow::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        interrupt = tokio::signal::ctrl_c() => Ok(interrupt?),
+    }
+}
--- /dev/null
+++ b/src/agent/effects.rs
@@ -0,0 +1,144 @@
+//! What the decision core asks for, done.
+
+use std::time::Duration;
+
+use actix::prelude::*;
+
+use crate::agent::events;
+use crate::agent::{actor, frames, target};
+use crate::telemetry::events as log;
+use crate::wire;
+use crate::wire::frame;
+
+type Cx = Context<actor::AgentActor>;
+
+/// Does what the core asks for.
+pub(crate) fn perform(agent: &mut actor::AgentActor, effect: events::Effect, cx: &mut Cx) {
+    match effect {
+        events::Effect::Refuse { to, reason, executed, retry_after } => {
+            refuse(agent, to, reason, executed, retry_after);
+        }
+        events::Effect::HandOn { job, request, subscribers, keep } => {
+            hand_on(agent, job, *request, &subscribers, keep, cx);
+        }
+        events::Effect::Attach { job, to } => attach(agent, job, to),
+        events::Effect::Abort(job) => {
+            abort(agent, job);
+            agent.relay.cancel(job);
+        }
+        events::Effect::EndIncomplete { job, .. } => agent.relay.end_incomplete(job),
+        events::Effect::Forget(job) => agent.relay.forget(job),
+        events::Effect::Probe => probe(agent, cx),
+        events::Effect::Beat => {
+            let draining = agent.world.draining();
+            log::log(log::AGENT_DRAINING, format_args!("draining is {draining}"));
+            frames::beat_all(agent);
+        }
+        events::Effect::Drained => {
+            if let Some(drained) = agent.drained.take() {
+                // The daemon may have given up waiting.
+                let _ = drained.send(());
+            }
+        }
+    }
+}
+
+/// Takes in how an exchange with the target ended.
+pub(crate) fn exchanged(agent: &mut actor::AgentActor, message: &actor::Exchanged, cx: &mut Cx) {
+    let job = message.job;
+    if agent.exchanges.remove(&job).is_none() {
+        return;
+    }
+    match message.outcome {
+        target::Outcome::Whole { bytes, tokens } => {
+            agent.metrics.answered.inc();
+            agent.relay.end(job);
+            if !message.keep {
+                agent.relay.forget(job);
+            }
+            agent.push(events::Event::Ended { job, bytes, tokens }, cx);
+        }
+        target::Outcome::Failed(failure) => {
+            if failure == events::Failure::Unreachable {
+                agent.relay.cancel(job);
+            }
+            agent.push(events::Event::Failed { job, failure }, cx);
+        }
+    }
+}
+
+/// Starts a health probe unless one is under way.
+pub(crate) fn probe(agent: &mut actor::AgentActor, cx: &mut Cx) {
+    if agent.probing {
+        return;
+    }
+    agent.probing = true;
+    let (target, address) = (agent.target.clone(), cx.address());
+    actix_rt::spawn(async move {
+        address.do_send(actor::ProbeDone(target.probe().await));
+    });
+}
+
+/// Takes in the outcome of a health probe.
+pub(crate) fn probed(agent: &mut actor::AgentActor, probe: events::Probe, cx: &mut Cx) {
+    agent.probing = false;
+    if agent.world.load().target_healthy != (probe == events::Probe::Healthy) {
+        log::log(log::TARGET_HEALTH, format_args!("the probe says {probe:?}"));
+    }
+    agent.push(events::Event::Probed(probe), cx);
+}
+
+fn refuse(
+    agent: &mut actor::AgentActor,
+    to: events::Subscriber,
+    reason: wire::RefusalReason,
+    executed: wire::Executed,
+    retry_after: Duration,
+) {
+    agent.relay.detach(to.id);
+    agent.metrics.refused.with_label_values(&[reason.as_str_name()]).inc();
+    let refusal = wire::Refusal {
+        id: Some(to.id),
+        reason: reason.into(),
+        executed: executed.into(),
+        retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+    };
+    agent.links.send(to.link, frame::Kind::Refusal(refusal));
+}
+
+fn hand_on(
+    agent: &mut actor::AgentActor,
+    job: events::JobId,
+    request: wire::StartAttempt,
+    subscribers: &[events::Subscriber],
+    keep: bool,
+    cx: &mut Cx,
+) {
+    agent.metrics.handed_on.inc();
+    let answer = agent.relay.open(job, keep);
+    for to in subscribers {
+        attach(agent, job, *to);
+    }
+    let (target, address) = (agent.target.clone(), cx.address());
+    let on_head = {
+        let address = address.clone();
+        move || address.do_send(actor::Happened(events::Event::Head(job)))
+    };
+    let exchange = actix_rt::spawn(async move {
+        let outcome = target.exchange(request, &answer, on_head).await;
+        address.do_send(actor::Exchanged { job, keep, outcome });
+    });
+    agent.exchanges.insert(job, exchange);
+}
+
+fn attach(agent: &mut actor::AgentActor, job: events::JobId, to: events::Subscriber) {
+    if let Some(sender) = agent.links.sender(to.link) {
+        agent.relay.attach(job, to.id, sender);
+    }
+}
+
+fn abort(agent: &mut actor::AgentActor, job: events::JobId) {
+    if let Some(exchange) = agent.exchanges.remove(&job) {
+        exchange.abort();
+    }
+}
--- /dev/null
+++ b/src/agent/options.rs
@@ -0,0 +1,63 @@
+//! The options of `bitternwall-agent`, checked.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use clap::ArgMatches;
+
+use crate::agent::world;
+use crate::settings;
+use crate::settings::agent as agent_settings;
+
+/// Options is the command line, checked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// The settings file.
+    pub settings: PathBuf,
+    /// True to check the settings only.
+    pub check: bool,
+}
+
+impl Options {
+    /// Takes the options from a command line that clap has accepted.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the matches are not those of [`super::cli::command`].
+    pub fn from_matches(matches: &ArgMatches) -> Self {
+        let settings = matches.get_one::<PathBuf>("settings");
+        Self {
+            settings: settings.expect("clap requires --settings").clone(),
+            check: matches.get_flag("check"),
+        }
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns a [`settings::SettingsError`] that names the file and the field.
+pub fn load(file: &Path) -> settings::Result<agent_settings::AgentSettings> {
+    settings::load(file, agent_settings::check)
+}
+
+/// Returns the core's options for the given settings.
+pub fn core(settings: &agent_settings::AgentSettings) -> world::Options {
+    let agent_settings::AgentSettings { queue, links, .. } = settings;
+    world::Options {
+        slots: size(queue.slots),
+        max_queued: size(queue.max_queued),
+        max_wait: Duration::from_millis(queue.max_wait_ms),
+        freshness: Duration::from_millis(links.freshness_ms),
+        retry_after: Duration::from_millis(queue.retry_after_ms),
+        suspect_patience: Duration::from_millis(queue.suspect_patience_ms),
+        fingerprint_ttl: Duration::from_millis(queue.fingerprint_ttl_ms),
+        kept_bytes: queue.kept_bytes,
+        order: world::QueueOrder::Fair,
+    }
+}
+
+fn size(n: u32) -> usize {
+    usize::try_from(n).unwrap_or(usize::MAX)
+}
--- a/src/agent/systems/admission.rs
+++ b/src/agent/systems/admission.rs
@@ -20,25 +20,29 @@
     let Some(id) = request.id else { return };
     let deadline = world.now + Duration::from_millis(request.deadline_ms);
     let to = events::Subscriber { link, id, deadline };
-    match world.seen.get(id) {
-        Some(tables::Seen::Joined { link: before, .. }) if before == link => return,
+    let admissible = match world.seen.get(id) {
+        None => true,
+        Some(tables::Seen::Joined { link: before, .. }) if before == link => false,
         Some(tables::Seen::Joined { job, .. }) => {
-            if answers::resent(world, job, to, effects) == answers::Resent::Joined {
-                return;
-            }
+            answers::resent(world, job, to, effects) == answers::Resent::StartAgain
         }
         Some(tables::Seen::Closed) => {
             let (reason, executed) = (wire::RefusalReason::Cancelled, wire::Executed::No);
             world.refuse(to, reason, executed, effects);
-            return;
+            false
         }
-        None => {}
+    };
+    if admissible {
+        admit(world, to, request, effects);
     }
-    admit(world, to, request, effects);
 }
 
 /// Ends an attempt whose caller is gone. One that was not handed on never will be.
-pub fn cancel(world: &mut world::AgentWorld, id: crate::wire::AttemptId, effects: &mut Vec<events::Effect>) {
+pub fn cancel(
+    world: &mut world::AgentWorld,
+    id: crate::wire::AttemptId,
+    effects: &mut Vec<events::Effect>,
+) {
     let joined = world.seen.get(id);
     world.remember(id, tables::Seen::Closed);
     let Some(tables::Seen::Joined { job, .. }) = joined else { return };
@@ -73,14 +77,17 @@
     let due: Vec<events::JobId> = world
         .jobs
         .iter()
-        .filter(|(_, job)| job.subscribers.iter().any(|to| to.deadline <= now) || late(job, now, max_wait))
+        .filter(|(_, job)| {
+            job.subscribers.iter().any(|to| to.deadline <= now) || late(job, now, max_wait)
+        })
         .map(|(id, _)| id)
         .collect();
     for id in due {
         expire_job(world, id, effects);
     }
     world.next_expiry = None;
-    let times: Vec<Duration> = world.jobs.iter().filter_map(|(_, job)| expiry(job, max_wait)).collect();
+    let times: Vec<Duration> =
+        world.jobs.iter().filter_map(|(_, job)| expiry(job, max_wait)).collect();
     times.into_iter().for_each(|at| world.wake_at(at));
 }
 
@@ -95,7 +102,9 @@
         return;
     };
     let known = key.and_then(|key| world.keys.get(&key).copied());
-    if let Some(id) = known && answers::join(world, id, to, effects) {
+    if let Some(id) = known
+        && answers::join(world, id, to, effects)
+    {
         return;
     }
     let row = queue::customer(world, &request.customer, request.weight);
@@ -110,18 +119,22 @@
         return;
     }
     let claimed = known.is_some_and(|id| answers::take_unused_claim(world, id));
-    insert(world, to, tables::Job {
-        request,
-        customer: row,
-        cost,
-        subscribers: vec![to],
-        state: tables::JobState::Queued,
-        key,
-        claimed,
-        admitted_at: world.now,
-        started_at: Duration::ZERO,
-        head: false,
-    });
+    insert(
+        world,
+        to,
+        tables::Job {
+            request,
+            customer: row,
+            cost,
+            subscribers: vec![to],
+            state: tables::JobState::Queued,
+            key,
+            claimed,
+            admitted_at: world.now,
+            started_at: Duration::ZERO,
+            head: false,
+        },
+    );
 }
 
 fn insert(world: &mut world::AgentWorld, to: events::Subscriber, job: tables::Job) {
@@ -163,7 +176,8 @@
     if world.now + wait >= to.deadline {
         return Some((wire::RefusalReason::Deadline, comeback(world, wait)));
     }
-    (wait > world.options.max_wait).then(|| (wire::RefusalReason::Overloaded, comeback(world, wait)))
+    (wait > world.options.max_wait)
+        .then(|| (wire::RefusalReason::Overloaded, comeback(world, wait)))
 }
 
 /// Returns true where the agent's configuration, or the one that the attempt was admitted
@@ -215,7 +229,8 @@
     job.subscribers = rest;
     for to in gone {
         let late = to.deadline <= now;
-        let reason = if late { wire::RefusalReason::Deadline } else { wire::RefusalReason::Overloaded };
+        let reason =
+            if late { wire::RefusalReason::Deadline } else { wire::RefusalReason::Overloaded };
         world.refuse(to, reason, executed, effects);
     }
     answers::abandon(world, id, effects);
@@ -226,7 +241,9 @@
 fn executed_so_far(state: tables::JobState) -> wire::Executed {
     match state {
         tables::JobState::Queued | tables::JobState::Ready => wire::Executed::No,
-        tables::JobState::Claiming | tables::JobState::Running | tables::JobState::Broken => wire::Executed::Unknown,
+        tables::JobState::Claiming | tables::JobState::Running | tables::JobState::Broken => {
+            wire::Executed::Unknown
+        }
     }
 }
 
@@ -249,7 +266,9 @@
 }
 
 /// Returns the claim key of an attempt, or an error where it has the wrong length.
-fn claim_key(request: &wire::StartAttempt) -> Result<Option<events::ClaimKey>, std::array::TryFromSliceError> {
+fn claim_key(
+    request: &wire::StartAttempt,
+) -> Result<Option<events::ClaimKey>, std::array::TryFromSliceError> {
     if request.claim_key.is_empty() {
         return Ok(None);
     }
--- a/src/agent/systems/answers.rs
+++ b/src/agent/systems/answers.rs
@@ -48,9 +48,7 @@
 ) {
     world.kept.bytes += length(kept);
     world.kept.rows.insert(id, (key, kept));
-    while world.kept.bytes > world.options.kept_bytes
-        || world.kept.rows.len() > world::KEPT_JOBS
-    {
+    while world.kept.bytes > world.options.kept_bytes || world.kept.rows.len() > world::KEPT_JOBS {
         let Some((oldest, (key, kept))) = world.kept.rows.pop_first() else { return };
         world.kept.bytes -= length(kept);
         world.keys.remove(&key);
@@ -126,7 +124,11 @@
 
 /// Drops the attempts that came by a connection that is gone. Those never handed on may come
 /// again; claimed requests that run are finished, so that a resend finds their answer.
-pub fn link_down(world: &mut world::AgentWorld, link: server::LinkId, effects: &mut Vec<events::Effect>) {
+pub fn link_down(
+    world: &mut world::AgentWorld,
+    link: server::LinkId,
+    effects: &mut Vec<events::Effect>,
+) {
     let concerned: Vec<events::JobId> = world
         .jobs
         .iter()
@@ -138,7 +140,10 @@
         let (gone, rest) = job.subscribers.iter().partition(|other| other.link == link);
         job.subscribers = rest;
         let gone: Vec<events::Subscriber> = gone;
-        if matches!(job.state, tables::JobState::Queued | tables::JobState::Claiming | tables::JobState::Ready) {
+        if matches!(
+            job.state,
+            tables::JobState::Queued | tables::JobState::Claiming | tables::JobState::Ready
+        ) {
             gone.iter().for_each(|other| world.seen.forget(other.id));
         }
         abandon(world, id, effects);
@@ -146,7 +151,11 @@
 }
 
 /// Drops a job that nobody waits for, unless it is a claimed request that runs.
-pub fn abandon(world: &mut world::AgentWorld, id: events::JobId, effects: &mut Vec<events::Effect>) {
+pub fn abandon(
+    world: &mut world::AgentWorld,
+    id: events::JobId,
+    effects: &mut Vec<events::Effect>,
+) {
     let Some(job) = world.jobs.get(id) else { return };
     if !job.subscribers.is_empty() {
         return;
@@ -160,7 +169,11 @@
 }
 
 /// Removes a job, closes its connection and keeps an unused claim for a resend.
-pub fn drop_job(world: &mut world::AgentWorld, id: events::JobId, effects: &mut Vec<events::Effect>) {
+pub fn drop_job(
+    world: &mut world::AgentWorld,
+    id: events::JobId,
+    effects: &mut Vec<events::Effect>,
+) {
     let Some(job) = world.jobs.remove(id) else { return };
     match job.state {
         tables::JobState::Queued => queue::withdraw(world, id, &job),
--- a/src/agent/systems/claims.rs
+++ b/src/agent/systems/claims.rs
@@ -17,7 +17,11 @@
 }
 
 /// Asks for a job's claim.
-pub fn request(world: &mut world::AgentWorld, id: events::JobId, effects: &mut Vec<events::Effect>) {
+pub fn request(
+    world: &mut world::AgentWorld,
+    id: events::JobId,
+    effects: &mut Vec<events::Effect>,
+) {
     let (reason, executed) = (wire::RefusalReason::StoreUnavailable, wire::Executed::No);
     admission::refuse_all(world, id, reason, executed, effects);
 }
--- a/src/agent/systems/retry.rs
+++ b/src/agent/systems/retry.rs
@@ -15,7 +15,12 @@
 const MAX_FINGERPRINTS: usize = 1_024;
 
 /// Takes in that the target gave no whole answer to a job.
-pub fn failed(world: &mut world::AgentWorld, id: events::JobId, failure: events::Failure, effects: &mut Vec<events::Effect>) {
+pub fn failed(
+    world: &mut world::AgentWorld,
+    id: events::JobId,
+    failure: events::Failure,
+    effects: &mut Vec<events::Effect>,
+) {
     if world.jobs.get(id).is_none_or(|job| job.state != tables::JobState::Running) {
         return;
     }
@@ -29,7 +34,11 @@
 }
 
 /// Takes in a health probe and settles the jobs whose connection broke.
-pub fn probed(world: &mut world::AgentWorld, probe: events::Probe, effects: &mut Vec<events::Effect>) {
+pub fn probed(
+    world: &mut world::AgentWorld,
+    probe: events::Probe,
+    effects: &mut Vec<events::Effect>,
+) {
     let healthy = probe == events::Probe::Healthy;
     if world.target.healthy != healthy {
         world.target.healthy = healthy;
@@ -108,7 +117,11 @@
     }
 }
 
-fn unreachable_target(world: &mut world::AgentWorld, id: events::JobId, effects: &mut Vec<events::Effect>) {
+fn unreachable_target(
+    world: &mut world::AgentWorld,
+    id: events::JobId,
+    effects: &mut Vec<events::Effect>,
+) {
     effects.push(events::Effect::Probe);
     world.jobs.set_state(id, tables::JobState::Ready);
     admission::refuse_all(
@@ -126,7 +139,12 @@
     broken.len() > 1 && broken.len() == world.jobs.running()
 }
 
-fn end(world: &mut world::AgentWorld, id: events::JobId, reason: wire::RefusalReason, effects: &mut Vec<events::Effect>) {
+fn end(
+    world: &mut world::AgentWorld,
+    id: events::JobId,
+    reason: wire::RefusalReason,
+    effects: &mut Vec<events::Effect>,
+) {
     let Some(job) = world.jobs.get_mut(id) else { return };
     let subscribers = std::mem::take(&mut job.subscribers);
     let partial = job.head && reason == wire::RefusalReason::TargetFailed;
--- /dev/null
+++ b/src/agent/target.rs
@@ -0,0 +1,190 @@
+//! The HTTP client of the target.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::error;
+use awc::http::{self, header};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use tokio::net;
+
+use crate::agent::{events, relay, strict_io};
+use crate::wire;
+
+/// How long a connection to the target, on the same host, may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long an idle connection is kept.
+const IDLE: Duration = Duration::from_secs(2);
+/// Bytes at the end of an answer that are searched for its use of tokens.
+const TAIL_BYTES: usize = 1_024;
+/// What stands before the count of tokens that an engine reports.
+const TOKENS_FIELD: &str = "\"total_tokens\":";
+/// Headers that concern one connection only.
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Outcome is how an exchange with the target ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The answer is whole.
+    Whole {
+        /// Its length in bytes.
+        bytes: u64,
+        /// The tokens that it reports, where it does.
+        tokens: Option<u64>,
+    },
+    /// The answer is not whole.
+    Failed(events::Failure),
+}
+
+/// TargetClient sends requests to the target.
+#[derive(Clone)]
+pub struct TargetClient {
+    pooled: awc::Client,
+    /// For requests that may not be repeated: an idle connection that the target closes just
+    /// then would leave it open whether the request ran.
+    fresh: awc::Client,
+    base_url: Rc<str>,
+    probe_path: Option<Rc<str>>,
+    probe_timeout: Duration,
+}
+
+impl TargetClient {
+    /// Returns a client of the target at a base address.
+    pub fn new(base_url: &str, probe_path: Option<&str>, probe_timeout: Duration) -> Self {
+        Self {
+            pooled: client(),
+            fresh: client(),
+            base_url: Rc::from(base_url),
+            probe_path: probe_path.map(Rc::from),
+            probe_timeout,
+        }
+    }
+
+    /// Sends a request once and fills its answer; `on_head` is called when the target begins.
+    pub async fn exchange(
+        &self,
+        request: wire::StartAttempt,
+        answer: &relay::Answer,
+        on_head: impl FnOnce(),
+    ) -> Outcome {
+        let Ok(method) = http::Method::from_bytes(request.method.as_bytes()) else {
+            return Outcome::Failed(events::Failure::Unreachable);
+        };
+        let url = format!("{}{}", self.base_url, request.path);
+        let once = !request.claim_key.is_empty();
+        let client = if once { &self.fresh } else { &self.pooled };
+        let mut call = client.request(method, url);
+        for header in request.headers.iter().filter(|header| end_to_end(&header.name)) {
+            call = call.append_header((header.name.as_str(), header.value.as_str()));
+        }
+        if once {
+            call = call.force_close();
+        }
+        let mut response = match call.send_body(request.body).await {
+            Ok(response) => response,
+            Err(error) => return Outcome::Failed(failure(&error)),
+        };
+        answer.begin(head(&response));
+        on_head();
+        let mut tail = Tail::default();
+        while let Some(piece) = response.next().await {
+            let Ok(piece) = piece else { return Outcome::Failed(events::Failure::Broken) };
+            tail.push(&piece);
+            answer.push(piece).await;
+        }
+        Outcome::Whole { bytes: answer.length(), tokens: tail.tokens() }
+    }
+
+    /// Asks the target whether it lives.
+    pub async fn probe(&self) -> events::Probe {
+        let asked = tokio::time::timeout(self.probe_timeout, self.ask()).await;
+        asked.unwrap_or(events::Probe::Silent)
+    }
+
+    async fn ask(&self) -> events::Probe {
+        let authority = self.base_url.trim_start_matches("http://");
+        match net::TcpStream::connect(authority).await {
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return events::Probe::Refused;
+            }
+            Err(_) => return events::Probe::Silent,
+        }
+        let Some(path) = &self.probe_path else { return events::Probe::Healthy };
+        match self.pooled.get(format!("{}{path}", self.base_url)).send().await {
+            Ok(response) if response.status().is_success() => events::Probe::Healthy,
+            _ => events::Probe::Silent,
+        }
+    }
+}
+
+fn client() -> awc::Client {
+    let connector = awc::Connector::new()
+        .connector(strict_io::StrictConnector::new())
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(IDLE)
+        .limit(0);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
+
+fn failure(error: &error::SendRequestError) -> events::Failure {
+    match error {
+        error::SendRequestError::Url(_) | error::SendRequestError::Connect(_) => {
+            events::Failure::Unreachable
+        }
+        _ => events::Failure::Broken,
+    }
+}
+
+fn head<S>(response: &awc::ClientResponse<S>) -> relay::Head {
+    let headers = response.headers().iter();
+    let headers = headers.filter(|(name, _)| end_to_end(name.as_str())).filter_map(to_wire);
+    relay::Head { status: u32::from(response.status().as_u16()), headers: headers.collect() }
+}
+
+fn to_wire((name, value): (&header::HeaderName, &header::HeaderValue)) -> Option<wire::Header> {
+    let value = value.to_str().ok()?;
+    Some(wire::Header { name: name.as_str().to_owned(), value: value.to_owned() })
+}
+
+fn end_to_end(name: &str) -> bool {
+    !HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+#[derive(Default)]
+struct Tail {
+    bytes: Vec<u8>,
+}
+
+impl Tail {
+    fn push(&mut self, piece: &Bytes) {
+        let start = piece.len().saturating_sub(TAIL_BYTES);
+        self.bytes.extend_from_slice(&piece[start..]);
+        let surplus = self.bytes.len().saturating_sub(TAIL_BYTES);
+        self.bytes.drain(..surplus);
+    }
+
+    fn tokens(&self) -> Option<u64> {
+        let text = String::from_utf8_lossy(&self.bytes);
+        let (_, rest) = text.rsplit_once(TOKENS_FIELD)?;
+        let rest = rest.trim_start();
+        let end = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+        rest[..end].parse().ok()
+    }
+}
--- a/src/agent/world.rs
+++ b/src/agent/world.rs
@@ -149,7 +149,9 @@
     fn apply(&mut self, event: events::Event, effects: &mut Vec<events::Effect>) {
         match event {
             events::Event::LinkDown(link) => answers::link_down(self, link, effects),
-            events::Event::Start { link, request } => admission::start(self, link, request, effects),
+            events::Event::Start { link, request } => {
+                admission::start(self, link, request, effects)
+            }
             events::Event::Cancel(id) => admission::cancel(self, id, effects),
             events::Event::Head(job) => answers::head(self, job),
             events::Event::Ended { job, bytes, tokens } => {
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -1,5 +1,6 @@
 //! The settings of an agent; docs/SETTINGS.md lists them.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -184,10 +185,10 @@
     !rest.is_empty() && !rest.contains('/')
 }
 
-fn problem(field: &str, value: impl ToString, allowed: &str) -> settings::Problem {
+fn problem<V: fmt::Display>(field: &str, value: V, allowed: &str) -> settings::Problem {
     settings::Problem {
         field: field.to_owned(),
-        value: value.to_string(),
+        value: format!("{value}"),
         allowed: allowed.to_owned(),
     }
 }
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -37,8 +37,41 @@
 pub const STOP_FINISHED: LogEvent =
     LogEvent { number: 3, severity: Severity::Info, title: "graceful stop finished" };
 
+/// An entry opened a connection.
+pub const LINK_OPENED: LogEvent =
+    LogEvent { number: 2001, severity: Severity::Info, title: "entry connected" };
+/// A connection with an entry ended.
+pub const LINK_CLOSED: LogEvent =
+    LogEvent { number: 2002, severity: Severity::Info, title: "entry disconnected" };
+/// An entry missed its heartbeats.
+pub const LINK_SILENT: LogEvent =
+    LogEvent { number: 2003, severity: Severity::Warning, title: "connection went silent" };
+/// The target began or ceased to answer its health probes.
+pub const TARGET_HEALTH: LogEvent =
+    LogEvent { number: 2004, severity: Severity::Warning, title: "target health changed" };
+/// A newer configuration came into force.
+pub const AGENT_CONFIG: LogEvent =
+    LogEvent { number: 2005, severity: Severity::Info, title: "configuration in force" };
+/// The agent began or ceased to refuse new work.
+pub const AGENT_DRAINING: LogEvent =
+    LogEvent { number: 2006, severity: Severity::Info, title: "draining changed" };
+/// The process was paused for longer than the deadline of its connections.
+pub const AGENT_PAUSED: LogEvent =
+    LogEvent { number: 2007, severity: Severity::Warning, title: "process was paused" };
+
 /// Every event, in the order of its number.
-pub const CATALOGUE: &[LogEvent] = &[PROCESS_STARTED, STOP_STARTED, STOP_FINISHED];
+pub const CATALOGUE: &[LogEvent] = &[
+    PROCESS_STARTED,
+    STOP_STARTED,
+    STOP_FINISHED,
+    LINK_OPENED,
+    LINK_CLOSED,
+    LINK_SILENT,
+    TARGET_HEALTH,
+    AGENT_CONFIG,
+    AGENT_DRAINING,
+    AGENT_PAUSED,
+];
 
 /// Logs one event with its details.
 pub fn log(event: LogEvent, details: fmt::Arguments<'_>) {
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -61,7 +61,7 @@
         /// The connection.
         link: LinkId,
         /// The frame.
-        kind: wire::frame::Kind,
+        kind: Box<wire::frame::Kind>,
     },
     /// The connection is gone.
     Closed(LinkId),
@@ -88,12 +88,12 @@
         let sent = self.tx.try_send(Ok(wire::Frame { kind: Some(kind) }));
         match sent {
             Ok(()) => Ok(()),
-            Err(mpsc::error::TrySendError::Full(frame) | mpsc::error::TrySendError::Closed(frame)) => {
-                match frame {
-                    Ok(wire::Frame { kind: Some(kind) }) => Err(Box::new(kind)),
-                    _ => Ok(()),
-                }
-            }
+            Err(
+                mpsc::error::TrySendError::Full(frame) | mpsc::error::TrySendError::Closed(frame),
+            ) => match frame {
+                Ok(wire::Frame { kind: Some(kind) }) => Err(Box::new(kind)),
+                _ => Ok(()),
+            },
         }
     }
 }
@@ -130,7 +130,7 @@
 async fn read(link: LinkId, mut inbound: tonic::Streaming<wire::Frame>, handler: Handler) {
     while let Ok(Some(frame)) = inbound.message().await {
         if let Some(kind) = frame.kind {
-            handler(LinkEvent::Frame { link, kind });
+            handler(LinkEvent::Frame { link, kind: Box::new(kind) });
         }
     }
     handler(LinkEvent::Closed(link));
