--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod common;
 pub mod entry;
+pub mod agent;
 
 use std::{fs, io, path, result};
 
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -44,6 +44,27 @@
 /// The configuration could not be read from the key-value service.
 pub const CONFIG_READ_FAILED: LogEvent =
     LogEvent { number: 1003, severity: Severity::Warning, title: "configuration not read" };
+/// An entry opened a connection.
+pub const LINK_OPENED: LogEvent =
+    LogEvent { number: 2001, severity: Severity::Info, title: "entry connected" };
+/// A connection with an entry ended.
+pub const LINK_CLOSED: LogEvent =
+    LogEvent { number: 2002, severity: Severity::Info, title: "entry disconnected" };
+/// An entry missed its heartbeats.
+pub const LINK_SILENT: LogEvent =
+    LogEvent { number: 2003, severity: Severity::Warning, title: "connection went silent" };
+/// The target began or ceased to answer its health probes.
+pub const TARGET_HEALTH: LogEvent =
+    LogEvent { number: 2004, severity: Severity::Warning, title: "target health changed" };
+/// A newer configuration came into force.
+pub const AGENT_CONFIG: LogEvent =
+    LogEvent { number: 2005, severity: Severity::Info, title: "configuration in force" };
+/// The agent began or ceased to refuse new work.
+pub const AGENT_DRAINING: LogEvent =
+    LogEvent { number: 2006, severity: Severity::Info, title: "draining changed" };
+/// The process was paused for longer than the deadline of its connections.
+pub const AGENT_PAUSED: LogEvent =
+    LogEvent { number: 2007, severity: Severity::Warning, title: "process was paused" };
 /// A watch of the key-value service said nothing for too long and is opened again.
 pub const STORE_WATCH_SILENT: LogEvent =
     LogEvent { number: 3001, severity: Severity::Info, title: "store watch reopened" };
@@ -80,6 +101,13 @@
     LINK_UP,
     LINK_DOWN,
     CONFIG_READ_FAILED,
+    LINK_OPENED,
+    LINK_CLOSED,
+    LINK_SILENT,
+    TARGET_HEALTH,
+    AGENT_CONFIG,
+    AGENT_DRAINING,
+    AGENT_PAUSED,
     STORE_WATCH_SILENT,
     STORE_CALL_TIMED_OUT,
     CHANGE_ACCEPTED,
