--- a/src/agent/frames.rs
+++ b/src/agent/frames.rs
@@ -99,8 +99,8 @@
     } else if held > 0 {
         agent.push(events::Event::Config(agent.config.view(heard_at)), cx);
     }
-    if !heartbeat.refused_fingerprints.is_empty() {
-        let list = heartbeat.refused_fingerprints.clone();
+    if !heartbeat.fingerprints.is_empty() {
+        let list = heartbeat.fingerprints.clone();
         agent.push(events::Event::RefusedFingerprints(list), cx);
     }
 }
@@ -139,7 +139,7 @@
         draining: agent.world.draining(),
         config_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
         load: Some(agent.world.load()),
-        refused_fingerprints: agent.world.refused_fingerprints(),
+        fingerprints: agent.world.crash_reports(),
         regions: Vec::new(),
     }
 }
--- a/src/agent/systems/retry.rs
+++ b/src/agent/systems/retry.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3;
+
 use crate::agent::events;
 use crate::agent::systems::{admission, answers};
 use crate::agent::tables;
@@ -10,7 +12,7 @@
 use crate::wire;
 
 /// Crashes after which a fingerprint is refused.
-const CRASHES_TO_REFUSE: u32 = 2;
+const CRASHES_TO_REFUSE: usize = 2;
 /// Fingerprints that are refused or counted at once.
 const MAX_FINGERPRINTS: usize = 1_024;
 
@@ -46,9 +48,13 @@
     }
     let broken: Vec<events::JobId> = in_state(world, tables::JobState::Broken);
     let died = probe == events::Probe::Refused || all_broke(world, &broken);
+    let crash = broken.iter().find_map(|id| crash_id(world, *id)).filter(|_| died);
+    if let Some(crash) = crash {
+        broken.iter().for_each(|id| count_crash(world, *id, crash));
+        effects.push(events::Effect::Beat);
+    }
     for id in broken {
         if died {
-            count_crash(world, id);
             end(world, id, wire::RefusalReason::TargetCrashed, effects);
         } else {
             end(world, id, wire::RefusalReason::TargetFailed, effects);
@@ -59,9 +65,9 @@
     }
 }
 
-/// Takes over the fingerprints that a peer refuses.
+/// Takes over the fingerprints of which a peer knows two crashes.
 pub fn learn(world: &mut world::AgentWorld, list: &[wire::Fingerprint]) {
-    for fingerprint in list {
+    for fingerprint in list.iter().filter(|known| known.crash_ids.len() >= CRASHES_TO_REFUSE) {
         let ttl = Duration::from_millis(fingerprint.ttl_ms).min(world.options.fingerprint_ttl);
         refuse_fingerprint(world, fingerprint.hash, world.now + ttl);
     }
@@ -74,16 +80,18 @@
     world.suspects.crashes.retain(|_, crash| crash.expires_at > now);
 }
 
-/// Returns the refused fingerprints with the time that is left of each.
-pub fn refused(world: &world::AgentWorld) -> Vec<wire::Fingerprint> {
+/// Returns the fingerprints that were running when the target died, with the time that is left
+/// of each.
+pub fn reports(world: &world::AgentWorld) -> Vec<wire::Fingerprint> {
     let left = |until: Duration| until.saturating_sub(world.now).as_millis();
     world
         .suspects
-        .refused
+        .crashes
         .iter()
-        .map(|(hash, until)| wire::Fingerprint {
+        .map(|(hash, crashes)| wire::Fingerprint {
             hash: *hash,
-            ttl_ms: u64::try_from(left(*until)).unwrap_or(u64::MAX),
+            ttl_ms: u64::try_from(left(crashes.expires_at)).unwrap_or(u64::MAX),
+            crash_ids: crashes.ids.clone(),
         })
         .collect()
 }
@@ -158,16 +166,31 @@
     answers::drop_job(world, id, effects);
 }
 
-fn count_crash(world: &mut world::AgentWorld, id: events::JobId) {
+/// Returns an id for the target's death that no other death has: the hash of an attempt that it
+/// ended.
+fn crash_id(world: &world::AgentWorld, id: events::JobId) -> Option<u64> {
+    let attempt = &world.jobs.get(id)?.subscribers.first()?.id;
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&attempt.incarnation.to_le_bytes());
+    bytes[8..].copy_from_slice(&attempt.counter.to_le_bytes());
+    Some(xxh3::xxh3_64(&bytes))
+}
+
+/// A suspect was present at a death elsewhere before, which counts too.
+fn count_crash(world: &mut world::AgentWorld, id: events::JobId, crash: u64) {
     let Some(job) = world.jobs.get(id) else { return };
     let (fingerprint, suspect) = (job.request.fingerprint, job.request.suspect);
     let expires_at = world.now + world.options.fingerprint_ttl;
-    let before = world.suspects.crashes.get(&fingerprint).map_or(0, |crash| crash.count);
-    let count = before + 1 + u32::from(suspect);
-    if count >= CRASHES_TO_REFUSE {
+    let known = world.suspects.crashes.contains_key(&fingerprint);
+    if !known && world.suspects.crashes.len() >= MAX_FINGERPRINTS {
+        return;
+    }
+    let fresh = || tables::Crashes { ids: Vec::new(), expires_at };
+    let crashes = world.suspects.crashes.entry(fingerprint).or_insert_with(fresh);
+    crashes.ids.push(crash);
+    crashes.expires_at = expires_at;
+    if crashes.ids.len() + usize::from(suspect) >= CRASHES_TO_REFUSE {
         refuse_fingerprint(world, fingerprint, expires_at);
-    } else if world.suspects.crashes.len() < MAX_FINGERPRINTS {
-        world.suspects.crashes.insert(fingerprint, tables::CrashCount { count, expires_at });
     }
 }
 
--- a/src/agent/tables.rs
+++ b/src/agent/tables.rs
@@ -227,15 +227,15 @@
 pub struct Suspects {
     pub(crate) waiting: VecDeque<events::JobId>,
     pub(crate) running: Option<events::JobId>,
-    pub(crate) crashes: collections::Map<u64, CrashCount>,
+    pub(crate) crashes: collections::Map<u64, Crashes>,
     pub(crate) refused: BTreeMap<u64, Duration>,
 }
 
-/// CrashCount is how often a fingerprint was running when the target died.
-#[derive(Clone, Copy, Debug)]
-pub struct CrashCount {
-    /// How often.
-    pub count: u32,
+/// Crashes is the deaths of the target that a fingerprint was present at.
+#[derive(Clone, Debug)]
+pub struct Crashes {
+    /// An id for each death, unique in the fleet.
+    pub ids: Vec<u64>,
     /// When it is forgotten.
     pub expires_at: Duration,
 }
--- a/src/agent/world.rs
+++ b/src/agent/world.rs
@@ -141,9 +141,9 @@
         self.config
     }
 
-    /// Returns the fingerprints that are refused, with the time that is left of each.
-    pub fn refused_fingerprints(&self) -> Vec<wire::Fingerprint> {
-        retry::refused(self)
+    /// Returns the fingerprints that were running when the target died.
+    pub fn crash_reports(&self) -> Vec<wire::Fingerprint> {
+        retry::reports(self)
     }
 
     fn apply(&mut self, event: events::Event, effects: &mut Vec<events::Effect>) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,8 +1,8 @@
 //! Settings files: JSON, checked whole before anything starts.
 
+pub mod agent;
 pub mod common;
 pub mod entry;
-pub mod agent;
 
 use std::{fs, io, path, result};
 
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -218,7 +218,7 @@
         "listen": addresses[0],
         "admin_listen": addresses[1],
         "target_url": format!("http://{}", back_end.address),
-        "store": { "endpoints": [store_url(store)] },
+        "store": [store_url(store)],
     });
     (plan.adjust_agent)(&mut settings);
     let file = write_settings(dir, &format!("agent-{}", back_end.name), &settings)?;
