--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -43,8 +43,8 @@
     pub slow_start: Duration,
     /// How long a crashing body is remembered.
     pub crash_memory: Duration,
-    /// Off only in proofs: asks a claim's holder again instead of running elsewhere.
-    pub guard_claims: bool,
+    /// Off only in proofs: remembers that an earlier attempt may have run.
+    pub remember_runs: bool,
     /// Off only in proofs: refuses a body after its second crash.
     pub refuse_crashing: bool,
 }
@@ -60,7 +60,7 @@
             ejection: Duration::from_secs(5),
             slow_start: Duration::from_secs(10),
             crash_memory: Duration::from_secs(600),
-            guard_claims: true,
+            remember_runs: true,
             refuse_crashing: true,
         }
     }
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -83,7 +83,7 @@
         targets::blame(world, now, &ended.target);
     }
     let Some(request) = world.tables.requests.get_mut(&ended.request) else { return };
-    if failure.executed != Executed::No {
+    if failure.executed != Executed::No && world.options.remember_runs {
         request.may_have_run = true;
     }
     note_avoided(request, &ended.target, failure);
--- a/src/entry/core/routing.rs
+++ b/src/entry/core/routing.rs
@@ -59,7 +59,7 @@
     if candidates.is_empty() {
         return None;
     }
-    if let Some(key) = request.claim_key.filter(|_| world.options.guard_claims) {
+    if let Some(key) = request.claim_key {
         return claim_holder(&candidates, key, request.claim_shards);
     }
     let affinity = request.submitted.affinity;
--- /dev/null
+++ b/tests/refusals.rs
@@ -0,0 +1,145 @@
+//! Refusals of the entry's core are true, final and in time, whatever becomes of the attempts.
+
+#[path = "common/entry_model.rs"]
+mod entry_model;
+
+use std::time::Duration;
+
+use bitternwall::entry::core::Options;
+use bitternwall::entry::core::deadlines::VERDICT_GRACE;
+use bitternwall::entry::core::events::{
+    AttemptFailure, Effect, Event, Executed, RefusalReason, ServingState,
+};
+use bitternwall::entry::core::tables::RequestId;
+use entry_model::{End, EntryModel, FATES, Fate, KINDS, Kind, TICK, TIMEOUT};
+use proptest::prelude::Strategy;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+use proptest::{collection, sample};
+
+const CASES: u32 = 256;
+
+type Plan = Vec<(Kind, Vec<Fate>)>;
+
+fn plans() -> impl Strategy<Value = Plan> {
+    let fates = collection::vec(sample::select(&FATES[..]), 1..6);
+    collection::vec((sample::select(&KINDS[..]), fates), 1..40)
+}
+
+fn runner() -> TestRunner {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, rng)
+}
+
+/// Plays a plan: attempt number n of a request meets its n-th fate, and the last one again.
+fn play(options: Options, plan: &Plan) -> EntryModel {
+    let mut model = EntryModel::new(options, 4);
+    let mut tries = vec![0; plan.len()];
+    let mut fate = |start: &bitternwall::entry::core::events::StartAttempt| {
+        let index = usize::try_from(start.request.0).expect("requests are few");
+        let fates = &plan[index].1;
+        let next = fates[tries[index].min(fates.len() - 1)];
+        tries[index] += 1;
+        next
+    };
+    for (kind, _) in plan {
+        model.submit(*kind, &mut fate);
+    }
+    model.drain(&mut fate);
+    model
+}
+
+fn check(model: &EntryModel, plan: &Plan) -> Result<(), TestCaseError> {
+    for index in 0..plan.len() {
+        let id = RequestId(u64::try_from(index).expect("requests are few"));
+        let ends = model.ends.get(&id).cloned().unwrap_or_default();
+        if ends.len() != 1 {
+            return Err(TestCaseError::fail(format!(
+                "{id:?} ended {} times: {ends:?}",
+                ends.len()
+            )));
+        }
+        if let End::Refused(refusal) | End::Broken(refusal) = ends[0] {
+            if refusal.executed == Executed::No && model.ran.contains(&id) {
+                return Err(TestCaseError::fail(format!("{id:?} ran, but {refusal:?}")));
+            }
+        }
+    }
+    let unkeyed = model.starts.iter().find(|start| {
+        let index = usize::try_from(start.request.0).expect("requests are few");
+        plan[index].0 == Kind::NotRepeatable && start.claim_key.is_none()
+    });
+    match unkeyed {
+        Some(start) => Err(TestCaseError::fail(format!("no claim key: {start:?}"))),
+        None => Ok(()),
+    }
+}
+
+#[test]
+fn every_request_ends_once_and_no_refusal_lies() {
+    let result = runner().run(&plans(), |plan| check(&play(Options::default(), &plan), &plan));
+    result.expect("no plan breaks a promise");
+}
+
+#[test]
+fn forgetting_earlier_runs_makes_a_refusal_lie() {
+    let options = Options { remember_runs: false, ..Options::default() };
+    let result = runner().run(&plans(), |plan| check(&play(options.clone(), &plan), &plan));
+    let error = result.expect_err("the check sees a lie").to_string();
+    assert!(error.contains("ran, but"), "{error}");
+}
+
+#[test]
+fn a_passed_deadline_is_answered_at_once() {
+    let mut model = EntryModel::new(Options::default(), 1);
+    let submitted_at = model.now + TICK;
+    model.submit(Kind::Idempotent, &mut |_| Fate::SilentNotRun);
+    while model.ends.is_empty() {
+        model.tick(Vec::new(), &mut |_| Fate::SilentNotRun);
+    }
+    let end = model.ends[&RequestId(0)][0];
+    let End::Refused(refusal) = end else { panic!("{end:?}") };
+    assert_eq!(refusal.reason, RefusalReason::Attempt(AttemptFailure::Deadline));
+    assert_eq!(refusal.executed, Executed::Unknown, "nothing was heard of the attempt");
+    assert!(model.now <= submitted_at + TIMEOUT + VERDICT_GRACE + TICK);
+}
+
+#[test]
+fn the_deadline_passes_through_with_the_time_left() {
+    let mut model = EntryModel::new(Options::default(), 4);
+    let mut first = true;
+    model.submit(Kind::Idempotent, &mut |_| match std::mem::take(&mut first) {
+        true => Fate::RefusedNotRun,
+        false => Fate::Answered,
+    });
+    let left: Vec<Duration> = model.starts.iter().map(|start| start.time_left).collect();
+    assert_eq!(left.len(), 2);
+    assert!(left[0] <= TIMEOUT && left[1] <= left[0]);
+}
+
+#[test]
+fn an_entry_without_current_configuration_refuses_as_not_run() {
+    let mut model = EntryModel::new(Options::default(), 2);
+    for state in [ServingState::StaleConfig, ServingState::Draining] {
+        model.tick(vec![Event::Serving(state)], &mut |_| Fate::Answered);
+        let id = RequestId(model.submitted);
+        model.submit(Kind::Idempotent, &mut |_| Fate::Answered);
+        let End::Refused(refusal) = model.ends[&id][0] else { panic!("not refused") };
+        assert_eq!(refusal.executed, Executed::No);
+        assert!(refusal.retry_after.is_some(), "the caller learns when to come back");
+    }
+    assert!(model.starts.is_empty());
+}
+
+#[test]
+fn no_target_is_refused_at_once_with_the_time_to_come_back() {
+    let mut model = EntryModel::new(Options::default(), 0);
+    let mut effects = Vec::new();
+    model.submit(Kind::Streamed, &mut |_| Fate::Answered);
+    model.world.tick(model.now, Vec::new(), &mut effects);
+    let End::Refused(refusal) = model.ends[&RequestId(0)][0] else { panic!("not refused") };
+    assert_eq!(refusal.reason, RefusalReason::NoTarget);
+    assert_eq!(refusal.executed, Executed::No);
+    assert!(refusal.retry_after.is_some());
+    assert_eq!(effects, Vec::<Effect>::new());
+}
