Stand-ins: host list, weight store, stops and slow faults

Cause: the host list lags and the weight store is rate-limited; the system's decisions about leaving hosts and about moving experts have to be tested against both.

Change: subcommands hosts and weights. A one-second window of the key-value service's rate limit now begins with its first call, so that a test's burst is not split by the process's start. SIGTERM is handled before the address line is printed; before, a stop right after that line could end the process by the signal.

--- a/standins/src/kv/error.rs
+++ b/standins/src/kv/error.rs
@@ -59,16 +59,6 @@
         /// The lease.
         id: i64,
     },
-    /// The revision is not one that can be read or compacted.
-    #[error("The revision {revision} is outside {oldest} to {newest}.")]
-    RevisionOutOfRange {
-        /// The revision asked for.
-        revision: i64,
-        /// The oldest revision held.
-        oldest: i64,
-        /// The present revision.
-        newest: i64,
-    },
     /// The stand-in does not offer this part of the protocol.
     #[error("The stand-in does not read at the older revision {revision}.")]
     OldRevision {
@@ -88,7 +78,6 @@
             Self::LeaseNotFound { .. } => 5,
             Self::RateLimited { .. } => 8,
             Self::LeaseExists { .. } => 9,
-            Self::RevisionOutOfRange { .. } => 11,
             Self::OldRevision { .. } => 12,
             Self::NoAnswer => 14,
         }
--- a/standins/src/kv/gate.rs
+++ b/standins/src/kv/gate.rs
@@ -21,8 +21,6 @@
     DeleteRange,
     /// `/v3/kv/txn`
     Txn,
-    /// `/v3/kv/compaction`
-    Compaction,
     /// `/v3/lease/grant`
     LeaseGrant,
     /// `/v3/lease/keepalive`
@@ -88,7 +86,7 @@
     }
 
     fn take(&mut self, now: Instant) -> Result<()> {
-        if now.duration_since(self.window_start) >= RATE_WINDOW {
+        if self.asked == 0 || now.duration_since(self.window_start) >= RATE_WINDOW {
             self.window_start = now;
             self.asked = 0;
         }
--- a/standins/src/kv/messages.rs
+++ b/standins/src/kv/messages.rs
@@ -184,14 +184,6 @@
     pub id: Int64,
 }
 
-/// CompactionRequest drops history before a revision.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct CompactionRequest {
-    /// The oldest revision to keep.
-    pub revision: Int64,
-}
-
 /// WatchRequest opens a watch.
 #[derive(Clone, Debug, Deserialize)]
 pub struct WatchRequest {
--- a/standins/src/kv/mod.rs
+++ b/standins/src/kv/mod.rs
@@ -18,9 +18,9 @@
 use self::error::Result;
 use self::gate::{Access, Call, Counts, Faults, Gate};
 use self::messages::{
-    CompactionRequest, DeleteRangeRequest, DeleteRangeResponse, HeaderResponse, LeaseGrantRequest,
-    LeaseRequest, LeaseResponse, PutRequest, RangeRequest, RangeResponse, RequestOp, Streamed,
-    TxnRequest, TxnResponse, WatchRequest,
+    DeleteRangeRequest, DeleteRangeResponse, HeaderResponse, LeaseGrantRequest, LeaseRequest,
+    LeaseResponse, PutRequest, RangeRequest, RangeResponse, RequestOp, Streamed, TxnRequest,
+    TxnResponse, WatchRequest,
 };
 use self::store::Store;
 use crate::{reply, server};
@@ -137,7 +137,6 @@
         .route("/v3/kv/put", web::post().to(put))
         .route("/v3/kv/deleterange", web::post().to(delete_range))
         .route("/v3/kv/txn", web::post().to(txn))
-        .route("/v3/kv/compaction", web::post().to(compaction))
         .route("/v3/lease/grant", web::post().to(lease_grant))
         .route("/v3/lease/keepalive", web::post().to(lease_keep_alive))
         .route("/v3/lease/revoke", web::post().to(lease_revoke))
@@ -170,14 +169,6 @@
     state.perform((Call::Txn, access), |store, _| store.txn(&req)).await
 }
 
-async fn compaction(
-    state: State,
-    req: web::Json<CompactionRequest>,
-) -> Result<web::Json<HeaderResponse>> {
-    let call = (Call::Compaction, Access::Write);
-    state.perform(call, |store, _| store.compact(req.revision)).await
-}
-
 async fn lease_grant(
     state: State,
     req: web::Json<LeaseGrantRequest>,
--- a/standins/src/kv/store.rs
+++ b/standins/src/kv/store.rs
@@ -153,21 +153,6 @@
         !due.is_empty()
     }
 
-    /// Drops history before `revision`.
-    ///
-    /// # Errors
-    ///
-    /// Refuses a revision that is gone already or yet to come.
-    pub fn compact(&mut self, revision: Int64) -> Result<HeaderResponse> {
-        let (oldest, newest) = (self.oldest, self.revision);
-        if revision.0 < oldest || revision.0 > newest {
-            return Err(KvError::RevisionOutOfRange { revision: revision.0, oldest, newest });
-        }
-        self.history.retain(|event| event.kv.mod_revision >= revision);
-        self.oldest = revision.0;
-        Ok(HeaderResponse { header: self.header() })
-    }
-
     /// Returns the oldest revision that a watch can begin at.
     pub fn oldest_revision(&self) -> i64 {
         self.oldest
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,10 +4,12 @@
 //! the `standin` program serves the same fakes as processes of their own.
 
 pub mod engine;
+pub mod hosts;
 pub mod kv;
 pub mod lagged;
 pub mod reply;
 pub mod server;
 pub mod service;
+pub mod weights;
 
 pub use server::Running;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,17 +1,20 @@
 //! Runs one stand-in until SIGTERM or an interrupt.
 
+use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, builder};
-use standins::{Running, engine, kv, service};
+use standins::{Running, engine, hosts, kv, service, weights};
 use tokio::signal::unix;
 
 #[actix_rt::main]
 async fn main() -> anyhow::Result<()> {
     let matches = command().get_matches();
+    let terminate = unix::signal(unix::SignalKind::terminate())?;
     let Running { address, handle } = start(&matches)?;
     println!("listening {address}");
-    wait_for_stop().await?;
+    wait_for_stop(terminate).await?;
     handle.stop(false).await;
     Ok(())
 }
@@ -21,7 +24,13 @@
         .about("Small fakes of the systems outside, for tests and the demo only")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
-        .subcommands([kv_command(), engine_command(), service_command()])
+        .subcommands([
+            kv_command(),
+            subcommand("hosts", "The list of live and leaving hosts"),
+            weights_command(),
+            engine_command(),
+            service_command(),
+        ])
 }
 
 fn start(matches: &ArgMatches) -> anyhow::Result<Running> {
@@ -29,14 +38,15 @@
     let listen = *matches.get_one::<SocketAddr>("listen").expect("clap requires --listen");
     Ok(match name {
         "kv" => kv::start(listen, kv_options(matches))?,
+        "hosts" => hosts::start(listen)?,
+        "weights" => weights::start(listen, weights_options(matches))?,
         "engine" => engine::start(listen, engine_options(matches))?,
         "service" => service::start(listen, service_options(matches))?,
         _ => unreachable!("clap knows no other subcommand"),
     })
 }
 
-async fn wait_for_stop() -> std::io::Result<()> {
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+async fn wait_for_stop(mut terminate: unix::Signal) -> io::Result<()> {
     tokio::select! {
         _ = terminate.recv() => Ok(()),
         interrupt = tokio::signal::ctrl_c() => interrupt,
@@ -66,6 +76,10 @@
     usize::try_from(get_number(matches, name)).unwrap_or(usize::MAX)
 }
 
+fn get_millis(matches: &ArgMatches, name: &str) -> Duration {
+    Duration::from_millis(get_number(matches, name))
+}
+
 fn get_text(matches: &ArgMatches, name: &str) -> Option<String> {
     matches.get_one(name).cloned()
 }
@@ -87,8 +101,17 @@
     }
 }
 
-fn get_millis(matches: &ArgMatches, name: &str) -> std::time::Duration {
-    std::time::Duration::from_millis(get_number(matches, name))
+fn weights_command() -> Command {
+    subcommand("weights", "The weight store")
+        .arg(number("bytes-per-second", "50000000", "What all readers get together"))
+        .arg(number("queue", "16", "Reads under way at once"))
+}
+
+fn weights_options(matches: &ArgMatches) -> weights::Options {
+    weights::Options {
+        bytes_per_second: get_number(matches, "bytes-per-second"),
+        queue: get_size(matches, "queue"),
+    }
 }
 
 fn engine_command() -> Command {
--- a/standins/tests/common/mod.rs
+++ b/standins/tests/common/mod.rs
@@ -80,6 +80,13 @@
         res.json().await.expect("the answer has this type")
     }
 
+    /// Asks the process to end, as a planned stop does.
+    pub fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        let status = process::Command::new("sh").args(["-c", &kill]).status();
+        assert!(status.expect("there is a shell").success());
+    }
+
     /// Waits for the process to end by itself.
     pub async fn wait(&mut self) -> process::ExitStatus {
         loop {
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -136,3 +136,19 @@
         assert_eq!(target.post("/v1/orders", &order(3)).await.0, old_status);
     }
 }
+
+#[actix_rt::test]
+async fn a_stalled_engine_goes_on_later_and_its_load_shows_late() {
+    let target = Standin::start(&["engine", "--name", "e1", "--load-lag-ms", "2000"]);
+    target.post("/control/behaviour", &json!({ "stall_ms": 500 })).await;
+    let start = time::Instant::now();
+    let req = chat("hello", 3, true);
+    let late_load = async {
+        time::sleep(Duration::from_millis(200)).await;
+        target.get::<Load>("/v1/load").await
+    };
+    let (tokens, load) = futures_util::join!(streamed(&target, &req), late_load);
+    assert_eq!(tokens, expected("hello", 3));
+    assert!(start.elapsed() >= Duration::from_millis(490), "{:?}", start.elapsed());
+    assert_eq!((load.running, load.slots), (0, 4), "the load of two seconds ago");
+}
--- a/standins/tests/kv.rs
+++ b/standins/tests/kv.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose;
 use common::{LAST_CHUNK, Lines, Standin};
 use serde_json::{Value, json};
+use standins::kv;
 use standins::kv::gate::Counts;
 
 fn b64(text: &str) -> String {
@@ -245,3 +246,25 @@
     let counts: Counts = kv.get("/control/counts").await;
     assert_eq!((counts.refused, counts.peak_writes_per_second), (2, 5));
 }
+
+#[actix_rt::test]
+async fn a_standin_runs_inside_a_test_until_it_is_stopped() {
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let running = kv::start(listen, kv::Options::default()).unwrap();
+    let url = format!("http://{}/control/counts", running.address);
+    let counts: Counts =
+        awc::Client::default().get(&url).send().await.unwrap().json().await.unwrap();
+    assert_eq!(counts, Counts::default());
+    kv::start(running.address, kv::Options::default()).err().expect("the port is taken");
+    running.handle.stop(false).await;
+    awc::Client::default().get(&url).send().await.expect_err("it is stopped");
+}
+
+#[actix_rt::test]
+async fn a_slow_service_answers_late() {
+    let kv = Standin::start(&["kv"]);
+    kv.post("/control/faults", &json!({ "slow_ms": 300 })).await;
+    let start = Instant::now();
+    put(&kv, "a", "1").await;
+    assert!(start.elapsed() >= Duration::from_millis(300), "{:?}", start.elapsed());
+}
--- a/standins/tests/service.rs
+++ b/standins/tests/service.rs
@@ -48,3 +48,19 @@
     crashed.expect_err("the process dies");
     assert!(!target.wait().await.success());
 }
+
+#[actix_rt::test]
+async fn every_standin_ends_on_sigterm() {
+    let commands: [&[&str]; 5] = [
+        &["kv"],
+        &["hosts"],
+        &["weights"],
+        &["engine", "--name", "e1"],
+        &["service", "--name", "t1"],
+    ];
+    for command in commands {
+        let mut standin = Standin::start(command);
+        standin.terminate();
+        assert!(standin.wait().await.success(), "{command:?}");
+    }
+}
