--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod engine;
 pub mod fleet;
+pub mod hosts;
 pub mod kv;
 pub mod lagged;
 pub mod reply;
 pub mod server;
 pub mod service;
+pub mod weights;
 
 pub use server::Running;
