tests: resources under races and lost answers, store client against the stand-in

Cause: the promises of the configuration had no proof yet. Change: 512 random histories of racing writers on a model of the store, with lost answers and transactions that arrive late or twice; the service and the client over the stand-in process. A malformed field's message now holds the value as well.

--- a/src/resources/specs.rs
+++ b/src/resources/specs.rs
@@ -5,9 +5,9 @@
 use std::ops::RangeInclusive;
 use std::result;
 
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use serde_path_to_error::{Path, Segment};
 
 use crate::resources::kinds::{
     CustomerSpec, GroupSpec, Kind, Operation, PolicySpec, ServiceKind, ServiceSpec, TargetSpec,
@@ -170,10 +170,23 @@
     }
 }
 
-fn parse<T: DeserializeOwned + for<'a> Deserialize<'a>>(value: &Value) -> Result<T> {
-    serde_path_to_error::deserialize(value).map_err(|error| SpecError::Malformed {
-        field: error.path().to_string(),
-        reason: error.inner().to_string(),
+fn parse<T: DeserializeOwned>(value: &Value) -> Result<T> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let found = find(value, error.path());
+        let found = found.map(|value| format!("{value} does not fit, ")).unwrap_or_default();
+        SpecError::Malformed {
+            field: error.path().to_string(),
+            reason: format!("{found}{}", error.inner()),
+        }
+    })
+}
+
+/// Returns the value at a path, if there is one.
+fn find<'a>(value: &'a Value, path: &Path) -> Option<&'a Value> {
+    path.iter().try_fold(value, |value, segment| match segment {
+        Segment::Seq { index } => value.get(index),
+        Segment::Map { key } => value.get(key),
+        Segment::Enum { .. } | Segment::Unknown => None,
     })
 }
 
--- /dev/null
+++ b/tests/common/store.rs
@@ -0,0 +1,85 @@
+//! Runs the stand-in key-value service as a process, and makes clients of it.
+
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use bitternwall::platform::store::{Store, StoreOptions};
+use serde_json::json;
+
+/// Long enough for a busy machine, as no test waits for it to pass.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// StandIn is a running key-value service, which ends with this value.
+pub struct StandIn {
+    child: Child,
+    /// Its base address.
+    pub endpoint: String,
+}
+
+impl StandIn {
+    /// Starts the service with further arguments.
+    pub fn start(arguments: &[&str]) -> Self {
+        let mut child = Command::new(program())
+            .args(["kv", "--listen", "127.0.0.1:0", "--writes-per-second", "100000"])
+            .args(["--reads-per-second", "100000"])
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the stand-in is built with the workspace");
+        let stdout = child.stdout.take().expect("its output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line).expect("it says where it listens");
+        let address = line.trim().strip_prefix("listening ").expect("it says where it listens");
+        Self { child, endpoint: format!("http://{address}") }
+    }
+
+    /// Returns a client.
+    pub fn store(&self) -> Store {
+        Store::new(self.options())
+    }
+
+    /// Returns the options of a client.
+    pub fn options(&self) -> StoreOptions {
+        StoreOptions { endpoints: vec![self.endpoint.clone()], call_timeout: CALL_TIMEOUT }
+    }
+
+    /// Sets what goes wrong from now on.
+    pub async fn set_faults(&self, faults: serde_json::Value) {
+        self.post("/control/faults", faults).await;
+    }
+
+    /// Drops the history before a revision.
+    #[allow(dead_code, reason = "not every test file that shares this module uses it")]
+    pub async fn compact(&self, revision: u64) {
+        self.post("/v3/kv/compaction", json!({ "revision": revision.to_string() })).await;
+    }
+
+    async fn post(&self, path: &str, body: serde_json::Value) {
+        let client = awc::Client::default();
+        let answer = client.post(format!("{}{path}", self.endpoint)).send_json(&body).await;
+        assert!(answer.unwrap().status().is_success());
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns an endpoint where nothing listens.
+#[allow(dead_code, reason = "not every test file that shares this module uses it")]
+pub fn closed_endpoint() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    format!("http://{}", listener.local_addr().unwrap())
+}
+
+fn program() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let profile = test.ancestors().nth(2).expect("tests run from target/PROFILE/deps");
+    profile.join("standin")
+}
--- /dev/null
+++ b/tests/resources.rs
@@ -0,0 +1,18 @@
+//! Resources: changes under races and lost answers, against a model and the stand-in store.
+
+#[path = "resources/api.rs"]
+mod api;
+#[path = "resources/cli.rs"]
+mod cli;
+#[path = "resources/model.rs"]
+mod model;
+#[path = "resources/races.rs"]
+mod races;
+#[path = "resources/service.rs"]
+mod service;
+#[path = "resources/specs.rs"]
+mod specs;
+#[path = "common/store.rs"]
+mod store;
+#[path = "resources/store_client.rs"]
+mod store_client;
