--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -1,5 +1,7 @@
 //! Resources: changes under races and lost answers, against a model and the stand-in store.
 
+#![allow(clippy::unwrap_used, reason = "a helper of a test that cannot go on fails it")]
+
 #[path = "resources/api.rs"]
 mod api;
 #[path = "resources/cli.rs"]
