Prove the configuration's rules by property tests under faults

Found by the test: a delta made from the difference of two whole states leaves out keys that came and went between them; applied by a peer in the middle, it brought a deleted resource back. Now such a step fits its very base only, and a peer's delta is taken only at the revision that it was made for. Found by switching mechanisms off: waiting for knowledge younger than the start plus the peer timeout is no stronger than younger than the start; simplified. Change: tests/configuration.rs, a model of the store and a fleet of eight processes in two data centres; each mechanism off is seen to break a promise, six of them by random plans and two by a fixed sequence.

--- a/src/config/history.rs
+++ b/src/config/history.rs
@@ -1,7 +1,9 @@
 //! The state that a process holds, with the latest steps that led to it.
 //!
 //! A peer that is a few steps behind gets a delta, any other the whole state. A step keeps the
-//! keys that it touched, never values, so the history costs little beside the state.
+//! keys that it touched, never values, so the history costs little beside the state. A step
+//! that is the difference of two states leaves out what came and went between them, so it fits
+//! a peer at its very base only: see docs/CONFIGURATION.md.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -16,6 +18,8 @@
 struct Step {
     base_revision: u64,
     keys: Vec<Arc<str>>,
+    /// True where the keys are all that were touched since the base, even for a moment.
+    complete: bool,
 }
 
 /// History holds the present state and the steps that led to it.
@@ -50,40 +54,41 @@
         next.replace(range)?;
         let keys = difference(&self.state, &next);
         let previous = std::mem::replace(&mut self.state, Arc::new(next));
-        self.push_step(previous.revision(), keys);
+        self.push_step(Step { base_revision: previous.revision(), keys, complete: false });
         Ok(())
     }
 
-    /// Moves along a delta.
+    /// Moves along a delta from the store's watch.
     ///
     /// # Errors
     ///
     /// Returns a [`state::StateError`] for a delta that is not newer or leaves a gap.
     pub fn apply_delta(&mut self, delta: &Delta) -> state::Result<()> {
-        let base_revision = self.revision();
-        Arc::make_mut(&mut self.state).apply_delta(delta)?;
-        let changed = delta.changed.iter().map(|entry| entry.key.as_str());
-        let deleted = delta.deleted.iter().map(String::as_str);
-        self.push_step(base_revision, changed.chain(deleted).map(Arc::from).collect());
-        Ok(())
+        self.apply(delta, true)
     }
 
     /// Takes what a peer answered.
     ///
     /// # Errors
     ///
-    /// Returns a [`state::StateError`] for an answer that is not newer or leaves a gap.
+    /// Returns a [`state::StateError`] for an answer that is not newer, or that is a delta from
+    /// another revision than the one held.
     pub fn apply_answer(&mut self, answer: &wire::ConfigState) -> state::Result<()> {
         let entries: Vec<_> = answer.resources.iter().map(key_value).collect();
         if answer.base_revision == 0 {
             return self.replace(&store::Range { revision: answer.revision, entries });
         }
-        self.apply_delta(&Delta {
+        if answer.base_revision != self.revision() {
+            let (held, base) = (self.revision(), answer.base_revision);
+            return Err(state::StateError::OtherBase { held, base });
+        }
+        let delta = Delta {
             base_revision: answer.base_revision,
             revision: answer.revision,
             changed: entries,
             deleted: answer.deleted.clone(),
-        })
+        };
+        self.apply(&delta, false)
     }
 
     /// Returns what brings a peer from its revision to the present one, or nothing where the
@@ -95,11 +100,21 @@
         Some(self.delta_since(have).unwrap_or_else(|| self.whole()))
     }
 
-    fn push_step(&mut self, base_revision: u64, keys: Vec<Arc<str>>) {
-        if base_revision == 0 {
+    fn apply(&mut self, delta: &Delta, complete: bool) -> state::Result<()> {
+        let base_revision = self.revision();
+        Arc::make_mut(&mut self.state).apply_delta(delta)?;
+        let changed = delta.changed.iter().map(|entry| entry.key.as_str());
+        let deleted = delta.deleted.iter().map(String::as_str);
+        let keys = changed.chain(deleted).map(Arc::from).collect();
+        self.push_step(Step { base_revision, keys, complete });
+        Ok(())
+    }
+
+    fn push_step(&mut self, step: Step) {
+        if step.base_revision == 0 {
             return;
         }
-        self.steps.push_back(Step { base_revision, keys });
+        self.steps.push_back(step);
         if self.steps.len() > MAX_STEPS {
             self.steps.pop_front();
         }
@@ -107,10 +122,13 @@
 
     fn delta_since(&self, have: u64) -> Option<wire::ConfigState> {
         let first = self.steps.iter().rposition(|step| step.base_revision <= have)?;
+        if self.steps[first].base_revision != have && !self.steps[first].complete {
+            return None;
+        }
         let touched: BTreeSet<_> = self.steps.range(first..).flat_map(|step| &step.keys).collect();
         let mut answer = wire::ConfigState {
             revision: self.revision(),
-            base_revision: self.steps[first].base_revision,
+            base_revision: have,
             ..wire::ConfigState::default()
         };
         for key in touched {
--- a/src/config/options.rs
+++ b/src/config/options.rs
@@ -81,8 +81,8 @@
     pub majority: bool,
     /// A new life has no vote until it knows all that its last life acknowledged.
     pub settling: bool,
-    /// A new life serves only on knowledge that is younger than its start by the peer timeout.
-    pub join_wait: bool,
+    /// A new life serves only on knowledge that is younger than its start.
+    pub join_barrier: bool,
     /// Count a silent process out only when it must have stopped serving.
     pub silence_wait: bool,
 }
@@ -96,7 +96,7 @@
             age: true,
             majority: true,
             settling: true,
-            join_wait: true,
+            join_barrier: true,
             silence_wait: true,
         }
     }
--- a/src/config/replica.rs
+++ b/src/config/replica.rs
@@ -101,7 +101,7 @@
     pub fn new(options: options::Options, now: Duration) -> Self {
         let mut rng = rngs::StdRng::seed_from_u64(options.seed);
         let timing = options.timing;
-        let join_wait = if options.guards.join_wait { timing.peer_timeout } else { Duration::ZERO };
+        let barrier = if options.guards.join_barrier { now } else { Duration::ZERO };
         Self {
             history: history::History::default(),
             contacts: Contacts::new(u64::from(rng.random::<u32>()) << 24 | 1, timing),
@@ -110,7 +110,7 @@
             voters: Set::default(),
             started_at: now,
             last_tick: now,
-            barrier: now + join_wait,
+            barrier,
             current_at: None,
             majority_at: None,
             ahead: None,
@@ -299,7 +299,7 @@
         self.request = None;
         let mut answer = answer.clone();
         if !self.options.guards.no_gaps {
-            answer.base_revision = answer.base_revision.min(self.revision());
+            answer.base_revision = answer.base_revision.min(1) * self.revision();
         }
         // An answer that is no longer newer or leaves a gap is asked for again if need be.
         let taken = self.history.apply_answer(&answer);
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -33,6 +33,14 @@
         /// Where the delta starts.
         base: u64,
     },
+    /// A peer's delta was made for another revision.
+    #[error("A peer's delta from revision {base} does not fit the revision {held} that is held.")]
+    OtherBase {
+        /// The revision held.
+        held: u64,
+        /// What the delta was made for.
+        base: u64,
+    },
 }
 
 /// StoredResource is one resource as the store holds it.
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,185 @@
+//! Proves the rules of docs/CONFIGURATION.md on several replicas, a model of the store and a
+//! passed-in clock, under faults.
+
+use bitternwall::config::options::{Guards, Timing};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+use fleet::{Fault, Fleet};
+
+#[path = "configuration/fleet.rs"]
+mod fleet;
+#[path = "configuration/model.rs"]
+mod model;
+
+const ENTRIES: usize = 3;
+const AGENTS: usize = 1;
+const PROCESSES: usize = 2 * (ENTRIES + AGENTS);
+const STEPS_PER_SECOND: u64 = 20;
+const START_STEPS: u64 = 5 * STEPS_PER_SECOND;
+const PLAN_STEPS: u64 = 20 * STEPS_PER_SECOND;
+const CASES: u32 = 200;
+const SCENARIO_SEEDS: u64 = 20;
+const SCENARIO_STEPS: u64 = 10 * STEPS_PER_SECOND;
+const LEKKI: u32 = 0b1111_0000;
+
+#[derive(Clone, Debug)]
+struct Plan {
+    seed: u64,
+    faults: Vec<(u64, Fault)>,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let steps = 1..200_u32;
+    let sides = prop_oneof![
+        3 => any::<u32>(),
+        2 => (0..PROCESSES).prop_map(|index| 1 << index),
+        2 => (0..PROCESSES, 0..PROCESSES).prop_map(|(a, b)| 1 << a | 1 << b),
+        1 => Just(1 << 31),
+        1 => Just(0b1111),
+    ];
+    prop_oneof![
+        6 => (0..4_u8).prop_map(Fault::Put),
+        3 => (0..4_u8).prop_map(Fault::Delete),
+        2 => steps.clone().prop_map(Fault::StoreDown),
+        5 => (sides, steps.clone()).prop_map(|(side, steps)| Fault::Cut(side, steps)),
+        3 => (0..PROCESSES, 1..100_u32, steps.clone()).prop_map(|(i, l, s)| Fault::Slow(i, l, s)),
+        3 => (0..PROCESSES, steps.clone()).prop_map(|(i, s)| Fault::Pause(i, s)),
+        4 => (0..PROCESSES, 1..60_u32).prop_map(|(i, s)| Fault::Restart(i, s)),
+        2 => (1..60_u32, steps).prop_map(|(percent, steps)| Fault::Loss(percent, steps)),
+        1 => Just(Fault::Compact),
+        1 => (1..9_u8).prop_map(Fault::Elsewhere),
+    ]
+}
+
+fn plan() -> impl Strategy<Value = Plan> {
+    let faults = prop::collection::vec((0..PLAN_STEPS, fault()), 5..40);
+    (any::<u64>(), faults).prop_map(|(seed, mut faults)| {
+        faults.sort_by_key(|(step, _)| *step);
+        Plan { seed, faults }
+    })
+}
+
+fn started(seed: u64, guards: Guards) -> Fleet {
+    let mut fleet = Fleet::new(ENTRIES, AGENTS, seed, Timing::SMALL, guards);
+    fleet.store.put("key-0");
+    fleet.run(START_STEPS);
+    fleet
+}
+
+fn run(plan: &Plan, guards: Guards) -> Result<(), TestCaseError> {
+    let mut fleet = started(plan.seed, guards);
+    prop_assert!(fleet.has_converged(), "the fleet does not start");
+    let mut faults = plan.faults.iter().peekable();
+    for step in 0..PLAN_STEPS {
+        while let Some((_, fault)) = faults.next_if(|(at, _)| *at <= step) {
+            fleet.inject(fault);
+        }
+        fleet.advance();
+    }
+    fleet.heal();
+    fleet.store.put("key-last");
+    fleet.run(5 * STEPS_PER_SECOND);
+    prop_assert!(fleet.faults.is_empty(), "{:?}", fleet.faults.first());
+    prop_assert!(fleet.has_converged(), "no convergence within 5 s after the faults");
+    Ok(())
+}
+
+fn explore(guards: Guards, cases: u32) -> Result<(), String> {
+    let config =
+        Config { cases, failure_persistence: None, max_shrink_iters: 0, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, rng)
+        .run(&plan(), |plan| run(&plan, guards))
+        .map_err(|error| error.to_string())
+}
+
+#[test]
+fn no_process_goes_back_and_in_force_is_never_said_too_early() {
+    if let Err(error) = explore(Guards::default(), CASES) {
+        panic!("{error}");
+    }
+}
+
+/// Runs plans with one mechanism off until the checker sees a promise broken.
+fn assert_caught(switch_off: fn(&mut Guards), expected: &str) {
+    let mut guards = Guards::default();
+    switch_off(&mut guards);
+    let error = explore(guards, CASES).expect_err("the checker sees nothing without it");
+    assert!(error.contains(expected), "{error}");
+}
+
+#[test]
+fn the_checker_sees_a_state_that_goes_back() {
+    assert_caught(|guards| guards.forward_only = false, "went back");
+}
+
+#[test]
+fn the_checker_sees_a_gap() {
+    assert_caught(|guards| guards.no_gaps = false, "another state");
+}
+
+#[test]
+fn the_checker_sees_heartbeats_that_are_dated_by_arrival() {
+    assert_caught(|guards| guards.echo_dating = false, "is in force");
+}
+
+#[test]
+fn the_checker_sees_peers_that_keep_each_other_fresh() {
+    assert_caught(|guards| guards.age = false, "is in force");
+}
+
+#[test]
+fn the_checker_sees_serving_without_a_majority() {
+    assert_caught(|guards| guards.majority = false, "cut off");
+}
+
+#[test]
+fn the_checker_sees_silent_processes_counted_out_at_once() {
+    assert_caught(|guards| guards.silence_wait = false, "is in force");
+}
+
+/// Runs one sequence of faults under many seeds and returns how often a promise was broken.
+fn broken_promises(faults: &[(u64, Fault)], guards: Guards) -> usize {
+    let broken = (0..SCENARIO_SEEDS).filter(|&seed| {
+        let mut fleet = started(seed, guards);
+        let mut faults = faults.iter().peekable();
+        for step in 0..SCENARIO_STEPS {
+            while let Some((_, fault)) = faults.next_if(|(at, _)| *at <= step) {
+                fleet.inject(fault);
+            }
+            fleet.advance();
+        }
+        fleet.faults.iter().any(|fault| fault.contains("is in force"))
+    });
+    broken.count()
+}
+
+/// The last life acknowledged a revision; the new one learns an older from a data centre that
+/// has been cut off just now.
+#[test]
+fn a_new_life_does_not_serve_on_knowledge_from_before_its_start() {
+    let faults = [
+        (0, Fault::Cut(LEKKI, 400)),
+        (1, Fault::Put(1)),
+        (10, Fault::Cut(LEKKI | 1, 400)),
+        (10, Fault::Restart(0, 1)),
+    ];
+    assert_eq!(broken_promises(&faults, Guards::default()), 0);
+    let guards = Guards { join_barrier: false, ..Guards::default() };
+    assert!(broken_promises(&faults, guards) > 0, "the checker sees nothing without it");
+}
+
+/// One of a majority restarts empty and learns from the minority what was in force before.
+#[test]
+fn a_new_life_has_no_vote_before_it_knows_what_its_last_life_did() {
+    let faults = [
+        (0, Fault::Cut(0b100, 400)),
+        (1, Fault::Put(1)),
+        (24, Fault::Cut(0b110, 400)),
+        (24, Fault::Restart(1, 1)),
+    ];
+    assert_eq!(broken_promises(&faults, Guards::default()), 0);
+    let guards = Guards { settling: false, ..Guards::default() };
+    assert!(broken_promises(&faults, guards) > 0, "the checker sees nothing without it");
+}
--- /dev/null
+++ b/tests/configuration/model.rs
@@ -0,0 +1,123 @@
+//! A model of the store: its history by revision, its watches and its count of calls.
+
+use std::collections::BTreeMap;
+
+use bitternwall::config::{source, state};
+use bitternwall::platform::store;
+use bytes::Bytes;
+
+pub type Table = BTreeMap<String, store::KeyValue>;
+
+#[derive(Clone)]
+pub struct Change {
+    pub revision: u64,
+    pub key: String,
+    pub value: Option<store::KeyValue>,
+}
+
+pub struct Watch {
+    pub owner: (usize, u64),
+    pub id: source::CallId,
+    pub told: u64,
+}
+
+pub struct Store {
+    pub revision: u64,
+    pub head: u64,
+    pub compacted: u64,
+    pub states: BTreeMap<u64, Table>,
+    pub changes: Vec<Change>,
+    pub watches: Vec<Watch>,
+    pub calls: usize,
+    pub reads: usize,
+}
+
+impl Store {
+    pub fn new() -> Self {
+        Self {
+            revision: 1,
+            head: 0,
+            compacted: 0,
+            states: BTreeMap::from([(0, Table::new())]),
+            changes: Vec::new(),
+            watches: Vec::new(),
+            calls: 0,
+            reads: 0,
+        }
+    }
+
+    pub fn put(&mut self, key: &str) {
+        let value = Bytes::from(format!("{key} at {}", self.revision + 1));
+        let old = self.table().get(key);
+        let create_revision = old.map_or(self.revision + 1, |old| old.create_revision);
+        let mod_revision = self.revision + 1;
+        let key = key.to_owned();
+        let value = store::KeyValue { key: key.clone(), value, create_revision, mod_revision };
+        self.change(key, Some(value));
+    }
+
+    pub fn delete(&mut self, key: &str) {
+        if self.table().contains_key(key) {
+            self.change(key.to_owned(), None);
+        }
+    }
+
+    pub fn table(&self) -> &Table {
+        self.states.last_key_value().unwrap().1
+    }
+
+    pub fn table_at(&self, revision: u64) -> &Table {
+        self.states.range(..=revision).next_back().unwrap().1
+    }
+
+    pub fn read(&self) -> store::Range {
+        let entries = self.table().values().cloned().collect();
+        store::Range { revision: self.revision, entries }
+    }
+
+    /// The changes that a watch has not been told yet.
+    pub fn news(&self, told: u64) -> Option<state::Delta> {
+        let changes: Vec<_> = self.changes.iter().filter(|c| c.revision > told).collect();
+        let mut delta = state::Delta {
+            base_revision: told,
+            revision: changes.last()?.revision,
+            ..state::Delta::default()
+        };
+        let table = self.table_at(delta.revision);
+        let mut keys: Vec<_> = changes.iter().map(|change| &change.key).collect();
+        keys.sort();
+        keys.dedup();
+        for key in keys {
+            match table.get(key) {
+                Some(value) => delta.changed.push(value.clone()),
+                None => delta.deleted.push(key.clone()),
+            }
+        }
+        Some(delta)
+    }
+
+    fn change(&mut self, key: String, value: Option<store::KeyValue>) {
+        self.revision += 1;
+        self.head = self.revision;
+        let mut table = self.table().clone();
+        match &value {
+            Some(value) => table.insert(key.clone(), value.clone()),
+            None => table.remove(&key),
+        };
+        self.states.insert(self.revision, table);
+        self.changes.push(Change { revision: self.revision, key, value });
+    }
+}
+
+pub fn table_of(state: &state::State) -> Table {
+    let rows = state.resources().iter().map(|(key, stored)| {
+        let value = store::KeyValue {
+            key: key.to_string(),
+            value: stored.value.clone(),
+            create_revision: stored.create_revision,
+            mod_revision: stored.mod_revision,
+        };
+        (key.to_string(), value)
+    });
+    rows.collect()
+}
