--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -1,5 +1,6 @@
 //! The actor that turns I/O into the core's events and the core's effects into I/O.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix::prelude::*;
@@ -11,6 +12,7 @@
 };
 use crate::clock;
 use crate::collections;
+use crate::platform::store;
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::server;
@@ -39,6 +41,10 @@
     pub world: world::AgentWorld,
     /// The client of the target.
     pub target: target::TargetClient,
+    /// The client of the key-value service.
+    pub store: store::Store,
+    /// The service that the target serves.
+    pub service: Rc<str>,
     /// The configuration.
     pub config: config_view::ConfigHolder,
     /// The metrics.
@@ -57,6 +63,8 @@
     pub(crate) member: wire::Member,
     pub(crate) world: world::AgentWorld,
     pub(crate) target: target::TargetClient,
+    pub(crate) store: store::Store,
+    pub(crate) service: Rc<str>,
     pub(crate) config: config_view::ConfigHolder,
     pub(crate) metrics: metrics::Metrics,
     pub(crate) readiness: admin::Readiness,
@@ -82,6 +90,8 @@
             member: parts.member,
             world: parts.world,
             target: parts.target,
+            store: parts.store,
+            service: parts.service,
             config: parts.config,
             metrics: parts.metrics,
             readiness: parts.readiness,
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -1,5 +1,6 @@
 //! The agent as a process: starts the actor and its servers, and stops them gracefully.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use crate::agent::events;
 use crate::agent::{actor, admin, config_view, metrics, options, target, world};
 use crate::clock;
+use crate::platform::store;
 use crate::settings::agent as agent_settings;
 use crate::telemetry::events as log;
 use crate::wire;
@@ -75,12 +77,18 @@
 ) -> actor::Parts {
     let links = &settings.links;
     let probe_timeout = Duration::from_millis(links.probe_timeout_ms);
+    let member = member(settings);
     let probe_path = settings.probe_path.as_deref();
     actor::Parts {
         clock: clock::Clock::system(),
-        member: member(settings),
-        world: world::AgentWorld::new(options::core(settings)),
+        world: world::AgentWorld::new(options::core(settings, member.incarnation)),
+        member,
         target: target::TargetClient::new(&settings.target_url, probe_path, probe_timeout),
+        store: store::Store::new(store::StoreOptions {
+            endpoints: settings.store.clone(),
+            call_timeout: Duration::from_millis(settings.claims.call_timeout_ms),
+        }),
+        service: Rc::from(settings.service.as_str()),
         config: config_view::ConfigHolder::new(&settings.target, &settings.service),
         metrics,
         readiness,
--- a/src/agent/effects.rs
+++ b/src/agent/effects.rs
@@ -1,11 +1,14 @@
 //! What the decision core asks for, done.
 
+use std::future::Future;
 use std::time::Duration;
+use std::{error, fmt};
 
 use actix::prelude::*;
 
 use crate::agent::events;
-use crate::agent::{actor, frames, target};
+use crate::agent::{actor, claim_store, frames, target};
+use crate::platform::store;
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::frame;
@@ -28,6 +31,11 @@
         }
         events::Effect::EndIncomplete { job, .. } => agent.relay.end_incomplete(job),
         events::Effect::Forget(job) => agent.relay.forget(job),
+        events::Effect::ReadLayout { proposed } => read_layout(agent, proposed, cx),
+        events::Effect::ReadShard { shard, from } => read_shard(agent, shard, from, cx),
+        events::Effect::Commit { shard, compares, writes } => {
+            commit(agent, shard, compares, writes, cx);
+        }
         events::Effect::Probe => probe(agent, cx),
         events::Effect::Beat => {
             let draining = agent.world.draining();
@@ -142,3 +150,62 @@
         exchange.abort();
     }
 }
+
+fn read_layout(agent: &actor::AgentActor, proposed: u32, cx: &mut Cx) {
+    let (store, service) = (agent.store.clone(), agent.service.clone());
+    spawn_event(cx, async move {
+        let read = claim_store::read_layout(&store, &service, proposed).await;
+        events::Event::Layout(logged(read))
+    });
+}
+
+fn read_shard(agent: &actor::AgentActor, shard: usize, from: Option<u64>, cx: &mut Cx) {
+    let (store, service) = (agent.store.clone(), agent.service.clone());
+    let number = u32::try_from(shard).unwrap_or(u32::MAX);
+    spawn_event(cx, async move {
+        let read = claim_store::read_shard(&store, &service, number, from).await;
+        events::Event::ShardRead { shard, snapshot: logged(read) }
+    });
+}
+
+fn commit(
+    agent: &actor::AgentActor,
+    shard: usize,
+    compares: Vec<store::Compare>,
+    writes: Vec<store::Write>,
+    cx: &mut Cx,
+) {
+    agent.metrics.claim_commits.inc();
+    let store = agent.store.clone();
+    spawn_event(cx, async move {
+        let outcome = claim_store::commit(&store, &compares, &writes).await;
+        events::Event::Committed { shard, outcome }
+    });
+}
+
+fn spawn_event(cx: &mut Cx, event: impl Future<Output = events::Event> + 'static) {
+    let address = cx.address();
+    actix_rt::spawn(async move {
+        address.do_send(actor::Happened(event.await));
+    });
+}
+
+fn logged<T>(read: claim_store::Result<T>) -> Option<T> {
+    if let Err(error) = &read {
+        log::log(log::CLAIMS_UNAVAILABLE, format_args!("{:#}", ErrorChain(error)));
+    }
+    read.ok()
+}
+
+/// ErrorChain shows an error with its causes.
+struct ErrorChain<'a>(&'a claim_store::ClaimStoreError);
+
+impl fmt::Display for ErrorChain<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)?;
+        match error::Error::source(self.0) {
+            Some(source) => write!(f, " {source}"),
+            None => Ok(()),
+        }
+    }
+}
--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use crate::agent::config_view;
+use crate::agent::segment;
+use crate::platform::store;
 use crate::wire;
 use crate::wire::server;
 
@@ -67,6 +69,22 @@
         /// True where it came.
         on: bool,
     },
+    /// The number of claim shards was read, unless the key-value service failed.
+    Layout(Option<u32>),
+    /// A claim shard was read, unless the key-value service failed.
+    ShardRead {
+        /// The shard.
+        shard: usize,
+        /// What was read.
+        snapshot: Option<segment::Snapshot>,
+    },
+    /// A commit of claims ended.
+    Committed {
+        /// The shard.
+        shard: usize,
+        /// How it ended.
+        outcome: CommitOutcome,
+    },
     /// A peer refuses these fingerprints.
     RefusedFingerprints(Vec<wire::Fingerprint>),
 }
@@ -80,6 +98,22 @@
     Broken,
 }
 
+/// CommitOutcome is how a commit of claims ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CommitOutcome {
+    /// The claims are saved.
+    Saved {
+        /// The revision of the written keys.
+        revision: u64,
+    },
+    /// Another agent wrote first; nothing was saved.
+    Conflict,
+    /// The key-value service did not take the call; nothing was saved.
+    Refused,
+    /// No answer came; the claims may be saved.
+    Unknown,
+}
+
 /// Probe is the outcome of a health probe.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Probe {
@@ -145,6 +179,27 @@
     },
     /// Drops a kept answer.
     Forget(JobId),
+    /// Reads the number of claim shards, and saves the proposed one where there is none.
+    ReadLayout {
+        /// The number that the configuration gives.
+        proposed: u32,
+    },
+    /// Reads the head of a claim shard and its segments.
+    ReadShard {
+        /// The shard.
+        shard: usize,
+        /// The oldest segment to read, where the older ones are known.
+        from: Option<u64>,
+    },
+    /// Saves claims in one transaction.
+    Commit {
+        /// The shard.
+        shard: usize,
+        /// What must still hold.
+        compares: Vec<store::Compare>,
+        /// What is written.
+        writes: Vec<store::Write>,
+    },
     /// Asks for a health probe at once.
     Probe,
     /// Asks for a heartbeat on every link at once.
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod actor;
 pub mod admin;
+pub mod claim_store;
 pub mod cli;
 pub mod config_view;
 pub mod daemon;
@@ -16,6 +17,8 @@
 pub mod metrics;
 pub mod options;
 pub mod relay;
+pub mod segment;
+pub mod shard;
 pub mod strict_io;
 pub mod systems;
 pub mod tables;
--- a/src/agent/options.rs
+++ b/src/agent/options.rs
@@ -5,10 +5,12 @@
 
 use clap::ArgMatches;
 
-use crate::agent::world;
+use crate::agent::{shard, world};
 use crate::settings;
 use crate::settings::agent as agent_settings;
 
+const MILLIS_PER_SECOND: u64 = 1_000;
+
 /// Options is the command line, checked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Options {
@@ -43,7 +45,7 @@
 }
 
 /// Returns the core's options for the given settings.
-pub fn core(settings: &agent_settings::AgentSettings) -> world::Options {
+pub fn core(settings: &agent_settings::AgentSettings, incarnation: u64) -> world::Options {
     let agent_settings::AgentSettings { queue, links, .. } = settings;
     world::Options {
         slots: size(queue.slots),
@@ -55,6 +57,22 @@
         fingerprint_ttl: Duration::from_millis(queue.fingerprint_ttl_ms),
         kept_bytes: queue.kept_bytes,
         order: world::QueueOrder::Fair,
+        claims: claims(settings, incarnation),
+    }
+}
+
+fn claims(settings: &agent_settings::AgentSettings, incarnation: u64) -> world::ClaimOptions {
+    let claims = &settings.claims;
+    world::ClaimOptions {
+        check: world::ClaimCheck::Saved,
+        service: settings.service.clone(),
+        incarnation,
+        spacing: Duration::from_secs(1) / claims.writes_per_second.max(1),
+        limits: shard::Limits {
+            retention_ms: claims.retention_s.saturating_mul(MILLIS_PER_SECOND),
+            bucket_ms: claims.bucket_s.saturating_mul(MILLIS_PER_SECOND),
+        },
+        max_ahead: size(claims.max_ahead),
     }
 }
 
--- a/src/agent/systems/admission.rs
+++ b/src/agent/systems/admission.rs
@@ -4,7 +4,7 @@
 
 use crate::agent::config_view;
 use crate::agent::events;
-use crate::agent::systems::{answers, queue, retry};
+use crate::agent::systems::{answers, claims, queue, retry};
 use crate::agent::tables;
 use crate::agent::world;
 use crate::wire;
@@ -131,6 +131,7 @@
             key,
             claimed,
             admitted_at: world.now,
+            claim_asked_at: Duration::ZERO,
             started_at: Duration::ZERO,
             head: false,
         },
@@ -166,6 +167,10 @@
     if stale(world, request.config_revision) {
         return Some((wire::RefusalReason::StaleConfig, retry_after));
     }
+    let retention = Duration::from_millis(world.options.claims.limits.retention_ms);
+    if !request.claim_key.is_empty() && to.deadline.saturating_sub(world.now) > retention {
+        return Some((wire::RefusalReason::Deadline, retry_after));
+    }
     if let Some(left) = retry::refusal_left(world, request.fingerprint) {
         return Some((wire::RefusalReason::Fingerprint, left));
     }
@@ -221,23 +226,34 @@
 fn expire_job(world: &mut world::AgentWorld, id: events::JobId, effects: &mut Vec<events::Effect>) {
     let (now, max_wait) = (world.now, world.options.max_wait);
     let Some(job) = world.jobs.get_mut(id) else { return };
-    let executed = executed_so_far(job.state);
+    let (state, key) = (job.state, job.key);
     let overdue = late(job, now, max_wait);
     let subscribers = std::mem::take(&mut job.subscribers);
     let (gone, rest): (Vec<events::Subscriber>, Vec<events::Subscriber>) =
         subscribers.into_iter().partition(|to| overdue || to.deadline <= now);
+    let alone = rest.is_empty();
     job.subscribers = rest;
+    let withdrawn = alone && state == tables::JobState::Claiming && claims::withdraw(world, id);
+    let executed = match state {
+        _ if !alone && key.is_some() => wire::Executed::Unknown,
+        tables::JobState::Claiming if withdrawn => wire::Executed::No,
+        _ => executed_so_far(state),
+    };
     for to in gone {
         let late = to.deadline <= now;
         let reason =
             if late { wire::RefusalReason::Deadline } else { wire::RefusalReason::Overloaded };
         world.refuse(to, reason, executed, effects);
     }
-    answers::abandon(world, id, effects);
+    if withdrawn {
+        answers::drop_job(world, id, effects);
+    } else {
+        answers::abandon(world, id, effects);
+    }
 }
 
-/// Returns what may be said of a job that is given up in the given state. While a claim is
-/// being saved its fate is open, so that a resend may find it.
+/// Returns what may be said of a job that is given up in the given state, where nobody else
+/// waits for it. While a claim is being saved its fate is open, so that a resend may find it.
 fn executed_so_far(state: tables::JobState) -> wire::Executed {
     match state {
         tables::JobState::Queued | tables::JobState::Ready => wire::Executed::No,
--- a/src/agent/systems/queue.rs
+++ b/src/agent/systems/queue.rs
@@ -206,7 +206,8 @@
     tokens.saturating_mul(UNITS_PER_TOKEN) / weight
 }
 
-fn smooth(before: u64, reading: u64) -> u64 {
+/// Returns a smoothed reading.
+pub fn smooth(before: u64, reading: u64) -> u64 {
     if before == 0 {
         return reading;
     }
--- a/src/agent/tables.rs
+++ b/src/agent/tables.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::agent::events;
+use crate::agent::shard;
 use crate::collections;
 use crate::wire;
 use crate::wire::server;
@@ -42,6 +43,8 @@
     pub claimed: bool,
     /// When it was admitted.
     pub admitted_at: Duration,
+    /// When its claim was asked for.
+    pub claim_asked_at: Duration,
     /// When it was handed on.
     pub started_at: Duration,
     /// True once the target began to answer.
@@ -250,6 +253,40 @@
     pub(crate) micros_per_job: u64,
 }
 
+/// Layout is what is known of the number of claim shards.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Layout {
+    /// Nothing yet.
+    #[default]
+    Unread,
+    /// A read is under way.
+    Reading,
+    /// The number, which never changes.
+    Known(u32),
+}
+
+/// Claims are the claim shards and the budget of writes to them.
+#[derive(Debug, Default)]
+pub struct Claims {
+    pub(crate) layout: Layout,
+    pub(crate) shards: Vec<shard::Shard>,
+    pub(crate) unplaced: Vec<events::JobId>,
+    /// The shard that is looked at first, so that none is left out.
+    pub(crate) cursor: usize,
+    /// Until when the writes made so far have used up the budget.
+    pub(crate) spent_until: Duration,
+    /// No commit before this time, after a conflict.
+    pub(crate) retry_at: Duration,
+    /// No claim is asked for before this time, after the key-value service failed.
+    pub(crate) closed_until: Duration,
+    /// Failures of the key-value service in a row.
+    pub(crate) failures: u32,
+    /// Microseconds that saving a claim takes; zero before the first.
+    pub(crate) micros_per_claim: u64,
+    /// When the next commit is due, where one waits for the budget.
+    pub(crate) wake: Option<Duration>,
+}
+
 /// Drains is the set of reasons to take nothing new.
 #[derive(Debug, Default)]
 pub struct Drains {
--- a/src/agent/world.rs
+++ b/src/agent/world.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, SystemTime};
 
 use crate::agent::events;
-use crate::agent::systems::{admission, answers, drain, queue, retry};
-use crate::agent::{config_view, tables};
+use crate::agent::systems::{admission, answers, claims, drain, queue, retry};
+use crate::agent::{config_view, shard, tables};
 use crate::collections;
 use crate::wire;
 
@@ -45,6 +45,34 @@
     pub kept_bytes: u64,
     /// The order of the queue.
     pub order: QueueOrder,
+    /// How claims are saved.
+    pub claims: ClaimOptions,
+}
+
+/// ClaimCheck tells whether claims are saved before requests are handed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimCheck {
+    /// They are.
+    Saved,
+    /// They are not: only to show that the tests notice.
+    Off,
+}
+
+/// ClaimOptions are the settings of claims.
+#[derive(Clone, Debug)]
+pub struct ClaimOptions {
+    /// Whether claims are saved.
+    pub check: ClaimCheck,
+    /// The service that the target serves.
+    pub service: String,
+    /// The incarnation of this agent, which marks its commits.
+    pub incarnation: u64,
+    /// The time between two commits.
+    pub spacing: Duration,
+    /// How long claims are kept.
+    pub limits: shard::Limits,
+    /// Jobs that may be claimed before a slot is free for them.
+    pub max_ahead: usize,
 }
 
 /// Revision is when the agent came to hold a revision.
@@ -69,6 +97,7 @@
     pub(crate) suspects: tables::Suspects,
     pub(crate) target: tables::Target,
     pub(crate) drains: tables::Drains,
+    pub(crate) claims: tables::Claims,
     pub(crate) config: Option<config_view::ConfigView>,
     pub(crate) revisions: std::collections::VecDeque<Revision>,
     pub(crate) next_expiry: Option<Duration>,
@@ -90,6 +119,7 @@
             suspects: tables::Suspects::default(),
             target: tables::Target { healthy: true, micros_per_token: 0, micros_per_job: 0 },
             drains: tables::Drains::default(),
+            claims: tables::Claims::default(),
             config: None,
             revisions: std::collections::VecDeque::new(),
             next_expiry: None,
@@ -112,12 +142,13 @@
         admission::expire(self, effects);
         retry::expire(self);
         queue::run(self, effects);
+        claims::run(self, effects);
         drain::run(self, effects);
     }
 
     /// Returns when the next tick is due though nothing happens.
     pub fn next_wake(&self) -> Option<Duration> {
-        self.next_expiry
+        [self.next_expiry, self.claims.wake].into_iter().flatten().min()
     }
 
     /// Returns what entries are told of the target's load.
@@ -161,6 +192,13 @@
             events::Event::Probed(probe) => retry::probed(self, probe, effects),
             events::Event::Config(view) => admission::configure(self, view),
             events::Event::Drain { cause, on } => drain::set(self, cause, on),
+            events::Event::Layout(shards) => claims::layout(self, shards, effects),
+            events::Event::ShardRead { shard, snapshot } => {
+                claims::read(self, shard, snapshot, effects);
+            }
+            events::Event::Committed { shard, outcome } => {
+                claims::committed(self, shard, outcome, effects);
+            }
             events::Event::RefusedFingerprints(list) => retry::learn(self, &list),
         }
     }
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -59,6 +59,10 @@
 pub const AGENT_PAUSED: LogEvent =
     LogEvent { number: 2007, severity: Severity::Warning, title: "process was paused" };
 
+/// The key-value service failed while claims were read.
+pub const CLAIMS_UNAVAILABLE: LogEvent =
+    LogEvent { number: 2008, severity: Severity::Warning, title: "claims unavailable" };
+
 /// Every event, in the order of its number.
 pub const CATALOGUE: &[LogEvent] = &[
     PROCESS_STARTED,
@@ -71,6 +75,7 @@
     AGENT_CONFIG,
     AGENT_DRAINING,
     AGENT_PAUSED,
+    CLAIMS_UNAVAILABLE,
 ];
 
 /// Logs one event with its details.
--- /dev/null
+++ b/tests/common/claims_model.rs
@@ -0,0 +1,518 @@
+//! Several agents over a small model of the key-value service, on a simulated clock.
+//!
+//! Calls to the service are delayed, lose their answers or are made late; agents pause and come
+//! back without memory. The model counts how often the target ran each key.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, SystemTime};
+
+use bitternwall::agent::events::{CommitOutcome, Effect, Event, Failure, JobId, Probe};
+use bitternwall::agent::{config_view, segment, shard, world};
+use bitternwall::platform::store;
+use bitternwall::resources::kinds;
+use bitternwall::wire;
+use bitternwall::wire::server::LinkId;
+use bytes::Bytes;
+use prost::Message;
+
+const SERVICE: &str = "dispatch-api";
+const SHARDS: u32 = 2;
+const DEADLINE_MS: u64 = 400;
+/// A claim is saved at most this long before its request is handed on.
+const MAX_WAIT_MS: u64 = 300;
+const AGENTS: usize = 3;
+
+/// Fate is what happens to one call to the key-value service.
+#[derive(Clone, Copy, Debug)]
+pub enum Fate {
+    /// It is made and answered after so many milliseconds each.
+    Done(u64, u64),
+    /// It is made, but its answer is lost.
+    Lost(u64),
+    /// Its answer times out before it is made.
+    Late(u64),
+    /// It is not made, and the caller knows.
+    Refused,
+}
+
+/// Run is what the target does with one request.
+#[derive(Clone, Copy, Debug)]
+pub enum Run {
+    /// It answers after so many milliseconds.
+    Answers(u64),
+    /// It is not reached.
+    Unreachable,
+    /// It runs the request and breaks off.
+    Breaks(u64),
+    /// It runs the request and dies.
+    Dies(u64),
+}
+
+/// Step is one thing that happens.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A caller sends a key by an agent, under a new attempt.
+    Send(u8, usize),
+    /// An entry sends its last attempt again, by a new connection.
+    SendAgain(usize),
+    /// The caller of the last attempt is gone.
+    Cancel,
+    /// A connection drops.
+    LinkDown(usize),
+    /// An agent dies and comes back without memory.
+    Restart(usize),
+    /// An agent stands still for so many milliseconds.
+    Pause(usize, u64),
+    /// Time passes.
+    Advance(u64),
+    /// The fates of the next calls.
+    Store(Vec<Fate>),
+    /// What the target does with the next requests.
+    Target(Vec<Run>),
+}
+
+enum Call {
+    Layout(u32),
+    Head(usize, Option<u64>),
+    Segments(usize, Option<u64>, segment::Versioned<segment::Head>),
+    Commit(usize, Vec<store::Compare>, Vec<store::Write>),
+}
+
+enum Due {
+    Call { agent: usize, life: u64, call: Call, fate: Fate, answered: bool },
+    Event { agent: usize, life: u64, event: Event },
+}
+
+struct Agent {
+    world: world::AgentWorld,
+    life: u64,
+    link: u64,
+    inbox: Vec<Event>,
+    paused_until: u64,
+}
+
+/// Seen counts what the steps led to, so that a test can tell that they reached it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    pub runs: u64,
+    pub conflicts: u64,
+    pub lost_answers: u64,
+    pub late_writes: u64,
+    pub unknown_outcomes: u64,
+    pub joined: u64,
+    pub kept_answers: u64,
+    pub rolled_segments: u64,
+    pub dropped_segments: u64,
+}
+
+impl Seen {
+    /// Adds up the counts of two runs.
+    pub fn add(&mut self, other: &Self) {
+        self.runs += other.runs;
+        self.conflicts += other.conflicts;
+        self.lost_answers += other.lost_answers;
+        self.late_writes += other.late_writes;
+        self.unknown_outcomes += other.unknown_outcomes;
+        self.joined += other.joined;
+        self.kept_answers += other.kept_answers;
+        self.rolled_segments += other.rolled_segments;
+        self.dropped_segments += other.dropped_segments;
+    }
+}
+
+/// Model is the agents, the service and the target.
+pub struct Model {
+    now: u64,
+    agents: Vec<Agent>,
+    check: world::ClaimCheck,
+    retention_ms: u64,
+    rows: BTreeMap<String, (u64, Bytes)>,
+    revision: u64,
+    due: BTreeMap<(u64, u64), Due>,
+    order: u64,
+    fates: Vec<Fate>,
+    target: Vec<Run>,
+    last: Option<(usize, Box<wire::StartAttempt>)>,
+    attempts: u64,
+    /// When the target last ran each key.
+    runs: BTreeMap<Vec<u8>, u64>,
+    answered: BTreeSet<u64>,
+    /// Attempts that one life of an agent refused as not run.
+    refused: BTreeSet<(usize, u64, u64)>,
+    ended: BTreeSet<(usize, u64, JobId)>,
+    pub seen: Seen,
+}
+
+impl Model {
+    /// Returns agents that know nothing yet.
+    pub fn new(check: world::ClaimCheck, retention_ms: u64) -> Self {
+        let mut model = Self {
+            now: 1,
+            agents: Vec::new(),
+            check,
+            retention_ms,
+            rows: BTreeMap::new(),
+            revision: 1,
+            due: BTreeMap::new(),
+            order: 0,
+            fates: Vec::new(),
+            target: Vec::new(),
+            last: None,
+            attempts: 0,
+            runs: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            refused: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            seen: Seen::default(),
+        };
+        for index in 0..AGENTS {
+            let life = u64::try_from(index).unwrap() + 1;
+            model.agents.push(agent(check, life, retention_ms));
+        }
+        model
+    }
+
+    /// Takes one step, with every tick in it, and returns what broke the promise.
+    pub fn step(&mut self, step: &Step) -> Result<(), String> {
+        match step {
+            Step::Send(key, agent) => self.send(*key, *agent),
+            Step::SendAgain(agent) => self.send_again(*agent),
+            Step::Cancel => {
+                if let Some((agent, request)) = &self.last {
+                    let id = request.id.unwrap();
+                    self.answered.insert(id.counter);
+                    self.agents[*agent].inbox.push(Event::Cancel(id));
+                }
+            }
+            Step::LinkDown(agent) => {
+                let row = &mut self.agents[*agent];
+                row.inbox.push(Event::LinkDown(LinkId(row.link)));
+                row.link += 1;
+            }
+            Step::Restart(index) => {
+                let life = self.agents[*index].life + 100;
+                self.agents[*index] = agent(self.check, life, self.retention_ms);
+            }
+            Step::Pause(agent, ms) => self.agents[*agent].paused_until = self.now + ms,
+            Step::Advance(ms) => return (0..*ms).try_for_each(|_| self.millisecond()),
+            Step::Store(fates) => self.fates.clone_from(fates),
+            Step::Target(runs) => self.target.clone_from(runs),
+        }
+        self.millisecond()
+    }
+
+    /// Lets everything come to rest without further faults.
+    pub fn settle(&mut self) -> Result<(), String> {
+        self.fates.clear();
+        self.target.clear();
+        (0..2 * DEADLINE_MS).try_for_each(|_| self.millisecond())
+    }
+
+    /// Returns the attempts that an agent alive since then never answered.
+    pub fn unanswered(&self) -> Vec<u64> {
+        (0..self.attempts).filter(|id| !self.answered.contains(id)).collect()
+    }
+
+    fn send(&mut self, key: u8, agent: usize) {
+        let id = wire::AttemptId { incarnation: 9, counter: self.attempts };
+        self.attempts += 1;
+        let request = Box::new(wire::StartAttempt {
+            id: Some(id),
+            customer: format!("plant-{}", key % 3),
+            claim_key: Bytes::copy_from_slice(&[key.wrapping_mul(37); 16]),
+            deadline_ms: DEADLINE_MS,
+            config_revision: 1,
+            estimated_tokens: 1,
+            weight: 1,
+            ..Default::default()
+        });
+        self.last = Some((agent, request.clone()));
+        let row = &mut self.agents[agent];
+        row.inbox.push(Event::Start { link: LinkId(row.link), request });
+    }
+
+    fn send_again(&mut self, agent: usize) {
+        let Some((_, request)) = self.last.clone() else { return };
+        let row = &mut self.agents[agent];
+        row.link += 1;
+        row.inbox.push(Event::Start { link: LinkId(row.link), request });
+    }
+
+    fn millisecond(&mut self) -> Result<(), String> {
+        self.now += 1;
+        while let Some(entry) = self.due.first_entry()
+            && entry.key().0 <= self.now
+        {
+            match entry.remove() {
+                Due::Call { agent, life, call, fate, answered } => {
+                    self.make(agent, life, call, fate, answered);
+                }
+                Due::Event { agent, life, event } => {
+                    if self.agents[agent].life == life {
+                        self.agents[agent].inbox.push(event);
+                    }
+                }
+            }
+        }
+        (0..AGENTS).try_for_each(|index| self.tick(index))
+    }
+
+    fn tick(&mut self, index: usize) -> Result<(), String> {
+        let now = Duration::from_millis(self.now);
+        let row = &mut self.agents[index];
+        if row.paused_until > self.now {
+            return Ok(());
+        }
+        let mut events = vec![Event::Config(config_view::ConfigView {
+            revision: 1,
+            drain: false,
+            kind: Some(kinds::ServiceKind::Plain),
+            claim_shards: SHARDS,
+            heard_at: now,
+        })];
+        events.append(&mut row.inbox);
+        let mut effects = Vec::new();
+        row.world.tick(now, SystemTime::UNIX_EPOCH + now, events, &mut effects);
+        let life = row.life;
+        effects.into_iter().try_for_each(|effect| self.perform(index, life, effect))
+    }
+
+    fn perform(&mut self, agent: usize, life: u64, effect: Effect) -> Result<(), String> {
+        match effect {
+            Effect::Refuse { to, reason, executed, .. } => {
+                if reason == wire::RefusalReason::OutcomeUnknown {
+                    self.seen.unknown_outcomes += 1;
+                }
+                self.answered.insert(to.id.counter);
+                if executed == wire::Executed::No {
+                    self.refused.insert((agent, life, to.id.counter));
+                }
+            }
+            Effect::HandOn { job, request, subscribers, .. } => {
+                for to in &subscribers {
+                    if self.refused.contains(&(agent, life, to.id.counter)) {
+                        return Err(format!("attempt {} was refused as not run", to.id.counter));
+                    }
+                    self.answered.insert(to.id.counter);
+                }
+                return self.hand_on(agent, life, job, &request);
+            }
+            Effect::Attach { job, to } => {
+                let kept = self.ended.contains(&(agent, life, job));
+                let count = if kept { &mut self.seen.kept_answers } else { &mut self.seen.joined };
+                *count += 1;
+                self.answered.insert(to.id.counter);
+            }
+            Effect::ReadLayout { proposed } => self.call(agent, life, Call::Layout(proposed)),
+            Effect::ReadShard { shard, from } => self.call(agent, life, Call::Head(shard, from)),
+            Effect::Commit { shard, compares, writes } => {
+                self.call(agent, life, Call::Commit(shard, compares, writes));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn hand_on(
+        &mut self,
+        agent: usize,
+        life: u64,
+        job: JobId,
+        request: &wire::StartAttempt,
+    ) -> Result<(), String> {
+        let run = self.target.pop().unwrap_or(Run::Answers(5));
+        let key = request.claim_key.to_vec();
+        if !matches!(run, Run::Unreachable) {
+            self.seen.runs += 1;
+            let again_from = self.retention_ms.saturating_sub(MAX_WAIT_MS);
+            if let Some(before) = self.runs.insert(key.clone(), self.now)
+                && self.now - before < again_from
+            {
+                return Err(format!("key {} ran twice", key[0]));
+            }
+        }
+        let (delay, events) = match run {
+            Run::Answers(ms) => (ms, vec![Event::Ended { job, bytes: 10, tokens: None }]),
+            Run::Unreachable => {
+                (1, vec![Event::Failed { job, failure: Failure::Unreachable }, healthy()])
+            }
+            Run::Breaks(ms) => {
+                (ms, vec![Event::Failed { job, failure: Failure::Broken }, healthy()])
+            }
+            Run::Dies(ms) => {
+                let died = Event::Probed(Probe::Refused);
+                (ms, vec![Event::Failed { job, failure: Failure::Broken }, died, healthy()])
+            }
+        };
+        if matches!(run, Run::Answers(_)) {
+            self.ended.insert((agent, life, job));
+        }
+        for event in events {
+            self.later(delay, Due::Event { agent, life, event });
+        }
+        Ok(())
+    }
+
+    fn call(&mut self, agent: usize, life: u64, call: Call) {
+        let fate = self.fates.pop().unwrap_or(Fate::Done(1, 1));
+        let (delay, answered) = match fate {
+            Fate::Done(made, _) | Fate::Lost(made) => (made, false),
+            Fate::Late(made) => {
+                self.later(1, Due::Event { agent, life, event: no_answer(&call) });
+                (made, true)
+            }
+            Fate::Refused => {
+                let event = match call {
+                    Call::Commit(shard, ..) => {
+                        Event::Committed { shard, outcome: CommitOutcome::Refused }
+                    }
+                    _ => no_answer(&call),
+                };
+                return self.later(1, Due::Event { agent, life, event });
+            }
+        };
+        self.later(delay, Due::Call { agent, life, call, fate, answered });
+    }
+
+    fn make(&mut self, agent: usize, life: u64, call: Call, fate: Fate, answered: bool) {
+        let lost = no_answer(&call);
+        let event = match call {
+            Call::Layout(proposed) => self.read_layout(proposed),
+            Call::Head(shard, from) => match self.read_head(shard) {
+                Some(head) if !answered => {
+                    let call = Call::Segments(shard, from, head);
+                    return self.later(2, Due::Call { agent, life, call, fate, answered });
+                }
+                Some(_) => lost.clone(),
+                None => Event::ShardRead { shard, snapshot: Some(segment::Snapshot::default()) },
+            },
+            Call::Segments(shard, from, head) => {
+                Event::ShardRead { shard, snapshot: self.read_segments(shard, from, head) }
+            }
+            Call::Commit(shard, compares, writes) => {
+                let outcome = self.commit(&compares, &writes);
+                if answered && matches!(outcome, CommitOutcome::Saved { .. }) {
+                    self.seen.late_writes += 1;
+                }
+                Event::Committed { shard, outcome }
+            }
+        };
+        match fate {
+            _ if answered => {}
+            Fate::Lost(_) => {
+                self.seen.lost_answers += 1;
+                self.later(1, Due::Event { agent, life, event: lost });
+            }
+            Fate::Done(_, delay) => self.later(delay, Due::Event { agent, life, event }),
+            Fate::Late(_) | Fate::Refused => {}
+        }
+    }
+
+    fn read_layout(&mut self, proposed: u32) -> Event {
+        let key = segment::layout_key(SERVICE);
+        let value = Bytes::from(proposed.to_string());
+        let (_, value) = self.rows.entry(key).or_insert((1, value));
+        Event::Layout(std::str::from_utf8(value).unwrap().parse().ok())
+    }
+
+    fn read_head(&self, shard: usize) -> Option<segment::Versioned<segment::Head>> {
+        self.read(&segment::head_key(SERVICE, u32::try_from(shard).unwrap()))
+    }
+
+    fn read_segments(
+        &self,
+        shard: usize,
+        from: Option<u64>,
+        head: segment::Versioned<segment::Head>,
+    ) -> Option<segment::Snapshot> {
+        let first = from.unwrap_or(0).max(head.value.first);
+        let shard = u32::try_from(shard).unwrap();
+        let segments = (first..=head.value.current).map(|number| {
+            let found = self.read(&segment::segment_key(SERVICE, shard, number));
+            found.map(|found| (number, found))
+        });
+        let segments = segments.collect::<Option<Vec<_>>>()?;
+        Some(segment::Snapshot { head: Some(head), segments })
+    }
+
+    fn read<T: Message + Default>(&self, key: &str) -> Option<segment::Versioned<T>> {
+        let (mod_revision, value) = self.rows.get(key)?;
+        let value = T::decode(value.clone()).unwrap();
+        Some(segment::Versioned { mod_revision: *mod_revision, value })
+    }
+
+    fn commit(&mut self, compares: &[store::Compare], writes: &[store::Write]) -> CommitOutcome {
+        let holds = compares.iter().all(|compare| match compare {
+            store::Compare::ModRevision(key, revision) => {
+                self.rows.get(key).map_or(0, |(held, _)| *held) == *revision
+            }
+            store::Compare::CreateRevision(..) => unreachable!("claims compare writes only"),
+        });
+        if !holds {
+            self.seen.conflicts += 1;
+            return CommitOutcome::Conflict;
+        }
+        self.revision += 1;
+        if writes.len() > 1 {
+            self.seen.rolled_segments += 1;
+        }
+        for write in writes {
+            match write {
+                store::Write::Put { key, value, .. } => {
+                    self.rows.insert(key.clone(), (self.revision, value.clone()));
+                }
+                store::Write::Delete { key } => {
+                    self.seen.dropped_segments += 1;
+                    self.rows.remove(key);
+                }
+            }
+        }
+        CommitOutcome::Saved { revision: self.revision }
+    }
+
+    fn later(&mut self, delay: u64, due: Due) {
+        self.order += 1;
+        self.due.insert((self.now + delay, self.order), due);
+    }
+}
+
+fn no_answer(call: &Call) -> Event {
+    match call {
+        Call::Layout(_) => Event::Layout(None),
+        Call::Head(shard, _) | Call::Segments(shard, ..) => {
+            Event::ShardRead { shard: *shard, snapshot: None }
+        }
+        Call::Commit(shard, ..) => {
+            Event::Committed { shard: *shard, outcome: CommitOutcome::Unknown }
+        }
+    }
+}
+
+fn healthy() -> Event {
+    Event::Probed(Probe::Healthy)
+}
+
+fn agent(check: world::ClaimCheck, life: u64, retention_ms: u64) -> Agent {
+    let world = world::AgentWorld::new(world::Options {
+        slots: 2,
+        max_queued: 64,
+        max_wait: Duration::from_millis(MAX_WAIT_MS),
+        freshness: Duration::from_secs(1),
+        retry_after: Duration::from_millis(10),
+        suspect_patience: Duration::from_millis(50),
+        fingerprint_ttl: Duration::from_secs(1),
+        kept_bytes: 25,
+        order: world::QueueOrder::Fair,
+        claims: world::ClaimOptions {
+            check,
+            service: SERVICE.to_owned(),
+            incarnation: life,
+            spacing: Duration::from_millis(2),
+            limits: shard::Limits { retention_ms, bucket_ms: 30 },
+            max_ahead: 4,
+        },
+    });
+    Agent { world, life, link: 0, inbox: Vec::new(), paused_until: 0 }
+}
