--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,131 @@
+//! A request that may not be repeated runs at most once, wherever and however often it is sent.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::cell::RefCell;
+
+use bitternwall::agent::world::ClaimCheck;
+use bitternwall::agent::{events, shard};
+use bitternwall::platform::store;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestCaseError, TestError, TestRng, TestRunner};
+
+#[path = "common/claim_steps.rs"]
+mod claim_steps;
+#[path = "common/claim_store_model.rs"]
+mod claim_store_model;
+#[path = "common/claims_model.rs"]
+mod claims_model;
+
+use claim_steps::{Seen, Step, fate, run, step};
+use claims_model::Model;
+
+const CASES: u32 = 1_000;
+const STEPS: usize = 100;
+/// Longer than any run of the model.
+const FOREVER_MS: u64 = 10_000_000;
+/// Short enough that segments are dropped while the model runs.
+const SHORT_MS: u64 = 500;
+
+fn drive(steps: &[Step], check: ClaimCheck, retention_ms: u64) -> Result<Seen, String> {
+    let mut model = Model::new(check, retention_ms);
+    for step in steps {
+        model.step(step)?;
+    }
+    model.settle()?;
+    Ok(model.seen())
+}
+
+fn runner() -> TestRunner {
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    TestRunner::new_with_rng(config, rng)
+}
+
+fn search(check: ClaimCheck, retention_ms: u64) -> (Result<(), TestError<Vec<Step>>>, Seen) {
+    let total = RefCell::new(Seen::default());
+    let outcome = runner().run(&vec(step(), 1..STEPS), |steps| {
+        let seen = drive(&steps, check, retention_ms).map_err(TestCaseError::fail)?;
+        total.borrow_mut().add(&seen);
+        Ok(())
+    });
+    (outcome, total.into_inner())
+}
+
+#[test]
+fn each_key_runs_at_most_once() {
+    let (outcome, seen) = search(ClaimCheck::Saved, FOREVER_MS);
+    outcome.unwrap();
+    println!("{seen:?}");
+    let reached = [
+        seen.runs,
+        seen.conflicts,
+        seen.lost_answers,
+        seen.late_writes,
+        seen.unknown_outcomes,
+        seen.joined,
+        seen.kept_answers,
+        seen.rolled_segments,
+    ];
+    assert!(reached.iter().all(|count| *count > 0), "the steps reach every path: {seen:?}");
+}
+
+#[test]
+fn claims_past_retention_are_dropped_and_none_before() {
+    let (outcome, seen) = search(ClaimCheck::Saved, SHORT_MS);
+    outcome.unwrap();
+    println!("{seen:?}");
+    assert!(seen.dropped_segments > 0, "segments are dropped: {seen:?}");
+}
+
+#[test]
+fn without_saved_claims_a_second_run_is_noticed() {
+    let (outcome, _) = search(ClaimCheck::Off, FOREVER_MS);
+    let Err(TestError::Fail(reason, steps)) = outcome else {
+        panic!("the search must find a second run where claims are not saved");
+    };
+    assert!(reason.message().contains("ran twice"), "{reason}");
+    println!("{reason} after {steps:?}");
+}
+
+#[test]
+fn every_attempt_that_no_fault_cuts_off_gets_an_answer() {
+    let calm = prop_oneof![
+        6 => (0_u8..8, 0_usize..3).prop_map(|(key, agent)| Step::Send(key, agent)),
+        4 => (1_u64..40).prop_map(Step::Advance),
+        1 => (0_usize..3, 1_u64..80).prop_map(|(agent, ms)| Step::Pause(agent, ms)),
+        3 => vec(fate(), 1..8).prop_map(Step::Store),
+        2 => vec(run(), 1..4).prop_map(Step::Target),
+    ];
+    let outcome = runner().run(&vec(calm, 1..STEPS), |steps| {
+        let mut model = Model::new(ClaimCheck::Saved, FOREVER_MS);
+        for step in &steps {
+            model.step(step).map_err(TestCaseError::fail)?;
+        }
+        model.settle().map_err(TestCaseError::fail)?;
+        prop_assert_eq!(model.unanswered(), Vec::<u64>::new());
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// Saves one claim at a time and returns the keys that the commit deletes.
+fn save(shard: &mut shard::Shard, key: u8, now_ms: u64) -> usize {
+    let limits = shard::Limits { retention_ms: 100, bucket_ms: 30 };
+    let job = events::JobId(u64::from(key));
+    shard.waiting.push_back(shard::Pending { job, key: [key; 16], tries: Vec::new() });
+    let plan = shard.plan(("dispatch-api", 0), 1, now_ms, limits);
+    shard.committed(now_ms);
+    plan.writes.iter().filter(|write| matches!(write, store::Write::Delete { .. })).count()
+}
+
+#[test]
+fn a_segment_is_dropped_only_when_its_youngest_claim_is_past_retention() {
+    let mut shard = shard::Shard::default();
+    assert_eq!(save(&mut shard, 1, 0), 0);
+    assert_eq!(save(&mut shard, 2, 29), 0);
+    assert_eq!(save(&mut shard, 3, 35), 0, "a new segment is begun, none is past retention");
+    assert_eq!(save(&mut shard, 4, 134), 0, "claim 2 may be 99 ms old");
+    assert_eq!(save(&mut shard, 5, 165), 1, "claim 2 is more than 100 ms old");
+}
