platform: silent watches with a limit of their own; tests of every fault at every call

Cause: an open connection can go silent for good, and faults come together. Change: Watch::set_silence_limit; a watch from revision zero keeps its place when it is opened again. Tests: a relay that loses track of connections, and a gateway that refuses, drops, loses the answer of, or carries out late each call of a change, alone and in pairs with the transaction's.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -239,7 +239,8 @@
         }
     }
 
-    /// Watches all keys under a prefix, from a revision on (inclusive).
+    /// Watches all keys under a prefix, from a revision on (inclusive); zero begins with the next
+    /// change.
     ///
     /// # Errors
     ///
--- a/src/platform/store/gateway.rs
+++ b/src/platform/store/gateway.rs
@@ -222,8 +222,8 @@
 
 /// WatchMessage is one line of a watch.
 pub(super) enum WatchMessage {
-    /// The watch stands.
-    Created,
+    /// The watch stands, and this is the service's present revision.
+    Created { revision: u64 },
     /// Changes, with the revision of the last one; or none, and all up to the revision are told.
     Progress { revision: u64, events: Vec<super::WatchEvent> },
     /// The service ended the watch.
@@ -260,7 +260,7 @@
         return Ok(WatchMessage::Cancelled { reason: result.cancel_reason });
     }
     if result.created {
-        return Ok(WatchMessage::Created);
+        return Ok(WatchMessage::Created { revision: result.header.revision });
     }
     let events = result.events.into_iter().map(decode_event).collect::<Result<Vec<_>>>()?;
     // A batch that catches up carries the service's present revision in its header, though more
--- a/src/platform/store/watch.rs
+++ b/src/platform/store/watch.rs
@@ -12,9 +12,9 @@
 use super::{KeyValue, Result, StoreError, gateway};
 use crate::telemetry::events;
 
-/// A watch that says nothing for longer is opened again: its connection may be dead, and nothing
-/// else would show it.
-const SILENCE_LIMIT: Duration = Duration::from_secs(30);
+/// A watch that says nothing for longer is opened again, if not set otherwise: its connection may
+/// be dead, and nothing else would show it.
+const DEFAULT_SILENCE_LIMIT: Duration = Duration::from_secs(30);
 
 /// WatchEvent is one change of one key.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -57,6 +57,7 @@
     next_revision: u64,
     body: Body,
     buf: BytesMut,
+    silence_limit: Duration,
     /// When the silence has lasted too long; kept here since a wait may be given up and begun anew.
     silence_deadline: time::Instant,
 }
@@ -75,10 +76,17 @@
             next_revision: from_revision,
             body,
             buf: BytesMut::new(),
-            silence_deadline: time::Instant::now() + SILENCE_LIMIT,
+            silence_limit: DEFAULT_SILENCE_LIMIT,
+            silence_deadline: time::Instant::now() + DEFAULT_SILENCE_LIMIT,
         })
     }
 
+    /// Sets how long the watch may say nothing before it is opened again, which costs one call.
+    pub fn set_silence_limit(&mut self, limit: Duration) {
+        self.silence_limit = limit;
+        self.silence_deadline = time::Instant::now() + limit;
+    }
+
     /// Waits for the next changes. A watch that went silent is opened again, which ends the wait
     /// with an empty batch.
     ///
@@ -92,9 +100,12 @@
             let Ok(line) = time::timeout_at(self.silence_deadline, self.next_line()).await else {
                 return self.reopen().await;
             };
-            self.silence_deadline = time::Instant::now() + SILENCE_LIMIT;
+            self.silence_deadline = time::Instant::now() + self.silence_limit;
             match gateway::decode_watch(&line?)? {
-                gateway::WatchMessage::Created => {}
+                gateway::WatchMessage::Created { revision } if self.next_revision == 0 => {
+                    self.next_revision = revision + 1;
+                }
+                gateway::WatchMessage::Created { .. } => {}
                 gateway::WatchMessage::Cancelled { reason } => return Err(broken(&reason)),
                 gateway::WatchMessage::Progress { revision, events } => {
                     self.next_revision = self.next_revision.max(revision + 1);
@@ -107,7 +118,9 @@
     async fn reopen(&mut self) -> Result<WatchBatch> {
         events::log(events::STORE_WATCH_SILENT, format_args!("prefix {}", self.prefix));
         let transport = Rc::clone(&self.transport);
+        let silence_limit = self.silence_limit;
         *self = Self::open(transport, &self.prefix, self.next_revision).await?;
+        self.set_silence_limit(silence_limit);
         Ok(WatchBatch { revision: self.next_revision.saturating_sub(1), events: Vec::new() })
     }
 
--- a/src/resources/service.rs
+++ b/src/resources/service.rs
@@ -21,8 +21,8 @@
 const PLAN_ATTEMPTS: u32 = 32;
 /// The longest pause before a change is planned anew.
 const PLAN_PAUSE: Duration = Duration::from_millis(40);
-/// The pause between two tries to settle a change.
-const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause between two tries to settle a change.
+const SETTLE_PAUSE: Duration = Duration::from_millis(60);
 /// Records that one transaction prunes; each takes two of the 128 operations that the gateway
 /// allows.
 const PRUNE_BATCH: u32 = 50;
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -6,6 +6,10 @@
 mod api;
 #[path = "resources/cli.rs"]
 mod cli;
+#[path = "resources/connections.rs"]
+mod connections;
+#[path = "resources/faults.rs"]
+mod faults;
 #[path = "resources/model.rs"]
 mod model;
 #[path = "resources/races.rs"]
--- /dev/null
+++ b/tests/resources/connections.rs
@@ -0,0 +1,118 @@
+//! Connections to the platform that go silent, and its list of hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bitternwall::platform::host_list::{HostList, HostListError, HostRole, HostState};
+use bitternwall::platform::store::{Store, StoreOptions, WatchEvent, Write};
+use bytes::Bytes;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::store::{CALL_TIMEOUT, StandIn, closed_endpoint};
+
+/// Relay stands between a client and a service and loses track of connections when told.
+struct Relay {
+    endpoint: String,
+    /// Connections opened before the last order to fall silent carry nothing any more.
+    era: Arc<AtomicU64>,
+}
+
+impl Relay {
+    async fn start(service: &StandIn) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoint = format!("http://{}", listener.local_addr().unwrap());
+        let era = Arc::new(AtomicU64::new(0));
+        let to = service.endpoint.strip_prefix("http://").unwrap().parse().unwrap();
+        actix::spawn(accept(listener, to, Arc::clone(&era)));
+        Self { endpoint, era }
+    }
+
+    fn silence_open_connections(&self) {
+        self.era.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn store(&self, call_timeout: Duration) -> Store {
+        Store::new(StoreOptions { endpoints: vec![self.endpoint.clone()], call_timeout })
+    }
+}
+
+async fn accept(listener: TcpListener, to: SocketAddr, era: Arc<AtomicU64>) {
+    while let Ok((client, _)) = listener.accept().await {
+        let (from_client, to_client) = client.into_split();
+        let (from_service, to_service) = TcpStream::connect(to).await.unwrap().into_split();
+        let born = era.load(Ordering::SeqCst);
+        actix::spawn(pump(from_client, to_service, Arc::clone(&era), born));
+        actix::spawn(pump(from_service, to_client, Arc::clone(&era), born));
+    }
+}
+
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, era: Arc<AtomicU64>, born: u64) {
+    let mut buf = [0; 4096];
+    while let Ok(count) = from.read(&mut buf).await {
+        let silent = era.load(Ordering::SeqCst) > born;
+        if count == 0 && !silent {
+            return;
+        }
+        if count == 0 {
+            // Neither end may learn of the other from a connection that was lost track of.
+            std::future::pending::<()>().await;
+        }
+        if !silent && to.write_all(&buf[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[actix_web::test]
+async fn one_timeout_ends_the_use_of_all_silent_connections() {
+    let service = StandIn::start(&[]);
+    let relay = Relay::start(&service).await;
+    let store = relay.store(Duration::from_secs(1));
+    let reads = (0..4).map(|_| store.get("/a"));
+    for read in futures_util::future::join_all(reads).await {
+        read.unwrap();
+    }
+    relay.silence_open_connections();
+    assert!(store.get("/a").await.is_err(), "the pooled connection is silent");
+    store.get("/a").await.unwrap();
+}
+
+#[actix_web::test]
+async fn a_silent_watch_is_opened_again_without_a_gap() {
+    let service = StandIn::start(&["--progress-ms", "3600000"]);
+    let relay = Relay::start(&service).await;
+    let mut watch = relay.store(CALL_TIMEOUT).watch("/a/", 1).await.unwrap();
+    watch.set_silence_limit(Duration::from_millis(300));
+    relay.silence_open_connections();
+    let key = String::from("/a/1");
+    let write = Write::Put { key, value: Bytes::from("one"), lease: None };
+    let written = service.store().commit(&[], &[write]).await.unwrap().revision;
+    let event = loop {
+        if let Some(event) = watch.next().await.unwrap().events.pop() {
+            break event;
+        }
+    };
+    assert!(matches!(&event, WatchEvent::Put(kv) if kv.mod_revision == written), "{event:?}");
+}
+
+#[actix_web::test]
+async fn the_host_list_is_read() {
+    let service = StandIn::start_service("hosts", &[]);
+    let host = json!({
+        "name": "e1", "address": "10.0.0.1", "role": "entry",
+        "data_centre": "ikeja", "state": "leaving",
+    });
+    service.post("/control/hosts", json!({ "hosts": [host] })).await;
+    let hosts = HostList::new(&service.endpoint, CALL_TIMEOUT).read().await.unwrap();
+    assert_eq!((hosts.len(), &*hosts[0].name, &*hosts[0].data_centre), (1, "e1", "ikeja"));
+    assert_eq!((hosts[0].role, hosts[0].state), (HostRole::Entry, HostState::Leaving));
+    let nowhere = HostList::new(&closed_endpoint(), CALL_TIMEOUT).read().await.unwrap_err();
+    assert!(matches!(nowhere, HostListError::Unavailable { .. }), "{nowhere}");
+    let wrong = HostList::new(&format!("{}/control", service.endpoint), CALL_TIMEOUT);
+    assert!(wrong.read().await.is_err());
+}
