entry: operators' watches end between two lines when the entry stops

Cause: an open watch would hold up a graceful stop or be cut. Change: the API takes a receiver that turns true at the stop; a bookmark is the last line. Tests hold the ports that nothing listens on: drain_get_and_delete failed once in a run because a closed port had become another test's server meanwhile.

--- a/src/entry/operator_api.rs
+++ b/src/entry/operator_api.rs
@@ -16,6 +16,7 @@
 use actix_web::http::header;
 use actix_web::{HttpRequest, HttpResponse, web};
 use serde::Deserialize;
+use tokio::sync;
 
 use crate::clock::Clock;
 use crate::platform::store::{Store, StoreOptions};
@@ -77,6 +78,8 @@
     pub clock: Clock,
     /// Tells what is known of a resource version.
     pub status: StatusOf,
+    /// Turns true when the entry stops, which ends its watches between two lines.
+    pub stopping: sync::watch::Receiver<bool>,
 }
 
 /// Api is the state of one worker.
@@ -84,6 +87,7 @@
     resources: Resources,
     operators: Vec<Operator>,
     status: StatusOf,
+    stopping: sync::watch::Receiver<bool>,
 }
 
 /// Returns the first problem of the settings, with the path of its field.
@@ -136,7 +140,12 @@
         let store = Store::new(options.store.clone());
         let draw = Rc::new(rand::random::<u64>);
         let resources = Resources::new(store, resources_options, options.clock.clone(), draw);
-        Self { resources, operators: operators.clone(), status: Arc::clone(&options.status) }
+        Self {
+            resources,
+            operators: operators.clone(),
+            status: Arc::clone(&options.status),
+            stopping: options.stopping.clone(),
+        }
     }
 
     fn document(&self, stored: &StoredResource) -> Document {
--- a/src/entry/operator_api/watch.rs
+++ b/src/entry/operator_api/watch.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::pin;
 use std::time::Duration;
+use std::{future, pin};
 
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
 use futures_util::StreamExt;
-use tokio::sync::mpsc;
+use tokio::sync::{self, mpsc};
 use tokio::time;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -50,6 +50,14 @@
 /// Closed says that the operator is gone.
 struct Closed;
 
+/// Waits until the entry stops.
+async fn stopped(stopping: &mut sync::watch::Receiver<bool>) {
+    if stopping.wait_for(|stopping| *stopping).await.is_err() {
+        // Nobody is left to say so.
+        future::pending::<()>().await;
+    }
+}
+
 struct Follower {
     api: web::Data<Api>,
     kind: Kind,
@@ -81,6 +89,7 @@
             self.send(&WatchLine::Added(document)).await?;
         }
         self.send_bookmark().await?;
+        let mut stopping = self.api.stopping.clone();
         let mut status_tick = time::interval(STATUS_INTERVAL);
         let mut bookmark_tick = time::interval(BOOKMARK_INTERVAL);
         bookmark_tick.reset();
@@ -92,6 +101,7 @@
                     _ = status_tick.tick() => self.send_status().await?,
                     _ = bookmark_tick.tick() => self.send_bookmark().await?,
                     () = self.tx.closed() => return Err(Closed),
+                    () = stopped(&mut stopping) => return self.send_bookmark().await,
                 }
             };
             match batch {
--- a/tests/common/store.rs
+++ b/tests/common/store.rs
@@ -1,12 +1,13 @@
 //! Runs the platform's stand-ins as processes, and makes clients of the key-value service.
 
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use bitternwall::platform::store::{Store, StoreOptions};
+use tokio::net::TcpSocket;
 
 /// Long enough for a busy machine, as no test waits for it to pass.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -70,11 +71,23 @@
     }
 }
 
-/// Returns an endpoint where nothing listens.
+/// ClosedPort is a port that nothing listens on; it stays taken, so that no other test gets it.
 #[allow(dead_code, reason = "not every test file that shares this module uses it")]
-pub fn closed_endpoint() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    format!("http://{}", listener.local_addr().unwrap())
+pub struct ClosedPort {
+    _socket: TcpSocket,
+    /// Its base address.
+    pub endpoint: String,
+}
+
+#[allow(dead_code, reason = "not every test file that shares this module uses it")]
+impl ClosedPort {
+    /// Takes a port.
+    pub fn take() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let endpoint = format!("http://{}", socket.local_addr().unwrap());
+        Self { _socket: socket, endpoint }
+    }
 }
 
 fn program() -> PathBuf {
--- a/tests/resources/api.rs
+++ b/tests/resources/api.rs
@@ -2,17 +2,19 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use actix_web::http::{Method, StatusCode};
 use actix_web::{App, HttpServer, dev};
 use bitternwall::clock::Clock;
 use bitternwall::entry::operator_api::{self, Operator, OperatorSettings, Options};
-use bitternwall::problem;
+use bitternwall::problem::{self, Executed, Problem};
 use bitternwall::resources::status::{Condition, ConditionStatus, IN_FORCE, Status};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 use sha2::Digest;
+use tokio::sync;
 
 use crate::store::StandIn;
 
@@ -24,13 +26,15 @@
     pub base: String,
     /// Whether all resources are in force.
     pub in_force: Arc<AtomicBool>,
+    stopping: sync::watch::Sender<bool>,
     handle: dev::ServerHandle,
 }
 
 impl Api {
     pub fn start() -> Self {
         let (store, in_force) = (StandIn::start(&[]), Arc::new(AtomicBool::new(false)));
-        let options = options(&store, &in_force);
+        let (stopping, receiver) = sync::watch::channel(false);
+        let options = options(&store, &in_force, receiver);
         let app = move || App::new().configure(|cfg| operator_api::configure(cfg, &options));
         let server = HttpServer::new(app).workers(1).disable_signals();
         let server = server.bind(("127.0.0.1", 0)).unwrap();
@@ -38,7 +42,7 @@
         let server = server.run();
         let handle = server.handle();
         actix::spawn(server);
-        Self { store, base, in_force, handle }
+        Self { store, base, in_force, stopping, handle }
     }
 
     pub async fn stop(self) {
@@ -67,7 +71,11 @@
     }
 }
 
-fn options(store: &StandIn, in_force: &Arc<AtomicBool>) -> Options {
+fn options(
+    store: &StandIn,
+    in_force: &Arc<AtomicBool>,
+    stopping: sync::watch::Receiver<bool>,
+) -> Options {
     let in_force = Arc::clone(in_force);
     let token_sha256 = format!("{:x}", sha2::Sha256::digest(TOKEN));
     let operators = vec![Operator { name: String::from("amina"), token_sha256 }];
@@ -78,6 +86,7 @@
         settings,
         clock: Clock::system(),
         status: Arc::new(move |_, _, _| status(in_force.load(Ordering::SeqCst))),
+        stopping,
     }
 }
 
@@ -235,5 +244,19 @@
     let mut later = api.call(Method::GET, &path).send().await.unwrap();
     let modified = line_of(&mut later, &mut Vec::new(), "MODIFIED").await;
     assert_eq!(modified["object"]["metadata"], second["metadata"]);
+    api.stopping.send_replace(true);
+    let rest: Vec<_> = watch.map(|piece| piece.unwrap()).collect().await;
+    assert!(rest.concat().ends_with(b"\n"), "a stop ends a watch between two lines");
     api.stop().await;
 }
+
+#[test]
+fn a_problem_rounds_its_delay_up() {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let problem = Problem::new("overloaded", "Overloaded", status, String::from("Come later."))
+        .executed(Executed::No)
+        .retry_after(Duration::from_millis(1500))
+        .with("queue", 7);
+    assert_eq!(problem.to_response().headers().get("retry-after").unwrap(), "2");
+    insta::assert_snapshot!(serde_json::to_string(&problem).unwrap(), @r#"{"type":"overloaded","title":"Overloaded","status":503,"detail":"Come later.","executed":"no","queue":7}"#);
+}
--- a/tests/resources/cli.rs
+++ b/tests/resources/cli.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 use crate::api::{Api, TOKEN};
-use crate::store::closed_endpoint;
+use crate::store::ClosedPort;
 
 /// Scratch is a file that goes with this value.
 struct Scratch(PathBuf);
@@ -40,10 +40,17 @@
 
 async fn run(api: &Api, arguments: &[&str]) -> (String, u8) {
     let token = Scratch::new(TOKEN);
-    let closed = closed_endpoint();
+    let closed = ClosedPort::take();
     // The first entry is always gone, so that each command has to ask the second one.
-    let global =
-        ["bitternwall", "--entry", &closed, "--entry", &api.base, "--token-file", token.as_str()];
+    let global = [
+        "bitternwall",
+        "--entry",
+        &closed.endpoint,
+        "--entry",
+        &api.base,
+        "--token-file",
+        token.as_str(),
+    ];
     let matches = command().get_matches_from(global.iter().chain(arguments));
     let mut out = Vec::new();
     let result = cli::run(Options::from_matches(&matches).unwrap(), &mut out).await;
--- a/tests/resources/connections.rs
+++ b/tests/resources/connections.rs
@@ -13,7 +13,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::store::{CALL_TIMEOUT, StandIn, closed_endpoint};
+use crate::store::{CALL_TIMEOUT, ClosedPort, StandIn};
 
 /// Relay stands between a client and a service and loses track of connections when told.
 struct Relay {
@@ -111,7 +111,8 @@
     let hosts = HostList::new(&service.endpoint, CALL_TIMEOUT).read().await.unwrap();
     assert_eq!((hosts.len(), &*hosts[0].name, &*hosts[0].data_centre), (1, "e1", "ikeja"));
     assert_eq!((hosts[0].role, hosts[0].state), (HostRole::Entry, HostState::Leaving));
-    let nowhere = HostList::new(&closed_endpoint(), CALL_TIMEOUT).read().await.unwrap_err();
+    let closed = ClosedPort::take();
+    let nowhere = HostList::new(&closed.endpoint, CALL_TIMEOUT).read().await.unwrap_err();
     assert!(matches!(nowhere, HostListError::Unavailable { .. }), "{nowhere}");
     let wrong = HostList::new(&format!("{}/control", service.endpoint), CALL_TIMEOUT);
     assert!(wrong.read().await.is_err());
--- a/tests/resources/store_client.rs
+++ b/tests/resources/store_client.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use serde_json::json;
 
-use crate::store::{CALL_TIMEOUT, StandIn, closed_endpoint};
+use crate::store::{CALL_TIMEOUT, ClosedPort, StandIn};
 
 fn put(key: &str, value: &'static str) -> Write {
     Write::Put { key: String::from(key), value: Bytes::from(value), lease: None }
@@ -95,7 +95,9 @@
 
 #[actix_web::test]
 async fn only_calls_without_effect_are_refused() {
-    let nowhere = StoreOptions { endpoints: vec![closed_endpoint()], call_timeout: CALL_TIMEOUT };
+    let closed = ClosedPort::take();
+    let endpoints = vec![closed.endpoint.clone()];
+    let nowhere = StoreOptions { endpoints, call_timeout: CALL_TIMEOUT };
     let refused = Store::new(nowhere).commit(&[], &[put("/a", "1")]).await.unwrap_err();
     assert!(matches!(refused, StoreError::Refused { .. }), "{refused}");
 
@@ -127,7 +129,8 @@
 #[actix_web::test]
 async fn further_endpoints_are_tried() {
     let service = StandIn::start(&[]);
-    let endpoints = vec![closed_endpoint(), service.endpoint.clone()];
+    let closed = ClosedPort::take();
+    let endpoints = vec![closed.endpoint.clone(), service.endpoint.clone()];
     let store = Store::new(StoreOptions { endpoints, call_timeout: CALL_TIMEOUT });
     assert!(store.commit(&[], &[put("/a", "1")]).await.unwrap().succeeded);
     assert!(store.get("/a").await.unwrap().1.is_some());
