--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -245,6 +245,10 @@
         Self { method: Method::GET, path, body: None, version: None, change_id: None }
     }
 
+    fn retry_limit(&self) -> Duration {
+        if self.change_id.is_some() { CHANGE_RETRY_LIMIT } else { READ_RETRY_LIMIT }
+    }
+
     fn change(method: Method, path: String, body: Option<Document>, version: Option<u64>) -> Self {
         let change_id = format!("{:032x}", rand::random::<u128>());
         Self { method, path, body, version, change_id: Some(change_id) }
