platform: a hung endpoint is not asked first again

Cause: a stopped process still takes connections, so every write would go to it and stay unknown. Change: an endpoint that left a call without an answer hands its turn to the next.

Seen with it switched off: the second write to the same endpoint failed in a_write_to_an_endpoint_that_hangs_is_unknown_and_the_next_goes_elsewhere.

--- a/src/platform/store/transport.rs
+++ b/src/platform/store/transport.rs
@@ -36,7 +36,8 @@
 pub(super) struct Transport {
     options: StoreOptions,
     client: RefCell<awc::Client>,
-    /// The endpoint that took the last call.
+    /// The endpoint that is asked first: the last one that answered, or the one after it where it
+    /// left a call without an answer, as a stopped process does for good.
     preferred: Cell<usize>,
     counters: Counters,
 }
@@ -114,13 +115,15 @@
 
     async fn call(&self, index: usize, kind: CallKind, request: &impl Serialize) -> Result<Bytes> {
         let exchange = self.exchange(index, kind, request);
-        match time::timeout(self.options.call_timeout, exchange).await {
-            Ok(answer) => answer,
-            Err(elapsed) => {
-                self.forget_connections(index, kind);
-                Err(self.unknown(index, kind, &elapsed))
-            }
+        let answered = time::timeout(self.options.call_timeout, exchange).await;
+        let answer = answered.unwrap_or_else(|elapsed| {
+            self.forget_connections(index, kind);
+            Err(self.unknown(index, kind, &elapsed))
+        });
+        if let Err(StoreError::Unknown { .. }) = answer {
+            self.preferred.set((index + 1) % self.options.endpoints.len());
         }
+        answer
     }
 
     async fn exchange(
--- a/tests/resources/connections.rs
+++ b/tests/resources/connections.rs
@@ -5,8 +5,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use actix_web::{App, HttpResponse, HttpServer, web};
 use bitternwall::platform::host_list::{HostList, HostListError, HostRole, HostState};
-use bitternwall::platform::store::{Store, StoreOptions, WatchEvent, Write};
+use bitternwall::platform::store::{Store, StoreError, StoreOptions, WatchEvent, Write};
 use bytes::Bytes;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -117,3 +118,38 @@
     let wrong = HostList::new(&format!("{}/control", service.endpoint), CALL_TIMEOUT);
     assert!(wrong.read().await.is_err());
 }
+
+#[actix_web::test]
+async fn a_write_to_an_endpoint_that_hangs_is_unknown_and_the_next_goes_elsewhere() {
+    let service = StandIn::start(&[]);
+    let hung = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let endpoints =
+        vec![format!("http://{}", hung.local_addr().unwrap()), service.endpoint.clone()];
+    let store = Store::new(StoreOptions { endpoints, call_timeout: Duration::from_secs(1) });
+    let unknown = store.commit(&[], &[]).await.unwrap_err();
+    assert!(matches!(unknown, StoreError::Unknown { .. }), "{unknown}");
+    store.commit(&[], &[]).await.unwrap();
+}
+
+async fn unavailable(message: web::Data<&'static str>) -> HttpResponse {
+    HttpResponse::ServiceUnavailable().json(json!({ "code": 14, "message": message.get_ref() }))
+}
+
+async fn commit_answered_with(message: &'static str) -> StoreError {
+    let app =
+        move || App::new().app_data(web::Data::new(message)).default_service(web::to(unavailable));
+    let server = HttpServer::new(app).workers(1).disable_signals();
+    let server = server.bind(("127.0.0.1", 0)).unwrap();
+    let endpoints = vec![format!("http://{}", server.addrs()[0])];
+    actix::spawn(server.run());
+    let store = Store::new(StoreOptions { endpoints, call_timeout: CALL_TIMEOUT });
+    store.commit(&[], &[]).await.unwrap_err()
+}
+
+#[actix_web::test]
+async fn a_server_that_became_unavailable_leaves_a_write_unknown() {
+    let timed_out = commit_answered_with("etcdserver: request timed out").await;
+    assert!(matches!(timed_out, StoreError::Unknown { .. }), "{timed_out}");
+    let no_leader = commit_answered_with("etcdserver: no leader").await;
+    assert!(matches!(no_leader, StoreError::Refused { .. }), "{no_leader}");
+}
