--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -59,10 +59,11 @@
                 ends.len()
             )));
         }
-        if let End::Refused(refusal) | End::Broken(refusal) = ends[0] {
-            if refusal.executed == Executed::No && model.ran.contains(&id) {
-                return Err(TestCaseError::fail(format!("{id:?} ran, but {refusal:?}")));
-            }
+        if let End::Refused(refusal) | End::Broken(refusal) = ends[0]
+            && refusal.executed == Executed::No
+            && model.ran.contains(&id)
+        {
+            return Err(TestCaseError::fail(format!("{id:?} ran, but {refusal:?}")));
         }
     }
     let unkeyed = model.starts.iter().find(|start| {
