Members: states by heartbeats, addresses for callers, planned stop

Cause: callers connect by addresses that they keep for a while, so the answers must name live entries only, and an entry that leaves must outlast its answers. Ruled out: the host list as the word on who lives (it lags and is wrong now and then); waiting for every entry to acknowledge the leaving flag (one that is cut off never does). Since a heartbeat is dated no later than it was sent, another entry stops naming the leaving one within the limit for the dead by itself. Change: members::table, members::addresses, members::leaving; tests of the typed tables; the fleet's network and checks in files of their own.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod entry;
 pub mod expert_map;
+pub mod members;
 pub mod platform;
 pub mod resources;
 pub mod settings;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -11,6 +11,8 @@
 mod fleet;
 #[path = "configuration/model.rs"]
 mod model;
+#[path = "configuration/tables.rs"]
+mod tables;
 
 const ENTRIES: usize = 3;
 const AGENTS: usize = 1;
@@ -197,7 +199,7 @@
 fn steps_until_in_force(timing: Timing, entries: usize, seed: u64) -> u64 {
     let mut fleet = started_with(entries, timing, seed, Guards::default());
     let reader = fleet.store.watches[0].owner.0;
-    let other = (0..entries).find(|index| *index != reader).unwrap();
+    let other = (0..entries).find(|index| *index != reader).expect("there are several");
     for index in [reader, other, entries] {
         fleet.inject(&Fault::Restart(index, u32::MAX));
     }
@@ -214,7 +216,7 @@
 fn a_change_is_in_force_in_time_with_one_process_of_each_kind_killed() {
     for (timing, entries, limit) in [(Timing::SMALL, 5, 5), (Timing::LARGE, 7, 18)] {
         let slowest = (0..SCENARIO_SEEDS).map(|seed| steps_until_in_force(timing, entries, seed));
-        let slowest = slowest.max().unwrap();
+        let slowest = slowest.max().expect("there are seeds");
         println!("in force within {} ms of {limit} s", slowest * 1000 / STEPS_PER_SECOND);
         assert!(slowest <= limit * STEPS_PER_SECOND, "{slowest} steps for {limit} s");
     }
@@ -230,7 +232,7 @@
     while fleet.step < start + 180 * STEPS_PER_SECOND {
         let round = (fleet.step - start) / (10 * STEPS_PER_SECOND);
         let restarting = usize::try_from(round).unwrap() % PROCESSES;
-        if (fleet.step - start) % (10 * STEPS_PER_SECOND) == 0 {
+        if (fleet.step - start).is_multiple_of(10 * STEPS_PER_SECOND) {
             fleet.inject(&Fault::Restart(restarting, 20));
         }
         fleet.advance();
--- /dev/null
+++ b/tests/configuration/checks.rs
@@ -0,0 +1,88 @@
+//! What must hold at each step, and when the fleet is done.
+
+use std::sync::Arc;
+
+use bitternwall::config::progress::InForce;
+
+use super::{Fleet, time};
+use crate::model;
+
+impl Fleet {
+    pub(super) fn check_state(&mut self, index: usize, revision: u64) {
+        let process = &mut self.processes[index];
+        let state = Arc::clone(process.replica.state());
+        let name = Arc::clone(&process.name);
+        if revision < process.last_revision {
+            self.faults.push(format!("{name} went back to revision {revision}"));
+        }
+        process.last_revision = revision;
+        if model::table_of(&state) != *self.store.table_at(revision) {
+            self.faults.push(format!("{name} holds another state at revision {revision}"));
+        }
+    }
+
+    pub(super) fn note_claims(&mut self, index: usize) {
+        let now = self.now(index);
+        let process = &self.processes[index];
+        if !process.entry {
+            return;
+        }
+        let own = process.progress.own_revision(&process.replica, now);
+        let place = process.data_centre;
+        let newest = self.store.head;
+        let all = process.progress.in_force(&process.replica, newest, now);
+        self.claimed[place] = self.claimed[place].max(own);
+        if all == InForce::Everywhere {
+            self.claimed_everywhere = self.claimed_everywhere.max(newest);
+        }
+    }
+
+    pub(super) fn check(&mut self) {
+        for index in 0..self.processes.len() {
+            let serves = self.may_serve(index);
+            self.check_alone(index, serves);
+            let process = &self.processes[index];
+            let floor = self.claimed[process.data_centre].max(self.claimed_everywhere);
+            let (name, held) = (&process.name, process.replica.revision());
+            if serves && self.store.table_at(held) != self.store.table_at(floor.max(held)) {
+                let fault = format!("{name} serves {held} though {floor} is in force");
+                self.faults.push(fault);
+            }
+        }
+    }
+
+    /// A process that is cut from everyone stops within the silence limit.
+    fn check_alone(&mut self, index: usize, serves: bool) {
+        let others = 0..=self.processes.len();
+        let alone = others.into_iter().all(|other| other == index || self.is_cut(index, other));
+        let limit = self.timing.silence_limit() + time(2);
+        let process = &mut self.processes[index];
+        let since = *process.alone_since.get_or_insert(self.step);
+        if !alone {
+            process.alone_since = None;
+        } else if serves && time(self.step - since) > limit {
+            self.faults.push(format!("{} serves though it is cut off", process.name));
+        }
+    }
+
+    /// Tells whether a running entry says that the newest change is in force everywhere.
+    pub fn says_in_force(&self) -> bool {
+        (0..self.processes.len()).filter(|&index| self.is_running(index)).any(|index| {
+            let process = &self.processes[index];
+            let told =
+                process.progress.in_force(&process.replica, self.store.head, self.now(index));
+            process.entry && told == InForce::Everywhere
+        })
+    }
+
+    pub fn has_converged(&self) -> bool {
+        (0..self.processes.len()).all(|index| {
+            let process = &self.processes[index];
+            let now = self.now(index);
+            let newest = self.store.head;
+            let told = process.progress.in_force(&process.replica, newest, now);
+            let held = process.replica.revision() >= newest;
+            held && self.may_serve(index) && (!process.entry || told == InForce::Everywhere)
+        })
+    }
+}
--- a/tests/configuration/fleet.rs
+++ b/tests/configuration/fleet.rs
@@ -6,7 +6,7 @@
 
 use bitternwall::config::contacts::Heard;
 use bitternwall::config::options::{Guards, Options, Timing};
-use bitternwall::config::progress::{InForce, Progress};
+use bitternwall::config::progress::Progress;
 use bitternwall::config::replica::{Effect, Event, Replica};
 use bitternwall::config::source::Call;
 use bitternwall::wire;
@@ -14,7 +14,13 @@
 
 use crate::model;
 
-pub const STEP: Duration = Duration::from_millis(50);
+#[path = "checks.rs"]
+mod checks;
+#[path = "network.rs"]
+mod network;
+
+const STEP_MS: u64 = 50;
+const LARGE_TICK_STEPS: u64 = 5;
 pub const DATA_CENTRES: [&str; 2] = ["ikeja", "lekki"];
 
 /// What a plan does at a step; times are in steps.
@@ -79,6 +85,7 @@
     pub store: model::Store,
     pub step: u64,
     timing: Timing,
+    tick_steps: u64,
     guards: Guards,
     rng: rngs::StdRng,
     packets: BTreeMap<(u64, u64), Packet>,
@@ -91,6 +98,10 @@
     pub faults: Vec<String>,
 }
 
+fn time(steps: u64) -> Duration {
+    Duration::from_millis(steps * STEP_MS)
+}
+
 impl Fleet {
     pub fn new(entries: usize, agents: usize, seed: u64, timing: Timing, guards: Guards) -> Self {
         let mut fleet = Self {
@@ -98,6 +109,7 @@
             store: model::Store::new(),
             step: 0,
             timing,
+            tick_steps: if timing == Timing::SMALL { 1 } else { LARGE_TICK_STEPS },
             guards,
             rng: rngs::StdRng::seed_from_u64(seed),
             packets: BTreeMap::new(),
@@ -171,7 +183,7 @@
 
     pub fn now(&self, index: usize) -> Duration {
         let process = &self.processes[index];
-        let elapsed = STEP * u32::try_from(self.step).unwrap();
+        let elapsed = time(self.step);
         process.clock_start + elapsed.mul_f64(process.rate)
     }
 
@@ -239,7 +251,7 @@
             self.deliver(packet);
         }
         for index in 0..self.processes.len() {
-            if self.is_running(index) {
+            if self.is_running(index) && self.step.is_multiple_of(self.tick_steps) {
                 self.tick(index);
             }
         }
@@ -288,7 +300,7 @@
             messages.push((other, Message::Beat(heard, summaries.clone())));
         }
         for (other, message) in messages {
-            self.send(index, other, None, message);
+            self.send(index, other, None, &message);
         }
     }
 
@@ -301,15 +313,15 @@
                 }
                 Effect::Store(call) => {
                     self.store.calls.push(self.step);
-                    self.send(index, self.processes.len(), None, Message::Call(call));
+                    self.send(index, self.processes.len(), None, &Message::Call(call));
                 }
                 Effect::RequestFrom(peer, have) => {
                     let to = self.index_of(&peer);
-                    self.send(index, to, None, Message::Ask(have));
+                    self.send(index, to, None, &Message::Ask(have));
                 }
                 Effect::AnswerPeer(peer, state) => {
                     let to = self.index_of(&peer);
-                    self.send(index, to, None, Message::State(state));
+                    self.send(index, to, None, &Message::State(state));
                 }
                 Effect::InForce(revision) => {
                     self.check_state(index, revision);
@@ -320,207 +332,9 @@
     }
 
     fn index_of(&self, name: &str) -> usize {
-        self.processes.iter().position(|process| *process.name == *name).unwrap()
-    }
-
-    fn is_cut(&self, from: usize, to: usize) -> bool {
-        let (side, until) = self.cut;
-        let bit = |index: usize| side >> if index == self.processes.len() { 31 } else { index } & 1;
-        self.step < until && bit(from) != bit(to)
-    }
-
-    fn send(&mut self, from: usize, to: usize, life: Option<u64>, message: Message) {
-        let lost = self.step < self.loss.1 && self.rng.random_range(0..100) < self.loss.0;
-        if lost || self.is_cut(from, to) {
-            return;
-        }
-        let slow = [from, to].into_iter().filter_map(|index| self.processes.get(index));
-        let late: u64 = slow.filter(|p| self.step < p.slow.1).map(|p| p.slow.0).sum();
-        let mut copies = 1;
-        if self.loss.1 > self.step && self.rng.random_bool(0.2) {
-            copies = 2;
-        }
-        let sender = self.processes.get(from).map_or(0, |process| process.life);
-        for _ in 0..copies {
-            let at = self.step + 1 + late + self.rng.random_range(0..3);
-            let packet = Packet { at, from: (from, sender), to, life, message: message.clone() };
-            self.packet_count += 1;
-            self.packets.insert((at, self.packet_count), packet);
-        }
-    }
-
-    fn deliver(&mut self, mut packet: Packet) {
-        let to = packet.to;
-        if to == self.processes.len() {
-            self.serve_call(packet);
-            return;
-        }
-        if self.is_cut(packet.from.0, to) || self.processes[to].down_until > self.step {
-            return;
-        }
-        if self.processes[to].paused_until > self.step {
-            // It waits in the socket's buffer.
-            packet.at = self.processes[to].paused_until;
-            self.packet_count += 1;
-            self.packets.insert((packet.at, self.packet_count), packet);
-            return;
-        }
-        if packet.life.is_some_and(|life| life != self.processes[to].life) {
-            return;
-        }
-        let now = self.now(to);
-        let from = packet.from.0;
-        let event = match packet.message {
-            Message::Event(event) => event,
-            Message::Beat(heard, summaries) => {
-                for summary in &summaries {
-                    self.processes[to].progress.take(summary, now);
-                }
-                Event::Heard(heard)
-            }
-            Message::Ask(have) => Event::PeerRequest(Arc::clone(&self.processes[from].name), have),
-            Message::State(state) => Event::PeerState(state),
-            Message::Call(_) => return,
-        };
-        let mut effects = Vec::new();
-        self.processes[to].replica.handle(event, now, &mut effects);
-        self.carry_out(to, effects);
-    }
-
-    fn serve_call(&mut self, packet: Packet) {
-        let Message::Call(call) = packet.message else { return };
-        let (owner, life) = packet.from;
-        if self.step < self.store_down_until {
-            let refused = match call {
-                Call::Read(id) | Call::Probe(id) | Call::Watch { id, .. } => id,
-                Call::Close(_) => return,
-            };
-            if self.rng.random_bool(0.5) {
-                self.answer(owner, life, Event::CallFailed(refused));
-            }
-            return;
-        }
-        match call {
-            Call::Read(id) => {
-                self.store.reads += 1;
-                self.answer(owner, life, Event::Snapshot(id, self.store.read()));
-            }
-            Call::Probe(id) => self.answer(owner, life, Event::Head(id, self.store.head)),
-            Call::Watch { id, after } if after < self.store.compacted => {
-                self.answer(owner, life, Event::Compacted(id));
-            }
-            Call::Watch { id, after } => {
-                self.store.watches.push(model::Watch { owner: packet.from, id, told: after });
-            }
-            Call::Close(_) => {}
-        }
-    }
-
-    fn answer(&mut self, owner: usize, life: u64, event: Event) {
-        self.send(self.processes.len(), owner, Some(life), Message::Event(event));
-    }
-
-    fn push_watches(&mut self) {
-        let down = self.step < self.store_down_until;
-        let mut news = Vec::new();
-        for watch in &mut self.store.watches {
-            let (owner, life) = watch.owner;
-            if self.processes[owner].life != life {
-                continue;
-            }
-            news.push((owner, life, watch.id, watch.told));
-        }
-        for (owner, life, id, told) in news {
-            if down && self.rng.random_bool(0.1) {
-                self.store.close((owner, life), id);
-                self.answer(owner, life, Event::CallFailed(id));
-                continue;
-            }
-            let Some(delta) = self.store.news(told).filter(|_| !down) else { continue };
-            for watch in &mut self.store.watches {
-                if watch.owner == (owner, life) && watch.id == id {
-                    watch.told = delta.revision;
-                }
-            }
-            self.answer(owner, life, Event::Changes(id, delta));
-        }
-    }
-
-    fn check_state(&mut self, index: usize, revision: u64) {
-        let process = &mut self.processes[index];
-        let state = Arc::clone(process.replica.state());
-        let name = Arc::clone(&process.name);
-        if revision < process.last_revision {
-            self.faults.push(format!("{name} went back to revision {revision}"));
-        }
-        process.last_revision = revision;
-        if model::table_of(&state) != *self.store.table_at(revision) {
-            self.faults.push(format!("{name} holds another state at revision {revision}"));
-        }
-    }
-
-    fn note_claims(&mut self, index: usize) {
-        let now = self.now(index);
-        let process = &self.processes[index];
-        if !process.entry {
-            return;
-        }
-        let own = process.progress.own_revision(&process.replica, now);
-        let place = process.data_centre;
-        let newest = self.store.head;
-        let all = process.progress.in_force(&process.replica, newest, now);
-        self.claimed[place] = self.claimed[place].max(own);
-        if all == InForce::Everywhere {
-            self.claimed_everywhere = self.claimed_everywhere.max(newest);
-        }
-    }
-
-    fn check(&mut self) {
-        for index in 0..self.processes.len() {
-            let serves = self.may_serve(index);
-            self.check_alone(index, serves);
-            let process = &self.processes[index];
-            let floor = self.claimed[process.data_centre].max(self.claimed_everywhere);
-            let (name, held) = (&process.name, process.replica.revision());
-            if serves && self.store.table_at(held) != self.store.table_at(floor.max(held)) {
-                let fault = format!("{name} serves {held} though {floor} is in force");
-                self.faults.push(fault);
-            }
-        }
-    }
-
-    /// A process that is cut from everyone stops within the silence limit.
-    fn check_alone(&mut self, index: usize, serves: bool) {
-        let others = 0..=self.processes.len();
-        let alone = others.into_iter().all(|other| other == index || self.is_cut(index, other));
-        let limit = self.timing.silence_limit() + STEP * 2;
-        let process = &mut self.processes[index];
-        let since = *process.alone_since.get_or_insert(self.step);
-        if !alone {
-            process.alone_since = None;
-        } else if serves && STEP * u32::try_from(self.step - since).unwrap() > limit {
-            self.faults.push(format!("{} serves though it is cut off", process.name));
-        }
-    }
-
-    /// Tells whether a running entry says that the newest change is in force everywhere.
-    pub fn says_in_force(&self) -> bool {
-        (0..self.processes.len()).filter(|&index| self.is_running(index)).any(|index| {
-            let process = &self.processes[index];
-            let told =
-                process.progress.in_force(&process.replica, self.store.head, self.now(index));
-            process.entry && told == InForce::Everywhere
-        })
-    }
-
-    pub fn has_converged(&self) -> bool {
-        (0..self.processes.len()).all(|index| {
-            let process = &self.processes[index];
-            let now = self.now(index);
-            let newest = self.store.head;
-            let told = process.progress.in_force(&process.replica, newest, now);
-            let held = process.replica.revision() >= newest;
-            held && self.may_serve(index) && (!process.entry || told == InForce::Everywhere)
-        })
+        self.processes
+            .iter()
+            .position(|process| *process.name == *name)
+            .expect("every name is a process's")
     }
 }
--- a/tests/configuration/model.rs
+++ b/tests/configuration/model.rs
@@ -12,7 +12,6 @@
 pub struct Change {
     pub revision: u64,
     pub key: String,
-    pub value: Option<store::KeyValue>,
 }
 
 pub struct Watch {
@@ -73,11 +72,11 @@
     }
 
     pub fn table(&self) -> &Table {
-        self.states.last_key_value().unwrap().1
+        self.states.last_key_value().expect("revision zero has a state").1
     }
 
     pub fn table_at(&self, revision: u64) -> &Table {
-        self.states.range(..=revision).next_back().unwrap().1
+        self.states.range(..=revision).next_back().expect("revision zero has a state").1
     }
 
     pub fn read(&self) -> store::Range {
@@ -114,12 +113,12 @@
         self.revision += 1;
         self.head = self.revision;
         let mut table = self.table().clone();
-        match &value {
-            Some(value) => table.insert(key.clone(), value.clone()),
+        match value {
+            Some(value) => table.insert(key.clone(), value),
             None => table.remove(&key),
         };
         self.states.insert(self.revision, table);
-        self.changes.push(Change { revision: self.revision, key, value });
+        self.changes.push(Change { revision: self.revision, key });
     }
 }
 
