Wire: a heartbeat echoes the receiver's last and may lack an age

Cause: a heartbeat may wait in a buffer while either side is paused, so its arrival dates nothing; and an entry without a vote must not count as one. Ruled out: clocks of two hosts (shared only roughly); a request and answer of its own (the heartbeats already go both ways).

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 //! A process holds the state of one revision and only ever moves to a higher one, so a deleted
 //! resource cannot come back; docs/CONFIGURATION.md sets out the rules and what they cost.
 
+pub mod codec;
 pub mod contacts;
 mod derive;
 pub mod envelope;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -67,9 +67,10 @@
     pub config_revision: u64,
     #[prost(bool, tag = "3")]
     pub draining: bool,
-    /// Milliseconds since the sender knew its configuration to be current.
-    #[prost(uint64, tag = "4")]
-    pub config_age_ms: u64,
+    /// Milliseconds since the sender knew its configuration to be current; absent for an entry
+    /// that has no vote yet.
+    #[prost(uint64, optional, tag = "4")]
+    pub config_age_ms: ::core::option::Option<u64>,
     #[prost(message, optional, tag = "5")]
     pub load: ::core::option::Option<Load>,
     /// Fingerprints that the sender refuses since they crashed targets.
@@ -78,6 +79,10 @@
     /// The lowest revision that every live process the sender knows of has in force, for a region.
     #[prost(message, repeated, tag = "7")]
     pub regions: ::prost::alloc::vec::Vec<RegionProgress>,
+    /// The highest sequence that the sender has heard from the receiver, which dates this heartbeat
+    /// by it; zero before the first.
+    #[prost(uint64, tag = "8")]
+    pub heard_sequence: u64,
 }
 /// Load is what an agent knows of its target.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
