--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::config::codec;
 use crate::wire;
 use crate::wire::frame;
 use crate::wire::server;
@@ -11,7 +12,6 @@
     sender: server::FrameSender,
     member: Option<wire::Member>,
     heard_at: Duration,
-    config_heard_at: Duration,
 }
 
 /// Links is the table of open connections.
@@ -25,7 +25,7 @@
     pub fn open(&mut self, link: server::LinkId, sender: server::FrameSender, now: Duration) {
         self.rows.insert(
             link,
-            Link { sender, member: None, heard_at: now, config_heard_at: Duration::ZERO },
+            Link { sender, member: None, heard_at: now },
         );
     }
 
@@ -54,16 +54,19 @@
         member.map_or("unknown", |member| &member.name)
     }
 
-    /// Notes when the peer's configuration was current, on the agent's clock.
-    pub fn note_config(&mut self, link: server::LinkId, heard_at: Duration) {
-        if let Some(row) = self.rows.get_mut(&link) {
-            row.config_heard_at = heard_at;
-        }
+    /// Returns who the peer is, once it said hello.
+    pub fn member(&self, link: server::LinkId) -> Option<&wire::Member> {
+        self.rows.get(&link)?.member.as_ref()
     }
 
-    /// Returns when the peer's configuration was current.
-    pub fn config_heard_at(&self, link: server::LinkId) -> Option<Duration> {
-        self.rows.get(&link).map(|row| row.config_heard_at)
+    /// Sends a frame to a process on its latest connection.
+    pub fn send_to(&self, process: &str, kind: frame::Kind) {
+        let is_theirs = |member: &wire::Member| *codec::name_of(member) == *process;
+        let mut links = self.rows.iter().rev();
+        let link = links.find(|(_, row)| row.member.as_ref().is_some_and(is_theirs));
+        if let Some((link, _)) = link {
+            self.send(*link, kind);
+        }
     }
 
     /// Returns the connections that have been silent since before the given time.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod entry;
 pub mod expert_map;
+pub mod members;
 pub mod platform;
 pub mod problem;
 pub mod resources;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -79,10 +79,10 @@
     /// The lowest revision that every live process the sender knows of has in force, for a region.
     #[prost(message, repeated, tag = "7")]
     pub regions: ::prost::alloc::vec::Vec<RegionProgress>,
-    /// The sequence of the receiver's latest heartbeat that the sender has heard, which dates this
-    /// one; zero before the first.
+    /// The highest sequence that the sender has heard from the receiver, which dates this heartbeat
+    /// by it; zero before the first.
     #[prost(uint64, tag = "8")]
-    pub echo: u64,
+    pub heard_sequence: u64,
 }
 /// Load is what an agent knows of its target.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
