--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -78,10 +78,12 @@
 ) -> actor::Parts {
     let links = &settings.links;
     let probe_timeout = Duration::from_millis(links.probe_timeout_ms);
+    let clock = clock::Clock::system();
     let member = member(settings);
     let probe_path = settings.probe_path.as_deref();
     actor::Parts {
-        clock: clock::Clock::system(),
+        config: config(settings, &member, &clock),
+        clock,
         world: world::AgentWorld::new(options::core(settings, member.incarnation)),
         member,
         target: target::TargetClient::new(&settings.target_url, probe_path, probe_timeout),
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -23,10 +23,7 @@
 impl Links {
     /// Adds a connection.
     pub fn open(&mut self, link: server::LinkId, sender: server::FrameSender, now: Duration) {
-        self.rows.insert(
-            link,
-            Link { sender, member: None, heard_at: now },
-        );
+        self.rows.insert(link, Link { sender, member: None, heard_at: now });
     }
 
     /// Removes a connection, which closes it, and returns whether it was there.
@@ -80,14 +77,11 @@
         self.rows.get(&link).map(|row| row.sender.clone())
     }
 
-    /// Sends a frame; it waits outside the actor where the peer reads slowly.
+    /// Sends a frame.
     pub fn send(&self, link: server::LinkId, kind: frame::Kind) {
-        let Some(row) = self.rows.get(&link) else { return };
-        let Err(kind) = row.sender.try_send(kind) else { return };
-        let sender = row.sender.clone();
-        actix_rt::spawn(async move {
-            sender.send(*kind).await;
-        });
+        if let Some(row) = self.rows.get(&link) {
+            row.sender.post(kind);
+        }
     }
 
     /// Returns the open connections.
--- a/src/config/codec.rs
+++ b/src/config/codec.rs
@@ -24,11 +24,7 @@
 ///
 /// An agent counts where entries link to it, so that one whose data centre has no entry is not
 /// forgotten; an entry counts in its own.
-pub fn heard(
-    member: &wire::Member,
-    heartbeat: &wire::Heartbeat,
-    own_data_centre: &str,
-) -> Heard {
+pub fn heard(member: &wire::Member, heartbeat: &wire::Heartbeat, own_data_centre: &str) -> Heard {
     let entry = member.role() == wire::Role::Entry;
     let data_centre = if entry { &member.data_centre } else { own_data_centre };
     Heard {
--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -1,40 +1,35 @@
 //! The actor around the entry's core: frames and requests in, attempts and answers out.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Message};
+use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Message, MessageResult};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use crate::clock::Clock;
 use crate::collections::Map;
-use crate::config::{history, state, view};
-use crate::entry::core::events::{self, Effect, Event, NewRequest, ServingState};
+use crate::config::{codec, replica, view};
+use crate::entry::accepted::Accepted;
+use crate::entry::core::events::{self as core_events, Effect, Event, NewRequest};
 use crate::entry::core::tables::{AttemptNumber, RequestId};
 use crate::entry::core::{EntryWorld, Options};
-use crate::entry::{links, metrics, outbound, relay};
-use crate::platform::store;
-use crate::wire::client::{self, LinkEvent};
+use crate::entry::links::{self, Links, SendFrame};
+use crate::entry::membership::Membership;
+use crate::entry::{frames, metrics, outbound, relay};
+use crate::members::addresses::Address;
+use crate::settings::entry::Peer;
+use crate::telemetry::events;
+use crate::wire;
 use crate::wire::frame::Kind;
-use crate::{telemetry, wire};
+use crate::wire::{client, server};
 
 /// How often deadlines are looked at while nothing else happens.
 const BEAT: Duration = Duration::from_millis(20);
-
-/// Board is what heartbeats say of this entry; the dialers read it.
-#[derive(Debug, Default)]
-pub struct Board {
-    /// The revision of the configuration in force here.
-    pub revision: Cell<u64>,
-    /// True once this entry takes no new work.
-    pub draining: Cell<bool>,
-    /// Milliseconds since the configuration was known to be current.
-    pub config_age_ms: Cell<u64>,
-}
+/// How often members and the configuration's age are looked at.
+const MEMBERSHIP_BEAT: Duration = Duration::from_millis(100);
 
 /// Open is one request that has no final answer.
 struct Open {
@@ -42,58 +37,76 @@
     outbound: outbound::Outbound,
 }
 
-/// Dial is the task that keeps a link to one agent.
+/// Dial is the task that keeps a link to one process.
 struct Dial {
     address: SocketAddr,
     task: JoinHandle<()>,
 }
 
-/// Starts the task that keeps a link to a target's agent and reports to the actor.
-pub type Dialler = Box<dyn Fn(&str, SocketAddr, Addr<EntryActor>) -> JoinHandle<()>>;
+/// Starts the task that keeps a link to the process at an address and reports to the actor.
+pub type Dialler = Box<dyn Fn(&Arc<str>, SocketAddr, Addr<EntryActor>) -> JoinHandle<()>>;
+
+/// Parts is what an entry's actor is made of.
+pub struct Parts {
+    /// The limits of the core.
+    pub options: Options,
+    /// The clock.
+    pub clock: Clock,
+    /// Configuration, members and heartbeats.
+    pub membership: Membership,
+    /// Keeps links to other processes.
+    pub dialler: Dialler,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which an accepted link is dropped.
+    pub link_deadline: Duration,
+    /// How long callers keep an address.
+    pub address_keep: Duration,
+    /// The metrics.
+    pub metrics: metrics::EntryMetrics,
+    /// True while the entry takes new work.
+    pub ready: Arc<AtomicBool>,
+}
 
 /// EntryActor owns the core and what it needs of I/O.
 pub struct EntryActor {
     world: EntryWorld,
-    clock: Clock,
-    incarnation: u64,
+    parts: Parts,
     requests: Map<RequestId, Open>,
     waiting: Map<AttemptNumber, RequestId>,
-    links: Map<String, client::Sender>,
-    dials: Map<String, Dial>,
-    dialler: Dialler,
-    board: Rc<Board>,
-    config: history::History,
-    metrics: metrics::EntryMetrics,
+    links: Links,
+    accepted: Accepted,
+    /// Serials of the links that this entry dialled.
+    serials: Map<Arc<str>, u64>,
+    dials: Map<Arc<str>, Dial>,
 }
 
 impl EntryActor {
     /// Returns an actor without any configuration or link.
-    pub fn new(
-        options: Options,
-        clock: Clock,
-        incarnation: u64,
-        board: Rc<Board>,
-        dialler: Dialler,
-        metrics: metrics::EntryMetrics,
-    ) -> Self {
+    pub fn new(parts: Parts) -> Self {
         Self {
-            world: EntryWorld::new(options),
-            clock,
-            incarnation,
+            world: EntryWorld::new(parts.options.clone()),
+            parts,
             requests: Map::default(),
             waiting: Map::default(),
-            links: Map::default(),
+            links: Links::default(),
+            accepted: Accepted::default(),
+            serials: Map::default(),
             dials: Map::default(),
-            dialler,
-            board,
-            config: history::History::default(),
-            metrics,
         }
     }
 
+    fn now(&self) -> Duration {
+        self.parts.clock.monotonic()
+    }
+
+    fn incarnation(&self) -> u64 {
+        self.parts.membership.own().incarnation
+    }
+
     fn tick(&mut self, events: Vec<Event>) {
         let mut effects = Vec::new();
-        self.world.tick(self.clock.monotonic(), events, &mut effects);
+        self.world.tick(self.now(), events, &mut effects);
         for effect in effects {
             self.carry_out(effect);
         }
@@ -104,7 +117,7 @@
             Effect::Start(start) => self.start(&start),
             Effect::Cancel { attempt, target } => self.cancel(attempt, &target),
             Effect::Refuse { request, refusal } | Effect::Break { request, refusal } => {
-                self.metrics.refused(&refusal);
+                self.parts.metrics.refused(&refusal);
                 if let Some(mut open) = self.requests.remove(&request) {
                     open.relay.refuse(refusal);
                 }
@@ -113,24 +126,22 @@
         }
     }
 
-    fn start(&mut self, start: &events::StartAttempt) {
+    fn start(&mut self, start: &core_events::StartAttempt) {
+        let incarnation = self.incarnation();
         let Some(open) = self.requests.get_mut(&start.request) else { return };
-        self.metrics.attempts.inc();
+        self.parts.metrics.attempts.inc();
         self.waiting.insert(start.attempt, start.request);
         open.relay.begin(start.attempt, &start.target);
         let resume_from = start.resume.then(|| open.relay.tokens());
-        let frame = open.outbound.frame(start, self.incarnation, resume_from);
-        if let Some(tx) = self.links.get(&start.target) {
-            client::send(tx, Kind::StartAttempt(frame));
-        }
+        let frame = open.outbound.frame(start, incarnation, resume_from);
+        self.links.send(&agent_of(&start.target), Kind::StartAttempt(frame));
     }
 
     fn cancel(&mut self, attempt: AttemptNumber, target: &str) {
         self.waiting.remove(&attempt);
-        let id = wire::AttemptId { incarnation: self.incarnation, counter: attempt.0 };
-        if let Some(tx) = self.links.get(target) {
-            client::send(tx, Kind::CancelAttempt(wire::CancelAttempt { id: Some(id) }));
-        }
+        let id = wire::AttemptId { incarnation: self.incarnation(), counter: attempt.0 };
+        let cancel = wire::CancelAttempt { id: Some(id) };
+        self.links.send(&agent_of(target), Kind::CancelAttempt(cancel));
     }
 
     /// Passes a frame of an answer on; the body does not go through the core.
@@ -158,13 +169,14 @@
 
     /// Returns the attempt that a frame is for, where this life of the entry made it.
     fn own_attempt(&self, id: Option<&wire::AttemptId>) -> Option<AttemptNumber> {
-        let id = id.filter(|id| id.incarnation == self.incarnation)?;
+        let id = id.filter(|id| id.incarnation == self.incarnation())?;
         Some(AttemptNumber(id.counter))
     }
 
-    fn frame(&mut self, target: String, kind: Kind) {
+    /// Takes a frame of another process.
+    fn frame(&mut self, process: &Arc<str>, kind: Kind, cx: &mut Context<Self>) {
         match kind {
-            Kind::Heartbeat(heartbeat) => self.heartbeat(target, &heartbeat),
+            Kind::Heartbeat(heartbeat) => self.heartbeat(process, &heartbeat, cx),
             Kind::AnswerHead(head) => {
                 let status = u16::try_from(head.status).unwrap_or_default();
                 let headers = outbound::pairs(head.headers);
@@ -177,97 +189,223 @@
                 relay.end(id, end.pieces, end.length, end.complete)
             }),
             Kind::Refusal(refusal) => self.refusal(&refusal),
-            Kind::ConfigRequest(request) => self.send_config(&target, request.have_revision),
-            Kind::Hello(_)
-            | Kind::StartAttempt(_)
-            | Kind::CancelAttempt(_)
-            | Kind::ConfigState(_) => {}
+            Kind::ConfigRequest(request) => {
+                let event = replica::Event::PeerRequest(Arc::clone(process), request.have_revision);
+                self.config_event(event, cx);
+            }
+            Kind::ConfigState(state) => {
+                self.config_event(replica::Event::PeerState(state), cx);
+            }
+            Kind::Hello(_) | Kind::StartAttempt(_) | Kind::CancelAttempt(_) => {}
         }
     }
 
-    fn heartbeat(&mut self, target: String, heartbeat: &wire::Heartbeat) {
+    fn heartbeat(
+        &mut self,
+        process: &Arc<str>,
+        heartbeat: &wire::Heartbeat,
+        cx: &mut Context<Self>,
+    ) {
+        let Some(member) = self.links.member(process).cloned() else { return };
+        let now = self.now();
+        let moved = self.parts.membership.hear(&member, heartbeat, &self.links, now);
+        if member.role() == wire::Role::Agent {
+            self.agent_reported(member.name, heartbeat);
+        }
+        self.after_config(moved, cx);
+    }
+
+    fn agent_reported(&mut self, target: String, heartbeat: &wire::Heartbeat) {
         let mut events = Vec::new();
         if !heartbeat.fingerprints.is_empty() {
-            events.push(Event::CrashesHeard(links::crash_reports(heartbeat)));
+            events.push(Event::CrashesHeard(frames::crash_reports(heartbeat)));
+        }
+        if heartbeat.load.is_some() {
+            let report = frames::target_report(heartbeat);
+            events.push(Event::Heartbeat { target, report });
         }
-        events.push(Event::Heartbeat { target, report: links::target_report(heartbeat) });
         self.tick(events);
     }
 
     fn refusal(&mut self, refusal: &wire::Refusal) {
         let Some(attempt) = self.own_attempt(refusal.id.as_ref()) else { return };
         self.waiting.remove(&attempt);
-        self.tick(links::refused(refusal).into_iter().collect());
+        self.tick(frames::refused(refusal).into_iter().collect());
+    }
+
+    fn config_event(&mut self, event: replica::Event, cx: &mut Context<Self>) {
+        let now = self.now();
+        let moved = self.parts.membership.handle(event, &self.links, now);
+        self.after_config(moved, cx);
     }
 
-    fn send_config(&self, target: &str, have_revision: u64) {
-        let Some(answer) = self.config.answer(have_revision) else { return };
-        if let Some(tx) = self.links.get(target) {
-            client::send(tx, Kind::ConfigState(answer));
+    /// Lets the core know what changed in the configuration or in how long it may be relied on.
+    fn after_config(&mut self, moved: bool, cx: &mut Context<Self>) {
+        if moved {
+            self.put_in_force(cx);
+        }
+        let until = self.parts.membership.may_serve_until(self.now());
+        if until != self.world.tables.serves_until {
+            self.parts.ready.store(until > self.now(), Ordering::Relaxed);
+            self.tick(vec![Event::MayServeUntil(until)]);
         }
     }
 
-    /// Puts the configuration that was just taken over in force here.
     fn put_in_force(&mut self, cx: &mut Context<Self>) {
-        self.board.revision.set(self.config.revision());
-        let view = Arc::new(view::View::new(self.config.state()));
+        let view = Arc::new(view::View::new(self.parts.membership.state()));
+        events::log(events::CONFIG_IN_FORCE, format_args!("revision={}", view.revision()));
         self.tick(vec![Event::ConfigChanged(Arc::clone(&view))]);
-        if self.world.tables.serving == ServingState::StaleConfig {
-            self.tick(vec![Event::Serving(ServingState::Serving)]);
-        }
-        self.redial(&view, cx);
-    }
-
-    /// Links to the agents that the configuration names now, and to no others.
-    fn redial(&mut self, view: &view::View, cx: &mut Context<Self>) {
-        let wanted: Map<String, SocketAddr> = links::wanted(view, &self.world.options.data_centre)
-            .into_iter()
-            .map(|target| (target.name.clone(), target.spec.agent))
-            .collect();
-        let stale = |(name, dial): &(&String, &Dial)| wanted.get(*name) != Some(&dial.address);
-        let dropped: Vec<String> =
-            self.dials.iter().filter(stale).map(|(name, _)| name.clone()).collect();
-        for target in dropped {
-            if let Some(dial) = self.dials.remove(&target) {
+        let targets = links::wanted(&view, &self.parts.options.data_centre);
+        let names = targets.iter().map(|target| target.name.as_str());
+        self.parts.membership.expect_agents(names);
+        let agents = targets.iter().map(|target| (agent_of(&target.name), target.spec.agent));
+        let agents: Map<Arc<str>, SocketAddr> = agents.collect();
+        self.dial_only(&agents, wire::Role::Agent, cx);
+        self.beat();
+    }
+
+    fn dial_peers(&mut self, cx: &mut Context<Self>) {
+        let membership = &self.parts.membership;
+        let own = membership.own();
+        let peers = links::dialled_peers(&own.name, &own.data_centre, membership.peers());
+        let name = |peer: &Peer| codec::process_name(wire::Role::Entry, &peer.name);
+        let peers = peers.into_iter().map(|peer| (name(peer), peer.link)).collect();
+        self.dial_only(&peers, wire::Role::Entry, cx);
+    }
+
+    /// Keeps links to these processes of a role, and to no others of it.
+    fn dial_only(
+        &mut self,
+        wanted: &Map<Arc<str>, SocketAddr>,
+        role: wire::Role,
+        cx: &mut Context<Self>,
+    ) {
+        let prefix = codec::process_name(role, "");
+        let is_dropped = |(process, dial): &(&Arc<str>, &Dial)| {
+            process.starts_with(&*prefix) && wanted.get(*process) != Some(&dial.address)
+        };
+        let dropped: Vec<Arc<str>> =
+            self.dials.iter().filter(is_dropped).map(|(process, _)| Arc::clone(process)).collect();
+        for process in dropped {
+            if let Some(dial) = self.dials.remove(&process) {
                 dial.task.abort();
             }
-            self.lose_link(target, "the configuration no longer names it");
+            self.lose_dialled(&process, "the configuration no longer names it");
         }
-        for (target, address) in wanted {
-            let dial = || Dial { address, task: (self.dialler)(&target, address, cx.address()) };
-            self.dials.entry(target.clone()).or_insert_with(dial);
+        for (process, address) in wanted {
+            if !self.dials.contains_key(process) {
+                let task = (self.parts.dialler)(process, *address, cx.address());
+                self.dials.insert(Arc::clone(process), Dial { address: *address, task });
+            }
         }
     }
 
-    fn link_up(&mut self, target: String, hello: &wire::Hello, tx: client::Sender) {
-        let incarnation = hello.member.as_ref().map_or(0, |member| member.incarnation);
-        telemetry::events::log(
-            telemetry::events::LINK_UP,
-            format_args!("target={target} incarnation={incarnation:x}"),
-        );
-        self.links.insert(target.clone(), tx);
-        let heartbeat = hello.heartbeat.clone().unwrap_or_default();
-        self.tick(vec![Event::LinkUp { target: target.clone(), incarnation }]);
-        self.heartbeat(target, &heartbeat);
+    fn link_up(
+        &mut self,
+        process: &Arc<str>,
+        hello: &wire::Hello,
+        send: SendFrame,
+        cx: &mut Context<Self>,
+    ) -> Option<u64> {
+        let member = hello.member.clone().unwrap_or_default();
+        if codec::name_of(&member) != *process {
+            let details = format_args!("expected={process} found={}", codec::name_of(&member));
+            events::log(events::LINK_MISMATCH, details);
+            return None;
+        }
+        events::log(events::LINK_UP, format_args!("process={process}"));
+        let (role, name, incarnation) = (member.role(), member.name.clone(), member.incarnation);
+        let serial = self.links.up(Arc::clone(process), member, send);
+        if role == wire::Role::Agent {
+            self.tick(vec![Event::LinkUp { target: name, incarnation }]);
+        }
+        if let Some(heartbeat) = &hello.heartbeat {
+            self.heartbeat(process, heartbeat, cx);
+        }
+        self.beat();
+        Some(serial)
     }
 
-    fn lose_link(&mut self, target: String, cause: &str) {
-        if self.links.remove(&target).is_none() {
+    fn link_down(&mut self, process: &Arc<str>, serial: u64, cause: &str) {
+        let Some(member) = self.links.member(process).cloned() else { return };
+        if !self.links.down(process, serial) {
             return;
         }
-        telemetry::events::log(
-            telemetry::events::LINK_DOWN,
-            format_args!("target={target} cause={cause}"),
-        );
-        self.tick(vec![Event::LinkDown { target }]);
+        events::log(events::LINK_DOWN, format_args!("process={process} cause={cause}"));
+        match member.role() {
+            wire::Role::Agent => self.tick(vec![Event::LinkDown { target: member.name }]),
+            wire::Role::Entry => self.parts.membership.disconnected(&member.name),
+            wire::Role::Unspecified => {}
+        }
+    }
+
+    fn lose_dialled(&mut self, process: &Arc<str>, cause: &str) {
+        if let Some(serial) = self.serials.remove(process) {
+            self.link_down(process, serial, cause);
+        }
+    }
+
+    fn accepted(&mut self, event: server::LinkEvent, cx: &mut Context<Self>) {
+        let now = self.now();
+        match event {
+            server::LinkEvent::Opened { link, sender } => {
+                let member = Some(self.parts.membership.own().clone());
+                let hello = wire::Hello { member, heartbeat: None };
+                self.accepted.open(link, sender, now, hello);
+            }
+            server::LinkEvent::Frame { link, kind } => match *kind {
+                Kind::Hello(hello) => {
+                    let process = codec::name_of(&hello.member.clone().unwrap_or_default());
+                    let Some(send) = self.accepted.send_on(link) else { return };
+                    let serial = self.link_up(&process, &hello, send, cx);
+                    self.accepted.name(link, process, serial);
+                }
+                kind => {
+                    if let Some(process) = self.accepted.heard(link, now) {
+                        self.frame(&process, kind, cx);
+                    }
+                }
+            },
+            server::LinkEvent::Closed(link) => self.drop_accepted(link, "closed"),
+        }
+    }
+
+    fn drop_accepted(&mut self, link: server::LinkId, cause: &str) {
+        if let Some((process, serial)) = self.accepted.close(link) {
+            self.link_down(&process, serial, cause);
+        }
+    }
+
+    fn beat(&mut self) {
+        let now = self.now();
+        let load = u32::try_from(self.world.open_requests()).unwrap_or(u32::MAX);
+        self.parts.membership.beat(load, &self.links, now);
+    }
+
+    fn tick_membership(&mut self, cx: &mut Context<Self>) {
+        let now = self.now();
+        let silent_since = now.saturating_sub(self.parts.link_deadline);
+        for link in self.accepted.silent_since(silent_since) {
+            self.drop_accepted(link, "silent");
+        }
+        let moved = self.parts.membership.tick(&self.links, now);
+        self.after_config(moved, cx);
     }
 }
 
+/// Returns the process name of the agent before a target.
+fn agent_of(target: &str) -> Arc<str> {
+    codec::process_name(wire::Role::Agent, target)
+}
+
 impl Actor for EntryActor {
     type Context = Context<Self>;
 
     fn started(&mut self, cx: &mut Self::Context) {
         cx.run_interval(BEAT, |actor, _| actor.tick(Vec::new()));
+        cx.run_interval(MEMBERSHIP_BEAT, |actor, cx| actor.tick_membership(cx));
+        cx.run_interval(self.parts.heartbeat, |actor, _| actor.beat());
+        self.dial_peers(cx);
     }
 }
 
@@ -288,7 +426,7 @@
 
     fn handle(&mut self, message: Submit, _: &mut Self::Context) {
         let Submit { request, outbound, tx } = message;
-        self.metrics.requests.inc();
+        self.parts.metrics.requests.inc();
         let open = Open { relay: relay::Relay::new(tx), outbound };
         self.requests.insert(request.id, open);
         self.tick(vec![Event::Submitted(request)]);
@@ -308,63 +446,88 @@
     }
 }
 
-/// TargetLink is something that happened on the link to a target's agent.
+/// Dialled is something that happened on a link that this entry dialled.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct TargetLink {
-    /// The target.
-    pub target: String,
+pub struct Dialled {
+    /// The process that was dialled.
+    pub process: Arc<str>,
     /// What happened.
-    pub event: LinkEvent,
+    pub event: client::LinkEvent,
 }
 
-impl Handler<TargetLink> for EntryActor {
+impl Handler<Dialled> for EntryActor {
     type Result = ();
 
-    fn handle(&mut self, message: TargetLink, _: &mut Self::Context) {
-        let TargetLink { target, event } = message;
+    fn handle(&mut self, message: Dialled, cx: &mut Self::Context) {
+        let Dialled { process, event } = message;
         match event {
-            LinkEvent::Up { hello, tx } => self.link_up(target, &hello, tx),
-            LinkEvent::Frame(kind) => self.frame(target, kind),
-            LinkEvent::Down(error) => self.lose_link(target, &error.to_string()),
+            client::LinkEvent::Up { hello, tx } => {
+                let send: SendFrame = Box::new(move |kind| client::send(&tx, kind));
+                if let Some(serial) = self.link_up(&process, &hello, send, cx) {
+                    self.serials.insert(process, serial);
+                }
+            }
+            client::LinkEvent::Frame(kind) => self.frame(&process, kind, cx),
+            client::LinkEvent::Down(error) => self.lose_dialled(&process, &error.to_string()),
         }
     }
 }
 
-/// ConfigFeed is what the store said of the configuration.
-#[derive(Debug, Message)]
+/// OnLink is something that happened on a link that this entry accepted.
+#[derive(Message)]
 #[rtype(result = "()")]
-pub enum ConfigFeed {
-    /// The whole configuration.
-    Whole(store::Range),
-    /// What changed since the last feed.
-    Changed(state::Delta),
-}
+pub struct OnLink(pub server::LinkEvent);
 
-impl Handler<ConfigFeed> for EntryActor {
+impl Handler<OnLink> for EntryActor {
     type Result = ();
 
-    fn handle(&mut self, message: ConfigFeed, cx: &mut Self::Context) {
-        let moved = match message {
-            ConfigFeed::Whole(range) => self.config.replace(&range),
-            ConfigFeed::Changed(delta) => self.config.apply_delta(&delta),
-        };
-        if moved.is_ok() {
-            self.put_in_force(cx);
-        }
+    fn handle(&mut self, message: OnLink, cx: &mut Self::Context) {
+        self.accepted(message.0, cx);
     }
 }
 
-/// SetServing tells the core whether to take new work.
+/// ConfigEvent is what the key-value service answered.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct SetServing(pub ServingState);
+pub struct ConfigEvent(pub replica::Event);
 
-impl Handler<SetServing> for EntryActor {
+impl Handler<ConfigEvent> for EntryActor {
     type Result = ();
 
-    fn handle(&mut self, message: SetServing, _: &mut Self::Context) {
-        self.board.draining.set(message.0 == ServingState::Draining);
-        self.tick(vec![Event::Serving(message.0)]);
+    fn handle(&mut self, message: ConfigEvent, cx: &mut Self::Context) {
+        self.config_event(message.0, cx);
+    }
+}
+
+/// AskAddresses asks which entries a caller should use.
+#[derive(Message)]
+#[rtype(result = "Vec<Address>")]
+pub struct AskAddresses {
+    /// The caller's hash.
+    pub caller: u64,
+}
+
+impl Handler<AskAddresses> for EntryActor {
+    type Result = Vec<Address>;
+
+    fn handle(&mut self, message: AskAddresses, _: &mut Self::Context) -> Vec<Address> {
+        self.parts.membership.addresses(message.caller, self.parts.address_keep, self.now())
+    }
+}
+
+/// Leave begins a planned stop; the answer is how long callers may still come.
+#[derive(Message)]
+#[rtype(result = "Duration")]
+pub struct Leave;
+
+impl Handler<Leave> for EntryActor {
+    type Result = MessageResult<Leave>;
+
+    fn handle(&mut self, _: Leave, _: &mut Self::Context) -> Self::Result {
+        let (keep, now) = (self.parts.address_keep, self.now());
+        let left = self.parts.membership.leave(keep, now);
+        self.beat();
+        MessageResult(left)
     }
 }
--- a/src/entry/addresses.rs
+++ b/src/entry/addresses.rs
@@ -1,37 +1,21 @@
 //! Tells callers which entries to use, and for how long.
 
-use std::net::SocketAddr;
-
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use serde::Serialize;
 
-use crate::settings::entry::EntrySettings;
-
-/// Addresses is what this entry hands out.
-#[derive(Clone, Debug)]
-pub struct Addresses {
-    entries: Vec<SocketAddr>,
-    keep_ms: u64,
-}
-
-impl Addresses {
-    /// Hands out this entry and its peers.
-    pub fn from_settings(settings: &EntrySettings) -> Self {
-        let peers = settings.peers.iter().map(|peer| peer.address);
-        let entries = std::iter::once(settings.listen).chain(peers).collect();
-        Self { entries, keep_ms: settings.address_keep_ms }
-    }
-}
+use crate::entry::{actor, caller_api, membership};
 
 #[derive(Serialize)]
-struct Answer<'a> {
-    addresses: Vec<Address<'a>>,
-    keep_ms: u64,
+struct Answer {
+    addresses: Vec<Address>,
 }
 
 #[derive(Serialize)]
-struct Address<'a> {
-    address: &'a SocketAddr,
+struct Address {
+    address: String,
+    entry: String,
+    data_centre: String,
+    keep_ms: u128,
 }
 
 /// Adds the address route.
@@ -39,7 +23,17 @@
     cfg.route("/v1/addresses", web::get().to(addresses));
 }
 
-async fn addresses(addresses: web::Data<Addresses>) -> HttpResponse {
-    let entries = addresses.entries.iter().map(|address| Address { address }).collect();
-    HttpResponse::Ok().json(Answer { addresses: entries, keep_ms: addresses.keep_ms })
+async fn addresses(api: web::Data<caller_api::CallerApi>, req: HttpRequest) -> HttpResponse {
+    let caller = membership::caller_hash(req.peer_addr());
+    let chosen = api.actor.send(actor::AskAddresses { caller }).await.unwrap_or_default();
+    let addresses = chosen
+        .into_iter()
+        .map(|chosen| Address {
+            address: chosen.address,
+            entry: chosen.name,
+            data_centre: chosen.data_centre,
+            keep_ms: chosen.keep.as_millis(),
+        })
+        .collect();
+    HttpResponse::Ok().json(Answer { addresses })
 }
--- a/src/entry/core/admission.rs
+++ b/src/entry/core/admission.rs
@@ -6,7 +6,7 @@
 
 use crate::config::view;
 use crate::entry::core::events::{
-    AttemptFailure, Effect, Executed, NewRequest, Refusal, RefusalReason, Route, ServingState,
+    AttemptFailure, Effect, Executed, NewRequest, Refusal, RefusalReason, Route,
 };
 use crate::entry::core::tables::{ClaimKey, Request, RequestId};
 use crate::entry::core::{EntryWorld, crashes, retry, routing};
@@ -14,8 +14,8 @@
 
 /// When a customer with too many requests in flight should come back.
 const IN_FLIGHT_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// When to come back to an entry that is stopping or has no current configuration; the caller
-/// should ask another entry at once.
+/// When to come back to an entry that has no current configuration; the caller should ask another
+/// entry at once.
 const NOT_SERVING_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The methods that HTTP itself calls safe.
 const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
@@ -50,7 +50,7 @@
 }
 
 fn admit(world: &EntryWorld, now: Duration, request: NewRequest) -> Result<Request, Refusal> {
-    if world.tables.serving != ServingState::Serving {
+    if now >= world.tables.serves_until {
         return Err(not_run(RefusalReason::NotServing, Some(NOT_SERVING_RETRY_AFTER)));
     }
     let view = &world.tables.view;
--- a/src/entry/core/events.rs
+++ b/src/entry/core/events.rs
@@ -54,8 +54,8 @@
     },
     /// Crash counts that another process knows of.
     CrashesHeard(Vec<CrashReport>),
-    /// This entry begins or ends refusing new work.
-    Serving(ServingState),
+    /// The configuration allows this entry to take new work until then.
+    MayServeUntil(Duration),
 }
 
 /// NewRequest is one call of a caller, as far as decisions need it.
@@ -126,17 +126,6 @@
     pub ttl: Duration,
 }
 
-/// ServingState tells whether this entry takes new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ServingState {
-    /// It does.
-    Serving,
-    /// It has not yet heard any configuration, or none for too long.
-    StaleConfig,
-    /// It is stopping.
-    Draining,
-}
-
 /// AttemptFailure is why one attempt got no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptFailure {
@@ -196,7 +185,7 @@
     TooManyInFlight,
     /// No target takes the request now.
     NoTarget,
-    /// This entry is stopping or has no current configuration.
+    /// This entry has no current configuration.
     NotServing,
     /// The last attempt failed so.
     Attempt(AttemptFailure),
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::collections::Map;
 use crate::config::view;
-use events::{Effect, Event, ServingState};
+use events::{Effect, Event};
 use tables::{AttemptNumber, RequestId, Tables};
 
 /// Options are the limits of the entry's core.
@@ -85,7 +85,7 @@
     pub fn new(options: Options) -> Self {
         let tables = Tables {
             view: Arc::new(view::View::default()),
-            serving: ServingState::StaleConfig,
+            serves_until: Duration::ZERO,
             requests: Map::default(),
             attempts: Map::default(),
             targets: Map::default(),
@@ -121,7 +121,7 @@
             Event::Submitted(request) => admission::submit(self, now, request, effects),
             Event::CallerGone(request) => self.abandon(request, effects),
             Event::ConfigChanged(view) => targets::reconfigure(&mut self.tables, view),
-            Event::Serving(state) => self.tables.serving = state,
+            Event::MayServeUntil(until) => self.tables.serves_until = until,
             Event::LinkUp { target, incarnation } => {
                 targets::link_up(&mut self.tables, now, &target, incarnation);
             }
--- a/src/entry/core/tables.rs
+++ b/src/entry/core/tables.rs
@@ -5,7 +5,7 @@
 
 use crate::collections::{Map, Set};
 use crate::config::view;
-use crate::entry::core::events::{NewRequest, ServingState, TargetReport};
+use crate::entry::core::events::{NewRequest, TargetReport};
 
 /// RequestId is the entry's own number for a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -92,8 +92,8 @@
 pub struct Tables {
     /// The configuration in force.
     pub view: Arc<view::View>,
-    /// Whether new work is taken.
-    pub serving: ServingState,
+    /// Until when new work is taken; a process that was paused finds it in the past.
+    pub serves_until: Duration,
     /// Requests that have no final answer.
     pub requests: Map<RequestId, Request>,
     /// Attempts that are under way.
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -1,37 +1,40 @@
 //! Wires the entry: actor, links, HTTP servers and the graceful stop.
 
+use std::future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::result;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Duration;
-use std::{io, result};
 
-use actix::{Actor as _, Addr};
-use actix_web::dev::{Server, ServerHandle};
+use actix::{Addr, AsyncContext as _, Context};
+use actix_web::dev::Server;
 use actix_web::{App, HttpServer, web};
 use prometheus::Registry;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
 
 use crate::clock::Clock;
+use crate::config::{codec, options as config_options, replica};
 use crate::daemon::signals;
 use crate::entry::core::Options;
-use crate::entry::{actor, addresses, caller_api, config_reader, metrics, operator_api};
+use crate::entry::membership::{self, Membership};
+use crate::entry::{actor, addresses, caller_api, config_source, force, metrics, operator_api};
+use crate::members::table;
 use crate::platform::store;
-use crate::resources::status;
 use crate::settings::entry::EntrySettings;
 use crate::telemetry::{admin, events, logs};
-use crate::wire::client;
-use crate::{settings, wire};
+use crate::wire;
+use crate::wire::{client, server};
 
 /// The result of running an entry.
 pub type Result<T> = result::Result<T, EntryError>;
 
 /// How long requests in progress may take to end once the server stops; longer than any deadline.
 const SHUTDOWN_SECONDS: u64 = 3_600;
-/// How long the word that an entry is leaving may take to reach the others.
-const LEAVING_SPREAD: Duration = Duration::from_secs(2);
 
 /// EntryError is why an entry cannot run.
 #[derive(Debug, thiserror::Error)]
@@ -51,6 +54,9 @@
         #[source]
         source: io::Error,
     },
+    /// Links cannot be served.
+    #[error(transparent)]
+    Links(#[from] server::ServeError),
     /// A server ended by itself.
     #[error("An HTTP server of the entry ended.")]
     Server(#[source] io::Error),
@@ -66,31 +72,16 @@
 /// Returns an [`EntryError`] where it cannot start.
 pub async fn run(settings: EntrySettings) -> Result<()> {
     logs::start(&settings.log)?;
-    let settings = Arc::new(settings);
     let clock = Clock::system();
-    let incarnation: u64 = rand::random();
     let registry = Registry::new();
+    let ready = Arc::new(AtomicBool::new(false));
+    let board = force::Board::default();
     let metrics = metrics::EntryMetrics::register(&registry)?;
-    let board = Rc::new(actor::Board::default());
-    let options = Options {
-        data_centre: settings.data_centre.clone(),
-        seed: incarnation,
-        ..Options::default()
-    };
-    let dialler = dialler(Arc::clone(&settings), Rc::clone(&board), incarnation);
-    let actor = actor::EntryActor::new(
-        options,
-        clock.clone(),
-        incarnation,
-        Rc::clone(&board),
-        dialler,
-        metrics,
-    )
-    .start();
-    let store = store::Store::new(settings.store.options());
-    let reader = actix_rt::spawn(config_reader::run(store, actor.clone()));
-    let ready = Arc::new(AtomicBool::new(true));
-    let callers = serve_callers(&settings, &actor, &clock)?;
+    let actor = start_actor(&settings, &clock, &board, metrics, &ready);
+    let links = serve_links(&settings, &actor).await?;
+    let (stopping, stop_seen) = watch::channel(false);
+    let operators = operator_options(&settings, &clock, board, stop_seen);
+    let callers = serve_callers(&settings, &actor, operators)?;
     let admin = serve_admin(&settings, &registry, &ready)?;
     let (callers_handle, admin_handle) = (callers.handle(), admin.handle());
     let callers = actix_rt::spawn(callers);
@@ -101,23 +92,113 @@
     );
     let signal = signals::stop_requested().await?;
     events::log(events::STOP_STARTED, format_args!("signal={signal}"));
-    ready.store(false, Ordering::Relaxed);
-    leave(&settings, &board, &callers_handle).await;
-    reader.abort();
+    leave(&actor).await;
+    // Watches of operators would hold the stop up.
+    stopping.send_replace(true);
+    callers_handle.stop(true).await;
     admin_handle.stop(false).await;
+    links.abort();
     finish(callers).await?;
     finish(admin).await?;
     events::log(events::STOP_FINISHED, format_args!("entry={}", settings.name));
     Ok(())
 }
 
-/// Serves on until no caller can still hold an address answer that names this entry, then ends
-/// what is in progress.
-async fn leave(settings: &EntrySettings, board: &actor::Board, callers: &ServerHandle) {
-    board.draining.set(true);
-    let keep = Duration::from_millis(settings.address_keep_ms);
-    time::sleep(keep + LEAVING_SPREAD.min(keep)).await;
-    callers.stop(true).await;
+/// Serves on until no caller can still hold an address answer that names this entry.
+async fn leave(actor: &Addr<actor::EntryActor>) {
+    let left = actor.send(actor::Leave).await.unwrap_or_default();
+    time::sleep(left).await;
+}
+
+fn start_actor(
+    settings: &EntrySettings,
+    clock: &Clock,
+    board: &force::Board,
+    metrics: metrics::EntryMetrics,
+    ready: &Arc<AtomicBool>,
+) -> Addr<actor::EntryActor> {
+    let own = member(settings);
+    let options = Options {
+        data_centre: settings.data_centre.clone(),
+        seed: own.incarnation,
+        ..Options::default()
+    };
+    let cx = Context::new();
+    let membership = membership(settings, own.clone(), clock, board, cx.address());
+    let parts = actor::Parts {
+        options,
+        clock: clock.clone(),
+        membership,
+        dialler: dialler(own, settings.link_deadline()),
+        heartbeat: settings.heartbeat(),
+        link_deadline: settings.link_deadline(),
+        address_keep: Duration::from_millis(settings.address_keep_ms),
+        metrics,
+        ready: Arc::clone(ready),
+    };
+    cx.run(actor::EntryActor::new(parts))
+}
+
+fn membership(
+    settings: &EntrySettings,
+    own: wire::Member,
+    clock: &Clock,
+    board: &force::Board,
+    actor: Addr<actor::EntryActor>,
+) -> Membership {
+    let name = codec::name_of(&own);
+    let freshness = Duration::from_millis(settings.freshness_ms);
+    let timing = config_options::Timing::from_links(
+        settings.heartbeat(),
+        settings.link_deadline(),
+        freshness,
+    );
+    let (data_centre, seed) = (&settings.data_centre, own.incarnation);
+    let options = config_options::Options::new(&name, data_centre, true, seed, timing);
+    let report = Rc::new(move |event| actor.do_send(actor::ConfigEvent(event)));
+    let store = store::Store::new(settings.store.options());
+    Membership::new(membership::Parts {
+        own,
+        replica: replica::Replica::new(options, clock.monotonic()),
+        timing: member_timing(settings),
+        source: config_source::ConfigSource::new(store, report),
+        board: board.clone(),
+        peers: settings.peers.clone(),
+    })
+}
+
+fn member_timing(settings: &EntrySettings) -> table::Timing {
+    let suspect_after = settings.link_deadline();
+    table::Timing { suspect_after, dead_after: suspect_after * 2, ..table::Timing::SMALL }
+}
+
+async fn serve_links(
+    settings: &EntrySettings,
+    actor: &Addr<actor::EntryActor>,
+) -> Result<JoinHandle<()>> {
+    let listener = server::listen(settings.link_listen).await?;
+    let actor = actor.clone();
+    let handler: server::Handler = Arc::new(move |event| actor.do_send(actor::OnLink(event)));
+    Ok(actix_rt::spawn(async move {
+        if let Err(error) = server::serve(listener, handler, future::pending()).await {
+            events::log(events::LINK_SERVER_ENDED, format_args!("cause={error}"));
+        }
+    }))
+}
+
+fn operator_options(
+    settings: &EntrySettings,
+    clock: &Clock,
+    board: force::Board,
+    stopping: watch::Receiver<bool>,
+) -> operator_api::Options {
+    operator_api::Options {
+        store: settings.store.options(),
+        settings: settings.operator_api.clone(),
+        clock: clock.clone(),
+        status: Arc::new(move |kind, name, version| board.status(kind, name, version)),
+        stopping,
+    }
 }
 
 async fn finish(server: JoinHandle<io::Result<()>>) -> Result<()> {
@@ -130,25 +211,17 @@
 fn serve_callers(
     settings: &EntrySettings,
     actor: &Addr<actor::EntryActor>,
-    clock: &Clock,
+    operators: operator_api::Options,
 ) -> Result<Server> {
-    let operators = operator_api::Options {
-        store: settings.store.options(),
-        settings: settings.operator_api.clone(),
-        clock: clock.clone(),
-        status: Arc::new(|_, _, _| status::Status::default()),
-    };
     let api = caller_api::CallerApi {
         entry: settings.name.clone(),
         actor: actor.clone(),
         next_request: Arc::new(AtomicU64::new(0)),
         max_body_bytes: settings.max_body_bytes,
     };
-    let addresses = addresses::Addresses::from_settings(settings);
     let app = move || {
         App::new()
             .app_data(web::Data::new(api.clone()))
-            .app_data(web::Data::new(addresses.clone()))
             .configure(caller_api::configure)
             .configure(addresses::configure)
             .configure(|cfg| operator_api::configure(cfg, &operators))
@@ -175,48 +248,24 @@
     Ok(server.map_err(|source| EntryError::Listen { address, source })?.run())
 }
 
-/// Returns what starts the task that keeps the link to one agent.
-fn dialler(
-    settings: Arc<settings::entry::EntrySettings>,
-    board: Rc<actor::Board>,
-    incarnation: u64,
-) -> actor::Dialler {
-    Box::new(move |target, address, actor| {
-        let (member, hello_board) = (member(&settings, incarnation), Rc::clone(&board));
-        let board = Rc::clone(&board);
-        let dialer = client::Dialer {
-            address,
-            hello: Box::new(move || wire::Hello {
-                member: Some(member.clone()),
-                heartbeat: Some(heartbeat(&hello_board)),
-            }),
-            heartbeat: Box::new(move || heartbeat(&board)),
-            interval: settings.heartbeat(),
-            deadline: settings.link_deadline(),
-        };
-        let target = target.to_owned();
+/// Returns what starts the task that keeps the link to one process.
+fn dialler(own: wire::Member, deadline: Duration) -> actor::Dialler {
+    Box::new(move |process, address, actor| {
+        let dialer = client::Dialer { address, own: own.clone(), deadline };
+        let process = Arc::clone(process);
         actix_rt::spawn(client::keep_linked(dialer, move |event| {
-            actor.do_send(actor::TargetLink { target: target.clone(), event });
+            actor.do_send(actor::Dialled { process: Arc::clone(&process), event });
         }))
     })
 }
 
-fn member(settings: &EntrySettings, incarnation: u64) -> wire::Member {
+fn member(settings: &EntrySettings) -> wire::Member {
     wire::Member {
         name: settings.name.clone(),
-        incarnation,
+        incarnation: rand::random(),
         role: wire::Role::Entry.into(),
         data_centre: settings.data_centre.clone(),
         address: settings.listen.to_string(),
         region: settings.region.clone(),
     }
 }
-
-fn heartbeat(board: &actor::Board) -> wire::Heartbeat {
-    wire::Heartbeat {
-        config_revision: board.revision.get(),
-        draining: board.draining.get(),
-        config_age_ms: board.config_age_ms.get(),
-        ..wire::Heartbeat::default()
-    }
-}
--- /dev/null
+++ b/src/entry/frames.rs
@@ -0,0 +1,69 @@
+//! Turns agents' frames into events of the core.
+
+use std::time::Duration;
+
+use crate::entry::core::events::{AttemptFailure, CrashReport, Event, Executed, TargetReport};
+use crate::entry::core::tables::AttemptNumber;
+use crate::wire;
+
+/// Returns what an agent's heartbeat says of its target.
+pub fn target_report(heartbeat: &wire::Heartbeat) -> TargetReport {
+    let load = heartbeat.load.unwrap_or_default();
+    TargetReport {
+        running: load.running,
+        queued: load.queued,
+        slots: load.slots,
+        draining: heartbeat.draining,
+        healthy: load.target_healthy,
+    }
+}
+
+/// Returns what a heartbeat says of crashing requests.
+pub fn crash_reports(heartbeat: &wire::Heartbeat) -> Vec<CrashReport> {
+    let report = |known: &wire::Fingerprint| CrashReport {
+        fingerprint: known.hash,
+        crash_ids: known.crash_ids.clone(),
+        ttl: Duration::from_millis(known.ttl_ms),
+    };
+    heartbeat.fingerprints.iter().map(report).collect()
+}
+
+/// Returns the core's event for an agent's refusal; none where it names no attempt.
+pub fn refused(refusal: &wire::Refusal) -> Option<Event> {
+    let attempt = AttemptNumber(refusal.id.as_ref()?.counter);
+    let retry_after =
+        (refusal.retry_after_ms > 0).then(|| Duration::from_millis(refusal.retry_after_ms));
+    Some(Event::Refused {
+        attempt,
+        cause: failure(refusal.reason()),
+        executed: executed(refusal.executed()),
+        retry_after,
+    })
+}
+
+fn executed(executed: wire::Executed) -> Executed {
+    match executed {
+        wire::Executed::No => Executed::No,
+        wire::Executed::Yes => Executed::Yes,
+        wire::Executed::Unknown | wire::Executed::Unspecified => Executed::Unknown,
+    }
+}
+
+fn failure(reason: wire::RefusalReason) -> AttemptFailure {
+    match reason {
+        wire::RefusalReason::Draining => AttemptFailure::Draining,
+        wire::RefusalReason::Overloaded => AttemptFailure::Overloaded,
+        wire::RefusalReason::Deadline => AttemptFailure::Deadline,
+        wire::RefusalReason::StoreUnavailable => AttemptFailure::StoreUnavailable,
+        wire::RefusalReason::OutcomeUnknown => AttemptFailure::OutcomeUnknown,
+        wire::RefusalReason::StaleConfig => AttemptFailure::StaleConfig,
+        wire::RefusalReason::Fingerprint => AttemptFailure::CrashingRequest,
+        wire::RefusalReason::Cancelled => AttemptFailure::Cancelled,
+        wire::RefusalReason::TargetUnreachable => AttemptFailure::TargetUnreachable,
+        wire::RefusalReason::TargetCrashed => AttemptFailure::TargetCrashed,
+        wire::RefusalReason::KeyReused => AttemptFailure::KeyReused,
+        wire::RefusalReason::TargetFailed
+        | wire::RefusalReason::NotPermitted
+        | wire::RefusalReason::Unspecified => AttemptFailure::TargetFailed,
+    }
+}
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -1,12 +1,14 @@
-//! Decides which agents an entry links to, and turns their frames into events of the core.
+//! Which processes an entry links to, and the links that are open.
 
-use std::time::Duration;
+use std::sync::Arc;
 
-use crate::collections::Set;
+use xxhash_rust::xxh3;
+
+use crate::collections::{Map, Set};
 use crate::config::view;
-use crate::entry::core::events::{AttemptFailure, CrashReport, Event, Executed, TargetReport};
-use crate::entry::core::tables::AttemptNumber;
+use crate::settings::entry::Peer;
 use crate::wire;
+use crate::wire::frame::Kind;
 
 /// Targets up to which an entry links to all of them; beyond, only to its own data centre's and to
 /// those of services that its data centre lacks.
@@ -24,64 +26,79 @@
     all.iter().filter(|target| near(target) || !near_services.contains(&target.service)).collect()
 }
 
-/// Returns what an agent's heartbeat says of its target.
-pub fn target_report(heartbeat: &wire::Heartbeat) -> TargetReport {
-    let load = heartbeat.load.unwrap_or_default();
-    TargetReport {
-        running: load.running,
-        queued: load.queued,
-        slots: load.slots,
-        draining: heartbeat.draining,
-        healthy: load.target_healthy,
+/// Entries of another data centre that an entry dials.
+const FAR_PEERS: usize = 2;
+
+/// Returns the other entries that this one dials. The lower name dials within a data centre, and
+/// the lower data centre between two of them, so that no pair has two links.
+pub fn dialled_peers<'a>(
+    own_name: &str,
+    own_data_centre: &str,
+    peers: &'a [Peer],
+) -> Vec<&'a Peer> {
+    let near = |peer: &&Peer| peer.data_centre == own_data_centre && peer.name.as_str() > own_name;
+    let mut dialled: Vec<&Peer> = peers.iter().filter(near).collect();
+    let far: Set<&str> = peers.iter().map(|peer| peer.data_centre.as_str()).collect();
+    for data_centre in far.into_iter().filter(|name| *name > own_data_centre) {
+        let mut there: Vec<&Peer> =
+            peers.iter().filter(|peer| peer.data_centre == data_centre).collect();
+        there.sort_by_key(|peer| xxh3::xxh3_64(format!("{own_name} {}", peer.name).as_bytes()));
+        dialled.extend(there.into_iter().take(FAR_PEERS));
     }
+    dialled
 }
 
-/// Returns what a heartbeat says of crashing requests.
-pub fn crash_reports(heartbeat: &wire::Heartbeat) -> Vec<CrashReport> {
-    let report = |known: &wire::Fingerprint| CrashReport {
-        fingerprint: known.hash,
-        crash_ids: known.crash_ids.clone(),
-        ttl: Duration::from_millis(known.ttl_ms),
-    };
-    heartbeat.fingerprints.iter().map(report).collect()
+/// Sends a frame on one link; a link that is gone drops it.
+pub type SendFrame = Box<dyn Fn(Kind)>;
+
+/// Link is one open link.
+pub struct Link {
+    /// The process at its other end.
+    pub member: wire::Member,
+    /// Tells this link from an earlier one to the same process.
+    pub serial: u64,
+    send: SendFrame,
 }
 
-/// Returns the core's event for an agent's refusal; none where it names no attempt.
-pub fn refused(refusal: &wire::Refusal) -> Option<Event> {
-    let attempt = AttemptNumber(refusal.id.as_ref()?.counter);
-    let retry_after =
-        (refusal.retry_after_ms > 0).then(|| Duration::from_millis(refusal.retry_after_ms));
-    Some(Event::Refused {
-        attempt,
-        cause: failure(refusal.reason()),
-        executed: executed(refusal.executed()),
-        retry_after,
-    })
+/// Links is the table of open links by process name.
+#[derive(Default)]
+pub struct Links {
+    rows: Map<Arc<str>, Link>,
+    next_serial: u64,
 }
 
-fn executed(executed: wire::Executed) -> Executed {
-    match executed {
-        wire::Executed::No => Executed::No,
-        wire::Executed::Yes => Executed::Yes,
-        wire::Executed::Unknown | wire::Executed::Unspecified => Executed::Unknown,
+impl Links {
+    /// Adds a link, in place of an earlier one to the same process, and returns its serial.
+    pub fn up(&mut self, process: Arc<str>, member: wire::Member, send: SendFrame) -> u64 {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        self.rows.insert(process, Link { member, serial, send });
+        serial
+    }
+
+    /// Removes a link unless a later one took its place; returns whether it was there.
+    pub fn down(&mut self, process: &str, serial: u64) -> bool {
+        let present = self.rows.get(process).is_some_and(|link| link.serial == serial);
+        if present {
+            self.rows.remove(process);
+        }
+        present
+    }
+
+    /// Sends a frame to a process.
+    pub fn send(&self, process: &str, kind: Kind) {
+        if let Some(link) = self.rows.get(process) {
+            (link.send)(kind);
+        }
+    }
+
+    /// Returns who is at the other end of a link.
+    pub fn member(&self, process: &str) -> Option<&wire::Member> {
+        self.rows.get(process).map(|link| &link.member)
     }
-}
 
-fn failure(reason: wire::RefusalReason) -> AttemptFailure {
-    match reason {
-        wire::RefusalReason::Draining => AttemptFailure::Draining,
-        wire::RefusalReason::Overloaded => AttemptFailure::Overloaded,
-        wire::RefusalReason::Deadline => AttemptFailure::Deadline,
-        wire::RefusalReason::StoreUnavailable => AttemptFailure::StoreUnavailable,
-        wire::RefusalReason::OutcomeUnknown => AttemptFailure::OutcomeUnknown,
-        wire::RefusalReason::StaleConfig => AttemptFailure::StaleConfig,
-        wire::RefusalReason::Fingerprint => AttemptFailure::CrashingRequest,
-        wire::RefusalReason::Cancelled => AttemptFailure::Cancelled,
-        wire::RefusalReason::TargetUnreachable => AttemptFailure::TargetUnreachable,
-        wire::RefusalReason::TargetCrashed => AttemptFailure::TargetCrashed,
-        wire::RefusalReason::KeyReused => AttemptFailure::KeyReused,
-        wire::RefusalReason::TargetFailed
-        | wire::RefusalReason::NotPermitted
-        | wire::RefusalReason::Unspecified => AttemptFailure::TargetFailed,
+    /// Returns the open links.
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Link)> {
+        self.rows.iter()
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,13 +1,17 @@
 //! The daemon of an entry host.
 
+pub mod accepted;
 pub mod actor;
 pub mod addresses;
 pub mod caller_api;
 pub mod chat;
-pub mod config_reader;
+pub mod config_source;
 pub mod core;
 pub mod daemon;
+pub mod force;
+pub mod frames;
 pub mod links;
+pub mod membership;
 pub mod metrics;
 pub mod operator_api;
 pub mod outbound;
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -62,6 +62,8 @@
 pub struct Peer {
     /// Its host's name.
     pub name: String,
+    /// The data centre that it stands in.
+    pub data_centre: String,
     /// Where callers connect to it.
     pub address: SocketAddr,
     /// Where other entries connect to it.
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -41,9 +41,15 @@
 /// A link to an agent is gone.
 pub const LINK_DOWN: LogEvent =
     LogEvent { number: 1002, severity: Severity::Warning, title: "link down" };
-/// The configuration could not be read from the key-value service.
-pub const CONFIG_READ_FAILED: LogEvent =
-    LogEvent { number: 1003, severity: Severity::Warning, title: "configuration not read" };
+/// A newer configuration is in force here.
+pub const CONFIG_IN_FORCE: LogEvent =
+    LogEvent { number: 1003, severity: Severity::Info, title: "configuration in force" };
+/// Another process answers at an address than the one that the configuration names.
+pub const LINK_MISMATCH: LogEvent =
+    LogEvent { number: 1004, severity: Severity::Error, title: "another process answers" };
+/// No more links are accepted.
+pub const LINK_SERVER_ENDED: LogEvent =
+    LogEvent { number: 1005, severity: Severity::Error, title: "link server ended" };
 /// An entry opened a connection.
 pub const LINK_OPENED: LogEvent =
     LogEvent { number: 2001, severity: Severity::Info, title: "entry connected" };
@@ -103,7 +109,9 @@
     STOP_FINISHED,
     LINK_UP,
     LINK_DOWN,
-    CONFIG_READ_FAILED,
+    CONFIG_IN_FORCE,
+    LINK_MISMATCH,
+    LINK_SERVER_ENDED,
     LINK_OPENED,
     LINK_CLOSED,
     LINK_SILENT,
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -1,8 +1,8 @@
 //! Dials one peer and keeps a link to it for as long as it answers heartbeats.
 //!
-//! A connection that went silent looks open for a long time, so each side sends heartbeats inside
-//! the stream and gives the link up after a deadline without any frame; the next dial makes a new
-//! connection (see docs/DESIGN.md).
+//! A connection that went silent looks open for a long time, so the owner of each end sends
+//! heartbeats inside the stream and gives the link up after a deadline without any frame; the next
+//! dial makes a new connection (see docs/DESIGN.md).
 
 use std::net::SocketAddr;
 use std::result;
@@ -100,12 +100,8 @@
 pub struct Dialer {
     /// Where the peer listens.
     pub address: SocketAddr,
-    /// Makes the first frame.
-    pub hello: Box<dyn Fn() -> wire::Hello>,
-    /// Makes the heartbeats.
-    pub heartbeat: Box<dyn Fn() -> wire::Heartbeat>,
-    /// Time between heartbeats.
-    pub interval: Duration,
+    /// Who this process is.
+    pub own: wire::Member,
     /// Silence after which the link is given up.
     pub deadline: Duration,
 }
@@ -134,15 +130,14 @@
 async fn run_link(dialer: &Dialer, mut on_event: impl FnMut(LinkEvent)) -> Result<()> {
     let address = dialer.address;
     let (tx, rx) = mpsc::unbounded_channel();
-    send(&tx, Kind::Hello((dialer.hello)()));
+    let hello = wire::Hello { member: Some(dialer.own.clone()), heartbeat: None };
+    send(&tx, Kind::Hello(hello));
     let mut inbound = open(dialer, rx).await?;
     let first = next_frame(&mut inbound, dialer).await?;
     let Some(Kind::Hello(hello)) = first.kind else {
         return Err(LinkError::NoHello { address });
     };
     on_event(LinkEvent::Up { hello: Box::new(hello), tx: tx.clone() });
-    let mut beat = time::interval(dialer.interval);
-    beat.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut heard = time::Instant::now();
     loop {
         tokio::select! {
@@ -155,7 +150,6 @@
                     on_event(LinkEvent::Frame(kind));
                 }
             }
-            _ = beat.tick() => send(&tx, Kind::Heartbeat((dialer.heartbeat)())),
             () = time::sleep_until(heard + dialer.deadline) => {
                 return Err(LinkError::Silent { address, silence: heard.elapsed() });
             }
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -79,22 +79,13 @@
         self.tx.send(Ok(wire::Frame { kind: Some(kind) })).await.is_ok()
     }
 
-    /// Sends a frame at once, or returns it where the peer reads too slowly or is gone.
-    ///
-    /// # Errors
-    ///
-    /// Returns the frame that was not sent.
-    pub fn try_send(&self, kind: wire::frame::Kind) -> result::Result<(), Box<wire::frame::Kind>> {
-        let sent = self.tx.try_send(Ok(wire::Frame { kind: Some(kind) }));
-        match sent {
-            Ok(()) => Ok(()),
-            Err(
-                mpsc::error::TrySendError::Full(frame) | mpsc::error::TrySendError::Closed(frame),
-            ) => match frame {
-                Ok(wire::Frame { kind: Some(kind) }) => Err(Box::new(kind)),
-                _ => Ok(()),
-            },
-        }
+    /// Sends a frame at once, or from a task of its own where the peer reads slowly.
+    pub fn post(&self, kind: wire::frame::Kind) {
+        let frame = Ok(wire::Frame { kind: Some(kind) });
+        let Err(mpsc::error::TrySendError::Full(frame)) = self.tx.try_send(frame) else { return };
+        let tx = self.tx.clone();
+        // A peer that is gone is told by its own event.
+        tokio::spawn(async move { drop(tx.send(frame).await) });
     }
 }
 
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -233,6 +233,7 @@
     let peer = |index: usize| {
         json!({
             "name": name(index),
+            "data_centre": data_centre(index),
             "address": addresses[3 * index],
             "link": addresses[3 * index + 1],
         })
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -8,8 +8,7 @@
 
 use bitternwall::config::{state, view};
 use bitternwall::entry::core::events::{
-    AttemptFailure, Effect, Event, Executed, NewRequest, Refusal, Route, ServingState,
-    StartAttempt, TargetReport,
+    AttemptFailure, Effect, Event, Executed, NewRequest, Refusal, Route, StartAttempt, TargetReport,
 };
 use bitternwall::entry::core::tables::{AttemptNumber, RequestId};
 use bitternwall::entry::core::{EntryWorld, Options};
@@ -83,7 +82,7 @@
             events: Vec::new(),
         };
         let view = Arc::new(view(targets));
-        let mut events = vec![Event::ConfigChanged(view), Event::Serving(ServingState::Serving)];
+        let mut events = vec![Event::ConfigChanged(view), Event::MayServeUntil(Duration::MAX)];
         for index in 0..targets {
             for service in ["llm", "desk"] {
                 events.extend(link_up(&format!("{service}-{index}")));
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -41,7 +41,8 @@
         let address = fleet.entry(index).to_string();
         assert!(listed.iter().any(|entry| entry["address"] == address), "{document}");
     }
-    assert!(document["keep_ms"].as_u64().is_some_and(|keep| keep > 0), "{document}");
+    let keeps = listed.iter().all(|entry| entry["keep_ms"].as_u64().is_some_and(|ms| ms > 0));
+    assert!(keeps, "{document}");
 }
 
 async fn chats_are_answered_whole(fleet: &Fleet) {
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -7,9 +7,7 @@
 
 use bitternwall::entry::core::Options;
 use bitternwall::entry::core::deadlines::VERDICT_GRACE;
-use bitternwall::entry::core::events::{
-    AttemptFailure, Effect, Event, Executed, RefusalReason, ServingState,
-};
+use bitternwall::entry::core::events::{AttemptFailure, Effect, Event, Executed, RefusalReason};
 use bitternwall::entry::core::tables::RequestId;
 use entry_model::{End, EntryModel, FATES, Fate, KINDS, Kind, TICK, TIMEOUT};
 use proptest::prelude::Strategy;
@@ -121,8 +119,8 @@
 #[test]
 fn an_entry_without_current_configuration_refuses_as_not_run() {
     let mut model = EntryModel::new(Options::default(), 2);
-    for state in [ServingState::StaleConfig, ServingState::Draining] {
-        model.tick(vec![Event::Serving(state)], &mut |_| Fate::Answered);
+    for until in [Duration::ZERO, model.now - TICK] {
+        model.tick(vec![Event::MayServeUntil(until)], &mut |_| Fate::Answered);
         let id = RequestId(model.submitted);
         model.submit(Kind::Idempotent, &mut |_| Fate::Answered);
         let End::Refused(refusal) = model.ends[&id][0] else { panic!("not refused") };
