--- a/src/expert_map/mod.rs
+++ b/src/expert_map/mod.rs
@@ -1,1 +1,14 @@
-//! Expert maps: which rank of a group holds which experts.
+//! Expert maps: which rank of a group holds which experts, when a new map pays, and how all
+//! ranks change to it at the same step. docs/EXPERT_MAPS.md has the design and its measurements.
+
+pub mod budget;
+pub mod loads;
+pub mod map;
+pub mod placement;
+pub mod planner;
+
+/// Converts a count to a float.
+#[allow(clippy::as_conversions, reason = "counts here stay far below 2^52, and From has no usize")]
+pub(crate) fn float(count: usize) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/src/expert_map/planner.rs
@@ -0,0 +1,280 @@
+//! Decides whether a group should change its expert map, and says why.
+
+use std::fmt;
+use std::result;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::expert_map::{loads, map, placement};
+
+/// The result of making a plan.
+pub type Result<T> = result::Result<T, map::MapError>;
+
+/// Windows in a row after which a slow rank is to be replaced.
+const REPLACE_WINDOWS: u32 = 8;
+/// The longest that a plan is expected to pay.
+const MAX_LIFE: Duration = Duration::from_secs(4 * 3600);
+/// Part of the step time that a switch must save at least.
+const MIN_SAVED: f64 = 0.01;
+/// Drift below this share of the tokens for each window is noise.
+const DRIFT_NOISE: f64 = 0.01;
+
+/// Costs is what a group pays for moving experts.
+#[derive(Clone, Copy, Debug)]
+pub struct Costs {
+    /// Bytes of one expert of one layer.
+    pub expert_bytes: f64,
+    /// The group's share of the weight store's rate, in bytes a second.
+    pub bytes_per_second: f64,
+    /// Part of the group's capacity that loading takes while it lasts.
+    pub capacity_share: f64,
+}
+
+impl Costs {
+    /// Returns how long the weight store takes to deliver `loads` experts.
+    pub fn preparation(&self, loads: usize) -> Duration {
+        let seconds = super::float(loads) * self.expert_bytes / self.bytes_per_second;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    fn capacity_seconds(&self, loads: usize) -> f64 {
+        self.preparation(loads).as_secs_f64() * self.capacity_share
+    }
+}
+
+/// Weights is how a policy values skew against the cost of moving experts.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Weights {
+    /// Weight of the step time saved.
+    pub skew: u32,
+    /// Weight of the capacity that moving takes.
+    pub cost: u32,
+}
+
+/// Reason is why the planner chose as it did.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// No step has been reported yet.
+    NoLoads,
+    /// No other map within reach saves enough step time.
+    NothingBetter,
+    /// A better map is known, and moving to it costs more than it saves.
+    CostsMore,
+    /// The new map saves more than moving to it costs.
+    Pays,
+}
+
+/// Explanation tells an operator why a group has its map and what would change it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Explanation {
+    /// Why.
+    pub reason: Reason,
+    /// Expected skew on the present map: the slowest rank over the mean rank.
+    pub present_skew: f64,
+    /// Expected skew on the best map considered.
+    pub planned_skew: f64,
+    /// Seconds of step time that the switch is expected to save over its life.
+    pub saved_seconds: f64,
+    /// Seconds of the group's capacity that the switch costs.
+    pub cost_seconds: f64,
+    /// Saved seconds for each second of cost at which the weights allow the switch.
+    pub needed_ratio: f64,
+    /// Seconds for which the plan is expected to pay.
+    pub expected_life_seconds: f64,
+    /// Experts that ranks would load.
+    pub loads: usize,
+    /// Ranks that are slow and shed load.
+    pub stragglers: Vec<usize>,
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (present, planned) = (self.present_skew, self.planned_skew);
+        let (saved, cost, needed) = (self.saved_seconds, self.cost_seconds, self.needed_ratio);
+        match self.reason {
+            Reason::NoLoads => write!(f, "The map stays: no step has been reported yet.")?,
+            Reason::NothingBetter => write!(
+                f,
+                "The map stays: its expected skew is {present:.3}, and no map that pays is \
+                 better by {MIN_SAVED}. Other expert loads or a slow rank would change it."
+            )?,
+            Reason::CostsMore => write!(
+                f,
+                "The map stays: skew {planned:.3} instead of {present:.3} would save {saved:.1} s \
+                 for {cost:.1} s of capacity, and the weights ask for {needed:.2} times the cost. \
+                 A higher skew_weight, a lower cost_weight or steadier loads would change it."
+            )?,
+            Reason::Pays => write!(
+                f,
+                "The map changes: skew {planned:.3} instead of {present:.3} saves {saved:.1} s \
+                 for {cost:.1} s of capacity ({} experts to load).",
+                self.loads
+            )?,
+        }
+        if !self.stragglers.is_empty() {
+            write!(f, " Slow ranks that shed load: {:?}.", self.stragglers)?;
+        }
+        Ok(())
+    }
+}
+
+/// Plan is what a group should do next.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The map to switch to, if it pays.
+    pub switch_to: Option<map::ExpertMap>,
+    /// Ranks that stayed slow after they shed load, to be replaced.
+    pub replace: Vec<usize>,
+    /// Why.
+    pub explanation: Explanation,
+}
+
+/// Planner plans for one group.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    shape: map::Shape,
+    weights: Weights,
+    window: Duration,
+    loads: loads::Loads,
+}
+
+impl Planner {
+    /// Starts without any load known; `window` is the time between two plans.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`map::MapError`] where the group cannot hold its experts.
+    pub fn new(shape: map::Shape, weights: Weights, window: Duration) -> Result<Self> {
+        shape.check()?;
+        Ok(Self { shape, weights, window, loads: loads::Loads::default() })
+    }
+
+    /// Takes in what the group reported of the last window.
+    pub fn observe(&mut self, window: &loads::Window) {
+        self.loads.observe(window);
+    }
+
+    /// Plans from the present map and what moving costs now.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`map::MapError`] where the present map does not fit the group.
+    pub fn plan(&self, present: &map::ExpertMap, costs: &Costs) -> Result<Plan> {
+        present.check(&self.shape)?;
+        if self.loads.shares.len() != self.shape.layers {
+            return Ok(self.keep(Reason::NoLoads));
+        }
+        let speeds = self.speeds();
+        let before = self.peaks(present, &speeds);
+        let total: f64 = before.iter().sum();
+        let life = self.expected_life();
+        let needed = f64::from(self.weights.cost) / f64::from(self.weights.skew.max(1));
+        let value = |peak: f64, loads: usize| {
+            -peak / total * life.as_secs_f64() - needed * costs.capacity_seconds(loads)
+        };
+        let planned = self.place(present, &speeds, &value);
+        let after: f64 = self.peaks(&planned, &speeds).iter().sum();
+        let loads = planned.loads_from(present);
+        let saved = (total - after) / total;
+        let saved_seconds = saved * life.as_secs_f64();
+        let cost_seconds = costs.capacity_seconds(loads);
+        let reason = if saved < MIN_SAVED {
+            Reason::NothingBetter
+        } else if saved_seconds < needed * cost_seconds {
+            Reason::CostsMore
+        } else {
+            Reason::Pays
+        };
+        let ideal = super::float(self.shape.layers) / speeds.iter().sum::<f64>();
+        let explanation = Explanation {
+            reason,
+            present_skew: total / ideal,
+            planned_skew: after / ideal,
+            saved_seconds,
+            cost_seconds,
+            needed_ratio: needed,
+            expected_life_seconds: life.as_secs_f64(),
+            loads,
+            stragglers: self.stragglers(),
+        };
+        let switch_to = (reason == Reason::Pays).then_some(planned);
+        Ok(Plan { switch_to, replace: self.replaceable(), explanation })
+    }
+
+    fn keep(&self, reason: Reason) -> Plan {
+        let explanation = Explanation {
+            reason,
+            present_skew: 1.0,
+            planned_skew: 1.0,
+            saved_seconds: 0.0,
+            cost_seconds: 0.0,
+            needed_ratio: 0.0,
+            expected_life_seconds: 0.0,
+            loads: 0,
+            stragglers: self.stragglers(),
+        };
+        Plan { switch_to: None, replace: self.replaceable(), explanation }
+    }
+
+    fn speeds(&self) -> Vec<f64> {
+        let mut speeds = self.loads.speeds();
+        speeds.resize(self.shape.ranks, 1.0);
+        speeds
+    }
+
+    fn stragglers(&self) -> Vec<usize> {
+        ranks_where(&self.loads.ranks, |rank| rank.speed < 1.0)
+    }
+
+    fn replaceable(&self) -> Vec<usize> {
+        ranks_where(&self.loads.ranks, |rank| rank.slow_windows >= REPLACE_WINDOWS)
+    }
+
+    fn demand<'a>(&'a self, layer: usize, speeds: &'a [f64]) -> placement::Demand<'a> {
+        let slots_per_rank = self.shape.slots_per_rank;
+        placement::Demand { shares: &self.loads.shares[layer], speeds, slots_per_rank }
+    }
+
+    fn peaks(&self, map: &map::ExpertMap, speeds: &[f64]) -> Vec<f64> {
+        let peak = |(layer, placed)| self.demand(layer, speeds).peak(placed);
+        map.layers.iter().enumerate().map(peak).collect()
+    }
+
+    fn place(
+        &self,
+        present: &map::ExpertMap,
+        speeds: &[f64],
+        value: &dyn Fn(f64, usize) -> f64,
+    ) -> map::ExpertMap {
+        let layers = present.layers.iter().enumerate().map(|(index, placed)| {
+            let demand = self.demand(index, speeds);
+            best_layer(&demand, placed, value)
+        });
+        map::ExpertMap { layers: layers.collect() }
+    }
+
+    /// Expects a plan to pay until the drift has moved all tokens, within bounds.
+    fn expected_life(&self) -> Duration {
+        let drift = (self.loads.drift - DRIFT_NOISE).max(0.0);
+        let windows = if drift > 0.0 { 1.0 / drift } else { f64::MAX };
+        let seconds = (self.window.as_secs_f64() * windows).min(MAX_LIFE.as_secs_f64());
+        Duration::from_secs_f64(seconds).max(self.window)
+    }
+}
+
+fn best_layer(
+    demand: &placement::Demand<'_>,
+    present: &map::Layer,
+    value: &dyn Fn(f64, usize) -> f64,
+) -> map::Layer {
+    let worth = |layer: &map::Layer| value(demand.peak(layer), layer.loads_from(present));
+    let near = placement::improve(demand, present, value);
+    let fresh = placement::align(placement::fresh(demand), present, demand.speeds);
+    if worth(&fresh) > worth(&near) { fresh } else { near }
+}
+
+fn ranks_where(ranks: &[loads::RankPace], test: fn(&loads::RankPace) -> bool) -> Vec<usize> {
+    ranks.iter().enumerate().filter(|(_, rank)| test(rank)).map(|(index, _)| index).collect()
+}
