Switch expert maps on all ranks at one step: coordinator, agents, proofs

Cause: in no step may two ranks use different maps, whatever is lost, late, doubled, killed or paused.

Change: pure state machines for the coordinator and the ranks' agents, and a small world for their proofs.

--- a/src/expert_map/mod.rs
+++ b/src/expert_map/mod.rs
@@ -2,10 +2,13 @@
 //! ranks change to it at the same step. docs/EXPERT_MAPS.md has the design and its measurements.
 
 pub mod budget;
+pub mod coordinator;
 pub mod loads;
 pub mod map;
 pub mod placement;
 pub mod planner;
+pub mod protocol;
+pub mod rank_agent;
 
 /// Converts a count to a float.
 #[allow(clippy::as_conversions, reason = "counts here stay far below 2^52, and From has no usize")]
