Prove the switch protocol with each mechanism off and on

Cause: a proof that never fails proves nothing.

Change: holding at the armed step, arming on all ranks, fencing, orders that are meant for one run of an agent, and going forward after a release can each be switched off; for each, a case is shown in which two ranks then use different maps, and the full rules pass the same case.

--- /dev/null
+++ b/tests/expert_maps/engines.rs
@@ -0,0 +1,112 @@
+//! Engines in lock-step, and the check that no step has two maps.
+
+use std::collections::BTreeMap;
+
+use super::{LOAD_TICKS, World};
+use bitternwall::expert_map::protocol::{
+    Armed, Command, EngineOrder, EngineStatus, Incarnation, Step,
+};
+use bitternwall::expert_map::rank_agent;
+
+impl World {
+    pub(super) fn run_engine_orders(&mut self, host: usize) {
+        let Some(mut process) = self.hosts[host].process.take() else { return };
+        let count = self.rng.below(process.to_engine.len() + 1).max(process.to_engine.len() / 2);
+        let orders: Vec<EngineOrder> = process.to_engine.drain(..count).collect();
+        for order in orders {
+            self.obey(host, &order);
+            let (sequence, status) = (order.sequence, self.hosts[host].engine.status);
+            process.agent_inbox.push(rank_agent::Event::Engine { sequence, status });
+        }
+        self.hosts[host].process = Some(process);
+    }
+
+    pub(super) fn obey(&mut self, host: usize, order: &EngineOrder) {
+        let check = self.rules.engines_check;
+        let tick = self.tick;
+        let engine = &mut self.hosts[host].engine;
+        if check && !order.fence.passes(&engine.newest) {
+            return;
+        }
+        engine.newest = order.fence;
+        let status = &mut engine.status;
+        match order.command {
+            Command::Query => {}
+            Command::Join { version, .. } => {
+                let (life, incarnation) = (status.life, order.fence.incarnation);
+                *status = EngineStatus { life, incarnation, version, ..EngineStatus::default() };
+                engine.loading = None;
+            }
+            Command::Prepare(version) => {
+                if status.prepared != Some(version)
+                    && engine.loading.is_none_or(|(_, loading)| loading != version)
+                {
+                    engine.loading = Some((tick + LOAD_TICKS, version));
+                }
+            }
+            Command::Arm(switch) => {
+                if status.next_step <= switch.step && status.prepared == Some(switch.version) {
+                    status.armed = Some(Armed { switch, released: false });
+                }
+            }
+            Command::Release(_) => {
+                if let Some(armed) = &mut status.armed {
+                    armed.released = true;
+                }
+            }
+            Command::Abort(_) => status.armed = None,
+        }
+    }
+
+    pub(super) fn run_engines(&mut self) {
+        let ready = self.ready_steps();
+        for host in 0..self.hosts.len() {
+            let tick = self.tick;
+            let engine = &mut self.hosts[host].engine;
+            if let Some((_, version)) = engine.loading.take_if(|(at, _)| *at <= tick) {
+                engine.status.prepared = Some(version);
+            }
+            let status = engine.status;
+            let awake = engine.stalled_until <= tick;
+            let may_begin = ready.get(&status.incarnation) == Some(&status.next_step);
+            if awake && may_begin && !self.chance(1) {
+                self.begin_step(host);
+            }
+        }
+    }
+
+    /// Lock-step: a rank begins a step only after all ranks of its incarnation ended the last.
+    pub(super) fn ready_steps(&self) -> BTreeMap<Incarnation, Step> {
+        let mut groups: BTreeMap<Incarnation, (usize, Step)> = BTreeMap::new();
+        for host in &self.hosts {
+            let EngineStatus { incarnation, next_step, .. } = host.engine.status;
+            let group = groups.entry(incarnation).or_insert((0, next_step));
+            *group = (group.0 + 1, group.1.min(next_step));
+        }
+        let whole = |(incarnation, (count, _)): &(Incarnation, (usize, Step))| {
+            *incarnation > Incarnation(0) && *count == self.rules.ranks
+        };
+        groups.into_iter().filter(whole).map(|(group, (_, step))| (group, step)).collect()
+    }
+
+    pub(super) fn begin_step(&mut self, host: usize) {
+        let status = &mut self.hosts[host].engine.status;
+        if let Some(armed) = status.armed.filter(|armed| armed.switch.step <= status.next_step) {
+            if armed.released {
+                status.version = armed.switch.version;
+                status.last_taken = armed.switch.number;
+                status.armed = None;
+                status.prepared = None;
+            } else if self.rules.hold {
+                return;
+            }
+        }
+        let (step, version) = ((status.incarnation, status.next_step), status.version);
+        status.next_step = Step(status.next_step.0 + 1);
+        let used = *self.used.entry(step).or_insert(version);
+        if used != version && self.violation.is_none() {
+            let found = format!("host {host} takes {step:?} on {version:?}, another on {used:?}");
+            self.violation = Some(found);
+        }
+    }
+}
