Expect a plan to pay for as long as the present map has lasted

Change: the expected life is the time that the present map has been in use. A repack that keeps replicas in place joins the candidates.

--- a/benches/rebalancing.rs
+++ b/benches/rebalancing.rs
@@ -187,7 +187,7 @@
     let place = |(tokens, before): (&Vec<f64>, &map::Layer)| {
         let total: f64 = tokens.iter().sum();
         let shares: Vec<f64> = tokens.iter().map(|count| count / total).collect();
-        placement::improve(&demand(&shares, shape, &speeds), before, &|peak, _| -peak)
+        placement::repack(&demand(&shares, shape, &speeds), before, 0.02)
     };
     map::ExpertMap { layers: window.tokens.iter().zip(&present.layers).map(place).collect() }
 }
--- a/src/expert_map/loads.rs
+++ b/src/expert_map/loads.rs
@@ -4,8 +4,6 @@
 const NEWEST_WEIGHT: f64 = 0.5;
 /// Share of an expert layer's tokens that must have moved for the old loads to be forgotten.
 const SHIFT_SHARE: f64 = 0.12;
-/// Weight of the newest window in the smoothed drift.
-const DRIFT_WEIGHT: f64 = 0.25;
 /// A rank this many times slower per token than the median rank is a straggler.
 const STRAGGLER_SLOWNESS: f64 = 1.15;
 /// Windows in a row after which a rank counts as a straggler, or no longer as one.
@@ -95,9 +93,6 @@
     pub shares: Vec<Vec<f64>>,
     /// The pace of each rank.
     pub ranks: Vec<RankPace>,
-    /// Share of the tokens that moves to other experts from one window to the next.
-    pub drift: f64,
-    previous: Vec<Vec<f64>>,
 }
 
 impl Loads {
@@ -107,24 +102,13 @@
         if fresh.iter().any(|layer| layer.iter().sum::<f64>() <= 0.0) {
             return;
         }
-        self.observe_drift(&fresh);
         self.shares.resize(fresh.len(), Vec::new());
         for (smoothed, newest) in self.shares.iter_mut().zip(&fresh) {
             smooth(smoothed, newest);
         }
-        self.previous = fresh;
         self.observe_ranks(&window.slowness());
     }
 
-    fn observe_drift(&mut self, fresh: &[Vec<f64>]) {
-        if self.previous.len() != fresh.len() {
-            return;
-        }
-        let moved: f64 = self.previous.iter().zip(fresh).map(|(a, b)| distance(a, b)).sum();
-        let mean = moved / super::float(fresh.len().max(1));
-        self.drift += DRIFT_WEIGHT * (mean - self.drift);
-    }
-
     fn observe_ranks(&mut self, slowness: &[f64]) {
         self.ranks.resize(slowness.len(), RankPace::NORMAL);
         for (rank, &slow) in self.ranks.iter_mut().zip(slowness) {
--- a/src/expert_map/placement.rs
+++ b/src/expert_map/placement.rs
@@ -9,6 +9,9 @@
 const MIN_RELATIVE_GAIN: f64 = 1e-4;
 /// Ranks, from the least loaded one up, that may take load from the busiest rank.
 const PARTNERS: usize = 6;
+/// A replica moves to another expert only where that expert's replicas have this many times the
+/// tokens that the losing expert's will have.
+const EXCHANGE_GAIN: f64 = 1.25;
 /// Changes tried in one layer, for each rank.
 const CHANGES_PER_RANK: usize = 4;
 
@@ -34,7 +37,34 @@
 /// Places the layer from nothing: replicates the experts with the most tokens for each replica,
 /// and packs the replicas, largest first, on the rank that would be done first.
 pub fn fresh(demand: &Demand<'_>) -> map::Layer {
-    let copies = replicate(demand);
+    let copies = replicate(demand, vec![1; demand.shares.len()]);
+    pack(demand, &copies, |_, _| None)
+}
+
+/// Places the layer anew, but changes the number of an expert's replicas only where that counts,
+/// and leaves each replica on a rank that holds it unless the rank would be slower than the mean
+/// by more than `slack`.
+pub fn repack(demand: &Demand<'_>, present: &map::Layer, slack: f64) -> map::Layer {
+    let copies = exchange(demand, replicate(demand, present.copies(demand.shares.len())));
+    let limit = (1.0 + slack) / demand.speeds.iter().sum::<f64>();
+    let mut holders = vec![Vec::new(); copies.len()];
+    for (rank, held) in present.held.iter().enumerate() {
+        held.iter().for_each(|&expert| holders[expert].push(rank));
+    }
+    pack(demand, &copies, |expert, fits: &dyn Fn(usize) -> Option<f64>| {
+        let kept = holders[expert].iter().filter_map(|&rank| Some((rank, fits(rank)?)));
+        let best = kept.min_by(|a, b| a.1.total_cmp(&b.1));
+        best.filter(|(_, time)| *time <= limit).map(|(rank, _)| rank)
+    })
+}
+
+/// Packs replicas, largest first, on the rank that `prefer` names or else on the one that would
+/// be done first. `prefer` is given the expert and what each rank's time would be, if it fits.
+fn pack(
+    demand: &Demand<'_>,
+    copies: &[usize],
+    prefer: impl Fn(usize, &dyn Fn(usize) -> Option<f64>) -> Option<usize>,
+) -> map::Layer {
     let share = |expert: usize| demand.shares[expert] / super::float(copies[expert]);
     let mut order: Vec<usize> = (0..copies.len()).collect();
     order.sort_by(|&a, &b| share(b).total_cmp(&share(a)));
@@ -42,12 +72,16 @@
     let mut tokens = vec![0.0; held.len()];
     for expert in order {
         for _ in 0..copies[expert] {
-            let time = |rank: &usize| (tokens[*rank] + share(expert)) / demand.speeds[*rank];
-            let chosen = (0..held.len())
-                .filter(|&rank| held[rank].len() < demand.slots_per_rank)
-                .filter(|&rank| !held[rank].contains(&expert))
-                .min_by(|a, b| time(a).total_cmp(&time(b)));
-            if let Some(rank) = chosen {
+            let fits = |rank: usize| {
+                let full = held[rank].len() >= demand.slots_per_rank;
+                let time = (tokens[rank] + share(expert)) / demand.speeds[rank];
+                (!full && !held[rank].contains(&expert)).then_some(time)
+            };
+            let first_done = || {
+                let ranks = (0..held.len()).filter_map(|rank| Some((rank, fits(rank)?)));
+                ranks.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(rank, _)| rank)
+            };
+            if let Some(rank) = prefer(expert, &fits).or_else(first_done) {
                 tokens[rank] += share(expert);
                 held[rank].push(expert);
             }
@@ -56,21 +90,42 @@
     sorted(held)
 }
 
-fn replicate(demand: &Demand<'_>) -> Vec<usize> {
+/// Adds replicas of the experts with the most tokens for each replica while slots are free.
+fn replicate(demand: &Demand<'_>, mut copies: Vec<usize>) -> Vec<usize> {
     let ranks = demand.speeds.len();
-    let mut copies = vec![1; demand.shares.len()];
-    let spare = (ranks * demand.slots_per_rank).saturating_sub(copies.len());
-    for _ in 0..spare {
-        let share = |expert: &usize| demand.shares[*expert] / super::float(copies[*expert]);
-        let hottest = (0..copies.len())
-            .filter(|&expert| copies[expert] < ranks)
-            .max_by(|a, b| share(a).total_cmp(&share(b)));
-        let Some(expert) = hottest else { break };
+    let slots = ranks * demand.slots_per_rank;
+    for _ in copies.iter().sum::<usize>()..slots {
+        let Some(expert) = hottest(demand, &copies) else { break };
         copies[expert] += 1;
     }
     copies
 }
 
+fn hottest(demand: &Demand<'_>, copies: &[usize]) -> Option<usize> {
+    let share = |expert: &usize| demand.shares[*expert] / super::float(copies[*expert]);
+    (0..copies.len())
+        .filter(|&expert| copies[expert] < demand.speeds.len())
+        .max_by(|a, b| share(a).total_cmp(&share(b)))
+}
+
+/// Moves replicas from experts that need them least to experts that need them most.
+fn exchange(demand: &Demand<'_>, mut copies: Vec<usize>) -> Vec<usize> {
+    for _ in 0..copies.len() {
+        let without = |e: &usize| demand.shares[*e] / super::float(copies[*e] - 1);
+        let coldest = (0..copies.len())
+            .filter(|&expert| copies[expert] > 1)
+            .min_by(|a, b| without(a).total_cmp(&without(b)));
+        let (Some(hot), Some(cold)) = (hottest(demand, &copies), coldest) else { break };
+        let relieved = demand.shares[hot] / super::float(copies[hot]);
+        if relieved < without(&cold) * EXCHANGE_GAIN {
+            break;
+        }
+        copies[hot] += 1;
+        copies[cold] -= 1;
+    }
+    copies
+}
+
 fn sorted(mut held: Vec<Vec<usize>>) -> map::Layer {
     held.iter_mut().for_each(|experts| experts.sort_unstable());
     map::Layer { held }
@@ -223,16 +278,18 @@
 
     /// Returns how much a change lowers the sum of the ranks' penalties.
     fn gain(&self, change: Change) -> f64 {
+        if let Change::Swap { from, expert, to, other } = change {
+            let moved = self.share(expert) - self.share(other);
+            return self.relief(from, -moved) + self.relief(to, moved);
+        }
         let mut changed = Deltas::default();
         self.token_changes(change, &mut |rank, tokens| changed.add(rank, tokens));
-        changed
-            .entries()
-            .iter()
-            .map(|&(rank, tokens)| {
-                let time = self.times[rank];
-                penalty(time) - penalty(time + tokens / self.demand.speeds[rank])
-            })
-            .sum()
+        changed.entries().iter().map(|&(rank, tokens)| self.relief(rank, tokens)).sum()
+    }
+
+    fn relief(&self, rank: usize, tokens: f64) -> f64 {
+        let time = self.times[rank];
+        penalty(time) - penalty(time + tokens / self.demand.speeds[rank])
     }
 
     fn token_changes(&self, change: Change, add: &mut dyn FnMut(usize, f64)) {
--- a/src/expert_map/planner.rs
+++ b/src/expert_map/planner.rs
@@ -17,8 +17,8 @@
 const MAX_LIFE: Duration = Duration::from_secs(4 * 3600);
 /// Part of the step time that a switch must save at least.
 const MIN_SAVED: f64 = 0.01;
-/// Drift below this share of the tokens for each window is noise.
-const DRIFT_NOISE: f64 = 0.01;
+/// How much slower than the mean a rank may become for a replica to stay in its place.
+const REPACK_SLACKS: [f64; 3] = [0.0, 0.02, 0.05];
 
 /// Costs is what a group pays for moving experts.
 #[derive(Clone, Copy, Debug)]
@@ -138,6 +138,8 @@
     weights: Weights,
     window: Duration,
     loads: loads::Loads,
+    present: Option<map::ExpertMap>,
+    windows_on_present: u32,
 }
 
 impl Planner {
@@ -148,12 +150,20 @@
     /// Returns a [`map::MapError`] where the group cannot hold its experts.
     pub fn new(shape: map::Shape, weights: Weights, window: Duration) -> Result<Self> {
         shape.check()?;
-        Ok(Self { shape, weights, window, loads: loads::Loads::default() })
+        Ok(Self {
+            shape,
+            weights,
+            window,
+            loads: loads::Loads::default(),
+            present: None,
+            windows_on_present: 0,
+        })
     }
 
     /// Takes in what the group reported of the last window.
     pub fn observe(&mut self, window: &loads::Window) {
         self.loads.observe(window);
+        self.windows_on_present = self.windows_on_present.saturating_add(1);
     }
 
     /// Plans from the present map and what moving costs now.
@@ -161,8 +171,12 @@
     /// # Errors
     ///
     /// Returns a [`map::MapError`] where the present map does not fit the group.
-    pub fn plan(&self, present: &map::ExpertMap, costs: &Costs) -> Result<Plan> {
+    pub fn plan(&mut self, present: &map::ExpertMap, costs: &Costs) -> Result<Plan> {
         present.check(&self.shape)?;
+        if self.present.as_ref().is_some_and(|before| before != present) {
+            self.windows_on_present = 1;
+        }
+        self.present = Some(present.clone());
         if self.loads.shares.len() != self.shape.layers {
             return Ok(self.keep(Reason::NoLoads));
         }
@@ -255,12 +269,11 @@
         map::ExpertMap { layers: layers.collect() }
     }
 
-    /// Expects a plan to pay until the drift has moved all tokens, within bounds.
+    /// Expects a plan to pay for as long as the present map has been in use, within bounds: under
+    /// a steady drift the next map ages as fast as this one did.
     fn expected_life(&self) -> Duration {
-        let drift = (self.loads.drift - DRIFT_NOISE).max(0.0);
-        let windows = if drift > 0.0 { 1.0 / drift } else { f64::MAX };
-        let seconds = (self.window.as_secs_f64() * windows).min(MAX_LIFE.as_secs_f64());
-        Duration::from_secs_f64(seconds).max(self.window)
+        let life = self.window.saturating_mul(self.windows_on_present);
+        life.clamp(self.window, MAX_LIFE.max(self.window))
     }
 }
 
@@ -272,7 +285,9 @@
     let worth = |layer: &map::Layer| value(demand.peak(layer), layer.loads_from(present));
     let near = placement::improve(demand, present, value);
     let fresh = placement::align(placement::fresh(demand), present, demand.speeds);
-    if worth(&fresh) > worth(&near) { fresh } else { near }
+    let repacked = REPACK_SLACKS.map(|slack| placement::repack(demand, present, slack));
+    let others = repacked.into_iter().chain([fresh]);
+    others.fold(near, |best, other| if worth(&other) > worth(&best) { other } else { best })
 }
 
 fn ranks_where(ranks: &[loads::RankPace], test: fn(&loads::RankPace) -> bool) -> Vec<usize> {
--- a/tests/expert_maps/planning.rs
+++ b/tests/expert_maps/planning.rs
@@ -99,8 +99,8 @@
 
 #[test]
 fn a_group_without_reports_keeps_its_map() {
-    let group = Group::new(EVEN);
-    let plan = group.planner.clone().plan(&group.map, &COSTS).unwrap();
+    let mut group = Group::new(EVEN);
+    let plan = group.planner.plan(&group.map, &COSTS).unwrap();
     assert_eq!(plan.explanation.reason, Reason::NoLoads);
 }
 
