--- a/benches/rebalancing.rs
+++ b/benches/rebalancing.rs
@@ -187,7 +187,7 @@
     let place = |(tokens, before): (&Vec<f64>, &map::Layer)| {
         let total: f64 = tokens.iter().sum();
         let shares: Vec<f64> = tokens.iter().map(|count| count / total).collect();
-        placement::repack(&demand(&shares, shape, &speeds), before, 0.02)
+        placement::improve(&demand(&shares, shape, &speeds), before, &|peak, _| -peak)
     };
     map::ExpertMap { layers: window.tokens.iter().zip(&present.layers).map(place).collect() }
 }
@@ -308,7 +308,7 @@
 }
 
 /// Times one plan for 32 ranks, 128 experts and 60 layers on one core.
-fn time_planning() -> (Duration, Duration) {
+fn time_planning() -> [Duration; 3] {
     let shape = map::Shape { ranks: 32, layers: 60, experts: EXPERTS, slots_per_rank: 6 };
     let mut times: Vec<Duration> = (0..PLANNING_ROUNDS)
         .map(|round| {
@@ -328,11 +328,11 @@
         })
         .collect();
     times.sort();
-    (times[PLANNING_ROUNDS / 2], times[PLANNING_ROUNDS - 1])
+    [times[0], times[PLANNING_ROUNDS / 2], times[PLANNING_ROUNDS - 1]]
 }
 
 fn main() -> io::Result<()> {
-    let (median, slowest) = time_planning();
+    let [fastest, median, slowest] = time_planning();
     let rows = run_all();
     let mut out = io::stdout().lock();
     let mut args = env::args().skip_while(|arg| arg != "--json").skip(1);
@@ -348,6 +348,6 @@
     write_table(&mut out, &rows)?;
     writeln!(
         out,
-        "One plan for 32 ranks, 128 experts, 60 layers: median {median:.1?}, slowest {slowest:.1?}."
+        "One plan for 32 ranks, 128 experts, 60 layers: fastest {fastest:.1?}, median {median:.1?}, slowest {slowest:.1?}."
     )
 }
--- a/src/expert_map/placement.rs
+++ b/src/expert_map/placement.rs
@@ -8,10 +8,7 @@
 /// Part of the objective that a change must save to be tried.
 const MIN_RELATIVE_GAIN: f64 = 1e-4;
 /// Ranks, from the least loaded one up, that may take load from the busiest rank.
-const PARTNERS: usize = 6;
-/// A replica moves to another expert only where that expert's replicas have this many times the
-/// tokens that the losing expert's will have.
-const EXCHANGE_GAIN: f64 = 1.25;
+const PARTNERS: usize = 4;
 /// Changes tried in one layer, for each rank.
 const CHANGES_PER_RANK: usize = 4;
 
@@ -37,34 +34,7 @@
 /// Places the layer from nothing: replicates the experts with the most tokens for each replica,
 /// and packs the replicas, largest first, on the rank that would be done first.
 pub fn fresh(demand: &Demand<'_>) -> map::Layer {
-    let copies = replicate(demand, vec![1; demand.shares.len()]);
-    pack(demand, &copies, |_, _| None)
-}
-
-/// Places the layer anew, but changes the number of an expert's replicas only where that counts,
-/// and leaves each replica on a rank that holds it unless the rank would be slower than the mean
-/// by more than `slack`.
-pub fn repack(demand: &Demand<'_>, present: &map::Layer, slack: f64) -> map::Layer {
-    let copies = exchange(demand, replicate(demand, present.copies(demand.shares.len())));
-    let limit = (1.0 + slack) / demand.speeds.iter().sum::<f64>();
-    let mut holders = vec![Vec::new(); copies.len()];
-    for (rank, held) in present.held.iter().enumerate() {
-        held.iter().for_each(|&expert| holders[expert].push(rank));
-    }
-    pack(demand, &copies, |expert, fits: &dyn Fn(usize) -> Option<f64>| {
-        let kept = holders[expert].iter().filter_map(|&rank| Some((rank, fits(rank)?)));
-        let best = kept.min_by(|a, b| a.1.total_cmp(&b.1));
-        best.filter(|(_, time)| *time <= limit).map(|(rank, _)| rank)
-    })
-}
-
-/// Packs replicas, largest first, on the rank that `prefer` names or else on the one that would
-/// be done first. `prefer` is given the expert and what each rank's time would be, if it fits.
-fn pack(
-    demand: &Demand<'_>,
-    copies: &[usize],
-    prefer: impl Fn(usize, &dyn Fn(usize) -> Option<f64>) -> Option<usize>,
-) -> map::Layer {
+    let copies = replicate(demand);
     let share = |expert: usize| demand.shares[expert] / super::float(copies[expert]);
     let mut order: Vec<usize> = (0..copies.len()).collect();
     order.sort_by(|&a, &b| share(b).total_cmp(&share(a)));
@@ -72,16 +42,12 @@
     let mut tokens = vec![0.0; held.len()];
     for expert in order {
         for _ in 0..copies[expert] {
-            let fits = |rank: usize| {
-                let full = held[rank].len() >= demand.slots_per_rank;
-                let time = (tokens[rank] + share(expert)) / demand.speeds[rank];
-                (!full && !held[rank].contains(&expert)).then_some(time)
-            };
-            let first_done = || {
-                let ranks = (0..held.len()).filter_map(|rank| Some((rank, fits(rank)?)));
-                ranks.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(rank, _)| rank)
-            };
-            if let Some(rank) = prefer(expert, &fits).or_else(first_done) {
+            let time = |rank: &usize| (tokens[*rank] + share(expert)) / demand.speeds[*rank];
+            let first_done = (0..held.len())
+                .filter(|&rank| held[rank].len() < demand.slots_per_rank)
+                .filter(|&rank| !held[rank].contains(&expert))
+                .min_by(|a, b| time(a).total_cmp(&time(b)));
+            if let Some(rank) = first_done {
                 tokens[rank] += share(expert);
                 held[rank].push(expert);
             }
@@ -90,42 +56,21 @@
     sorted(held)
 }
 
-/// Adds replicas of the experts with the most tokens for each replica while slots are free.
-fn replicate(demand: &Demand<'_>, mut copies: Vec<usize>) -> Vec<usize> {
+/// Gives every expert one replica, and the free slots to those with the most tokens for each.
+fn replicate(demand: &Demand<'_>) -> Vec<usize> {
     let ranks = demand.speeds.len();
-    let slots = ranks * demand.slots_per_rank;
-    for _ in copies.iter().sum::<usize>()..slots {
-        let Some(expert) = hottest(demand, &copies) else { break };
+    let mut copies = vec![1; demand.shares.len()];
+    for _ in copies.len()..ranks * demand.slots_per_rank {
+        let share = |expert: &usize| demand.shares[*expert] / super::float(copies[*expert]);
+        let hottest = (0..copies.len())
+            .filter(|&expert| copies[expert] < ranks)
+            .max_by(|a, b| share(a).total_cmp(&share(b)));
+        let Some(expert) = hottest else { break };
         copies[expert] += 1;
     }
     copies
 }
 
-fn hottest(demand: &Demand<'_>, copies: &[usize]) -> Option<usize> {
-    let share = |expert: &usize| demand.shares[*expert] / super::float(copies[*expert]);
-    (0..copies.len())
-        .filter(|&expert| copies[expert] < demand.speeds.len())
-        .max_by(|a, b| share(a).total_cmp(&share(b)))
-}
-
-/// Moves replicas from experts that need them least to experts that need them most.
-fn exchange(demand: &Demand<'_>, mut copies: Vec<usize>) -> Vec<usize> {
-    for _ in 0..copies.len() {
-        let without = |e: &usize| demand.shares[*e] / super::float(copies[*e] - 1);
-        let coldest = (0..copies.len())
-            .filter(|&expert| copies[expert] > 1)
-            .min_by(|a, b| without(a).total_cmp(&without(b)));
-        let (Some(hot), Some(cold)) = (hottest(demand, &copies), coldest) else { break };
-        let relieved = demand.shares[hot] / super::float(copies[hot]);
-        if relieved < without(&cold) * EXCHANGE_GAIN {
-            break;
-        }
-        copies[hot] += 1;
-        copies[cold] -= 1;
-    }
-    copies
-}
-
 fn sorted(mut held: Vec<Vec<usize>>) -> map::Layer {
     held.iter_mut().for_each(|experts| experts.sort_unstable());
     map::Layer { held }
@@ -166,19 +111,23 @@
     value: &dyn Fn(f64, usize) -> f64,
 ) -> map::Layer {
     let mut search = Search::new(demand, present);
-    let mut best = present.clone();
+    let mut trail = Vec::new();
+    let mut best_length = 0;
     let mut best_value = value(demand.peak(present), 0);
     for _ in 0..demand.speeds.len() * CHANGES_PER_RANK {
         let Some(change) = search.best_change() else { break };
         search.apply(change);
+        trail.push(change);
         let peak = search.times.iter().copied().fold(0.0, f64::max);
         let reached = value(peak, search.loads);
         if reached > best_value {
             best_value = reached;
-            best = map::Layer { held: search.held.clone() };
+            best_length = trail.len();
         }
     }
-    sorted(best.held)
+    let mut replay = Search::new(demand, present);
+    trail[..best_length].iter().for_each(|change| replay.apply(*change));
+    sorted(replay.held)
 }
 
 /// Change is one step of the search, from the busiest rank.
@@ -197,7 +146,10 @@
     present: &'a map::Layer,
     held: Vec<Vec<usize>>,
     holders: Vec<Vec<usize>>,
+    shares: Vec<f64>,
     times: Vec<f64>,
+    penalties: Vec<f64>,
+    deltas: Deltas,
     loads: usize,
 }
 
@@ -207,63 +159,68 @@
         for (rank, held) in present.held.iter().enumerate() {
             held.iter().for_each(|&expert| holders[expert].push(rank));
         }
+        let shares: Vec<f64> = holders
+            .iter()
+            .zip(demand.shares)
+            .map(|(held, share)| share / super::float(held.len()))
+            .collect();
         let tokens = present.rank_tokens(demand.shares);
-        let times = tokens.iter().zip(demand.speeds).map(|(load, speed)| load / speed).collect();
-        Self { demand, present, held: present.held.clone(), holders, times, loads: 0 }
+        let times: Vec<f64> =
+            tokens.iter().zip(demand.speeds).map(|(load, speed)| load / speed).collect();
+        let penalties = times.iter().copied().map(penalty).collect();
+        let held = present.held.clone();
+        let deltas = Deltas::default();
+        Self { demand, present, held, holders, shares, times, penalties, deltas, loads: 0 }
     }
 
-    fn best_change(&self) -> Option<Change> {
+    fn best_change(&mut self) -> Option<Change> {
         let mut ranks: Vec<usize> = (0..self.times.len()).collect();
         ranks.sort_by(|&a, &b| self.times[a].total_cmp(&self.times[b]));
         let busiest = ranks.pop()?;
-        let least = ranks.len().min(PARTNERS);
-        let floor = self.times.iter().copied().map(penalty).sum::<f64>() * MIN_RELATIVE_GAIN;
-        let mut best: Option<(f64, Change)> = None;
-        let mut consider = |change: Change| {
-            let gain = self.gain(change);
-            let score = gain / (self.price(change) + BASE_PRICE);
-            if gain > floor && best.is_none_or(|(top, _)| score > top) {
-                best = Some((score, change));
-            }
-        };
+        ranks.truncate(PARTNERS);
+        let mut changes = Vec::new();
         for &expert in &self.held[busiest] {
             if self.holders[expert].len() > 1 {
-                consider(Change::Drop { from: busiest, expert });
+                changes.push(Change::Drop { from: busiest, expert });
             }
-            for &to in &ranks[..least] {
-                self.changes_towards(busiest, expert, to, &mut consider);
+            ranks.iter().for_each(|&to| self.push_changes(busiest, expert, to, &mut changes));
+        }
+        self.best_of(&changes)
+    }
+
+    fn best_of(&mut self, changes: &[Change]) -> Option<Change> {
+        let floor = self.penalties.iter().sum::<f64>() * MIN_RELATIVE_GAIN;
+        let mut best = None;
+        let mut best_score = 0.0;
+        for &change in changes {
+            let gain = self.gain(change);
+            if gain > floor && gain > best_score * BASE_PRICE {
+                let score = gain / (self.price(change) + BASE_PRICE);
+                if score > best_score {
+                    (best, best_score) = (Some(change), score);
+                }
             }
         }
-        best.map(|(_, change)| change)
+        best
     }
 
-    fn changes_towards(
-        &self,
-        from: usize,
-        expert: usize,
-        to: usize,
-        consider: &mut impl FnMut(Change),
-    ) {
+    fn push_changes(&self, from: usize, expert: usize, to: usize, changes: &mut Vec<Change>) {
         if self.held[to].contains(&expert) {
             return;
         }
         if self.held[to].len() < self.demand.slots_per_rank {
-            consider(Change::Replicate { expert, to, evicted: None });
+            changes.push(Change::Replicate { expert, to, evicted: None });
         }
         for &other in &self.held[to] {
             if self.holders[other].len() > 1 {
-                consider(Change::Replicate { expert, to, evicted: Some(other) });
+                changes.push(Change::Replicate { expert, to, evicted: Some(other) });
             }
-            if self.share(other) < self.share(expert) && !self.held[from].contains(&other) {
-                consider(Change::Swap { from, expert, to, other });
+            if self.shares[other] < self.shares[expert] && !self.held[from].contains(&other) {
+                changes.push(Change::Swap { from, expert, to, other });
             }
         }
     }
 
-    fn share(&self, expert: usize) -> f64 {
-        self.demand.shares[expert] / super::float(self.holders[expert].len())
-    }
-
     /// Returns how many more experts ranks would load for a change.
     fn price(&self, change: Change) -> f64 {
         let load = |rank: usize, expert: usize| {
@@ -277,58 +234,61 @@
     }
 
     /// Returns how much a change lowers the sum of the ranks' penalties.
-    fn gain(&self, change: Change) -> f64 {
+    fn gain(&mut self, change: Change) -> f64 {
         if let Change::Swap { from, expert, to, other } = change {
-            let moved = self.share(expert) - self.share(other);
+            let moved = self.shares[expert] - self.shares[other];
             return self.relief(from, -moved) + self.relief(to, moved);
         }
-        let mut changed = Deltas::default();
-        self.token_changes(change, &mut |rank, tokens| changed.add(rank, tokens));
-        changed.entries().iter().map(|&(rank, tokens)| self.relief(rank, tokens)).sum()
+        let mut deltas = std::mem::take(&mut self.deltas);
+        self.token_changes(change, &mut deltas);
+        let gain = deltas.entries.iter().map(|&(rank, tokens)| self.relief(rank, tokens)).sum();
+        deltas.entries.clear();
+        self.deltas = deltas;
+        gain
     }
 
     fn relief(&self, rank: usize, tokens: f64) -> f64 {
-        let time = self.times[rank];
-        penalty(time) - penalty(time + tokens / self.demand.speeds[rank])
+        self.penalties[rank] - penalty(self.times[rank] + tokens / self.demand.speeds[rank])
     }
 
-    fn token_changes(&self, change: Change, add: &mut dyn FnMut(usize, f64)) {
+    fn token_changes(&self, change: Change, deltas: &mut Deltas) {
         match change {
             Change::Replicate { expert, to, evicted } => {
-                self.gain_holder(expert, to, add);
+                self.gain_holder(expert, to, deltas);
                 if let Some(other) = evicted {
-                    self.lose_holder(other, to, add);
+                    self.lose_holder(other, to, deltas);
                 }
             }
             Change::Swap { from, expert, to, other } => {
-                let moved = self.share(expert) - self.share(other);
-                add(from, -moved);
-                add(to, moved);
+                let moved = self.shares[expert] - self.shares[other];
+                deltas.add(from, -moved);
+                deltas.add(to, moved);
             }
-            Change::Drop { from, expert } => self.lose_holder(expert, from, add),
+            Change::Drop { from, expert } => self.lose_holder(expert, from, deltas),
         }
     }
 
-    fn gain_holder(&self, expert: usize, rank: usize, add: &mut dyn FnMut(usize, f64)) {
-        let before = self.share(expert);
+    fn gain_holder(&self, expert: usize, rank: usize, deltas: &mut Deltas) {
+        let before = self.shares[expert];
         let after = self.demand.shares[expert] / super::float(self.holders[expert].len() + 1);
-        self.holders[expert].iter().for_each(|&holder| add(holder, after - before));
-        add(rank, after);
+        self.holders[expert].iter().for_each(|&holder| deltas.add(holder, after - before));
+        deltas.add(rank, after);
     }
 
-    fn lose_holder(&self, expert: usize, rank: usize, add: &mut dyn FnMut(usize, f64)) {
-        let before = self.share(expert);
+    fn lose_holder(&self, expert: usize, rank: usize, deltas: &mut Deltas) {
+        let before = self.shares[expert];
         let after = self.demand.shares[expert] / super::float(self.holders[expert].len() - 1);
         for &holder in &self.holders[expert] {
-            add(holder, if holder == rank { -before } else { after - before });
+            deltas.add(holder, if holder == rank { -before } else { after - before });
         }
     }
 
     fn apply(&mut self, change: Change) {
         let mut deltas = Deltas::default();
-        self.token_changes(change, &mut |rank, tokens| deltas.add(rank, tokens));
-        for &(rank, tokens) in deltas.entries() {
+        self.token_changes(change, &mut deltas);
+        for (rank, tokens) in deltas.entries {
             self.times[rank] += tokens / self.demand.speeds[rank];
+            self.penalties[rank] = penalty(self.times[rank]);
         }
         match change {
             Change::Replicate { expert, to, evicted } => {
@@ -348,6 +308,7 @@
     fn insert(&mut self, rank: usize, expert: usize) {
         self.held[rank].push(expert);
         self.holders[expert].push(rank);
+        self.update_share(expert);
         if !self.present.held[rank].contains(&expert) {
             self.loads += 1;
         }
@@ -356,10 +317,16 @@
     fn remove(&mut self, rank: usize, expert: usize) {
         self.held[rank].retain(|&held| held != expert);
         self.holders[expert].retain(|&holder| holder != rank);
+        self.update_share(expert);
         if !self.present.held[rank].contains(&expert) {
             self.loads -= 1;
         }
     }
+
+    fn update_share(&mut self, expert: usize) {
+        let copies = self.holders[expert].len().max(1);
+        self.shares[expert] = self.demand.shares[expert] / super::float(copies);
+    }
 }
 
 /// Grows steeply, so that the busiest ranks outweigh the rest and a tie of several still counts.
@@ -382,8 +349,4 @@
             None => self.entries.push((rank, tokens)),
         }
     }
-
-    fn entries(&self) -> &[(usize, f64)] {
-        &self.entries
-    }
 }
--- a/src/expert_map/planner.rs
+++ b/src/expert_map/planner.rs
@@ -17,8 +17,6 @@
 const MAX_LIFE: Duration = Duration::from_secs(4 * 3600);
 /// Part of the step time that a switch must save at least.
 const MIN_SAVED: f64 = 0.01;
-/// How much slower than the mean a rank may become for a replica to stay in its place.
-const REPACK_SLACKS: [f64; 3] = [0.0, 0.02, 0.05];
 
 /// Costs is what a group pays for moving experts.
 #[derive(Clone, Copy, Debug)]
@@ -285,9 +283,7 @@
     let worth = |layer: &map::Layer| value(demand.peak(layer), layer.loads_from(present));
     let near = placement::improve(demand, present, value);
     let fresh = placement::align(placement::fresh(demand), present, demand.speeds);
-    let repacked = REPACK_SLACKS.map(|slack| placement::repack(demand, present, slack));
-    let others = repacked.into_iter().chain([fresh]);
-    others.fold(near, |best, other| if worth(&other) > worth(&best) { other } else { best })
+    if worth(&fresh) > worth(&near) { fresh } else { near }
 }
 
 fn ranks_where(ranks: &[loads::RankPace], test: fn(&loads::RankPace) -> bool) -> Vec<usize> {
