Name protocol items through their module; show that a switch holds nobody

Change: imports follow the house style; a test shows that ten switches without faults make no rank wait at 2, 8 and 32 ranks when the lead covers two round trips.

Ruled out: a lead of 12 steps in that test; the world's engines answer after a queue of random length, and one run held ranks for 5 ticks.

--- a/src/expert_map/coordinator.rs
+++ b/src/expert_map/coordinator.rs
@@ -5,10 +5,7 @@
 
 use std::time::Duration;
 
-use crate::expert_map::protocol::{
-    Command, EngineStatus, Fence, Incarnation, Life, Number, Order, Record, Report, Safeguards,
-    Step, StoreAnswer, Stored, Switch, Version,
-};
+use crate::expert_map::protocol;
 
 /// Time after which unanswered orders and calls are sent again.
 const RETRY: Duration = Duration::from_millis(200);
@@ -27,13 +24,13 @@
     /// The generation of the group's resource that names these ranks.
     pub generation: u64,
     /// The run of the coordinator; it must differ from that of every earlier run.
-    pub life: Life,
+    pub life: protocol::Life,
     /// Steps that a switch is armed ahead at first; doubled each time that a rank was too far.
     pub lead_steps: u64,
     /// Time that all ranks have to load the weights of a map.
     pub prepare_timeout: Duration,
     /// The mechanisms in force.
-    pub safeguards: Safeguards,
+    pub safeguards: protocol::Safeguards,
 }
 
 /// Event is what happened since the last tick.
@@ -42,9 +39,9 @@
     /// The planner wants to switch to a new map.
     Want,
     /// A rank's agent answered.
-    Report(Report),
+    Report(protocol::Report),
     /// The key-value service answered the one call in progress.
-    Store(StoreAnswer),
+    Store(protocol::StoreAnswer),
 }
 
 /// Effect is what the coordinator's actor does next.
@@ -55,7 +52,7 @@
         /// The rank.
         rank: usize,
         /// The order.
-        order: Order,
+        order: protocol::Order,
     },
     /// Read the group's record.
     ReadRecord,
@@ -64,14 +61,14 @@
         /// The revision to compare.
         revision: u64,
         /// The new record.
-        record: Record,
+        record: protocol::Record,
     },
     /// The wanted map has this version from now on, and orders name it so.
-    Named(Version),
+    Named(protocol::Version),
     /// Every rank takes, or took, the new map.
-    Switched(Version),
+    Switched(protocol::Version),
     /// The old map stays in use; the map of this version may be wanted again under another.
-    Abandoned(Version),
+    Abandoned(protocol::Version),
 }
 
 /// Phase is what a coordinator waits for.
@@ -82,7 +79,7 @@
     /// A decided switch to end on every rank: released or aborted.
     Settling {
         /// The switch's number.
-        number: Number,
+        number: protocol::Number,
         /// True to release it.
         forward: bool,
     },
@@ -91,11 +88,11 @@
     /// The record to name the next incarnation.
     Forming,
     /// Every rank to join the incarnation on a map.
-    Joining(Version),
+    Joining(protocol::Version),
     /// Every rank to load the new map's weights.
     Preparing,
     /// Every rank to accept the switch.
-    Arming(Switch),
+    Arming(protocol::Switch),
     /// Another generation of the group has taken over.
     Deposed,
 }
@@ -103,21 +100,21 @@
 /// RankView is what the coordinator knows of one rank.
 #[derive(Clone, Copy, Debug, Default)]
 struct RankView {
-    agent: Life,
+    agent: protocol::Life,
     sequence: u64,
-    status: Option<EngineStatus>,
-    joined: Option<Life>,
+    status: Option<protocol::EngineStatus>,
+    joined: Option<protocol::Life>,
 }
 
 /// Coordinator switches the maps of one group.
 #[derive(Clone, Debug)]
 pub struct Coordinator {
     options: Options,
-    fence: Fence,
+    fence: protocol::Fence,
     phase: Phase,
     phase_since: Duration,
     ranks: Vec<RankView>,
-    stored: Option<Stored>,
+    stored: Option<protocol::Stored>,
     proposed: Option<record::Proposal>,
     store_busy: bool,
     wanted: bool,
@@ -131,7 +128,7 @@
     pub fn new(options: Options) -> Self {
         Self {
             options,
-            fence: Fence { coordinator: options.life, ..Fence::default() },
+            fence: protocol::Fence { coordinator: options.life, ..protocol::Fence::default() },
             phase: Phase::Surveying,
             phase_since: Duration::ZERO,
             ranks: vec![RankView::default(); options.ranks],
@@ -177,7 +174,7 @@
     }
 
     /// Asks all ranks under a higher number, so that no older order passes from their answers on.
-    fn survey(&mut self, now: Duration, above: Number) {
+    fn survey(&mut self, now: Duration, above: protocol::Number) {
         let highest = self.fence.number.max(above).max(self.record().number);
         self.fence.number = highest.next();
         self.forget_statuses();
@@ -188,19 +185,19 @@
         self.ranks.iter_mut().for_each(|rank| rank.status = None);
     }
 
-    fn record(&self) -> Record {
-        self.stored.map_or(Record::default(), |stored| stored.record)
+    fn record(&self) -> protocol::Record {
+        self.stored.map_or(protocol::Record::default(), |stored| stored.record)
     }
 
-    fn statuses(&self) -> impl Iterator<Item = &EngineStatus> {
+    fn statuses(&self) -> impl Iterator<Item = &protocol::EngineStatus> {
         self.ranks.iter().filter_map(|rank| rank.status.as_ref())
     }
 
-    fn all(&self, test: impl Fn(&EngineStatus) -> bool) -> bool {
+    fn all(&self, test: impl Fn(&protocol::EngineStatus) -> bool) -> bool {
         self.ranks.iter().all(|rank| rank.status.as_ref().is_some_and(&test))
     }
 
-    fn hear(&mut self, now: Duration, report: &Report, effects: &mut Vec<Effect>) {
+    fn hear(&mut self, now: Duration, report: &protocol::Report, effects: &mut Vec<Effect>) {
         let mine = report.fence.coordinator == self.options.life;
         if !mine || self.phase == Phase::Deposed {
             return;
@@ -235,7 +232,12 @@
         self.stored = self.stored.filter(|stored| stored.record.incarnation > newest);
     }
 
-    fn adopt(&mut self, now: Duration, incarnation: Incarnation, effects: &mut Vec<Effect>) {
+    fn adopt(
+        &mut self,
+        now: Duration,
+        incarnation: protocol::Incarnation,
+        effects: &mut Vec<Effect>,
+    ) {
         self.abandon(effects);
         self.fence.incarnation = incarnation;
         self.survey(now, self.fence.number);
@@ -243,12 +245,13 @@
 
     fn abandon(&mut self, effects: &mut Vec<Effect>) {
         if let Phase::Preparing | Phase::Arming(_) = self.phase {
-            effects.push(Effect::Abandoned(Version(self.fence.number.0)));
+            effects.push(Effect::Abandoned(protocol::Version(self.fence.number.0)));
         }
     }
 
     fn advance(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        let is_stray = |status: &EngineStatus| status.incarnation != self.fence.incarnation;
+        let is_stray =
+            |status: &protocol::EngineStatus| status.incarnation != self.fence.incarnation;
         let settled = matches!(self.phase, Phase::Surveying | Phase::Forming | Phase::Joining(_));
         if !settled && self.statuses().any(is_stray) {
             self.abandon(effects);
@@ -274,12 +277,13 @@
             return;
         }
         if !self.all(|status| status.incarnation == self.fence.incarnation)
-            || self.fence.incarnation == Incarnation::default()
+            || self.fence.incarnation == protocol::Incarnation::default()
         {
             self.enter(now, Phase::Forming);
             return;
         }
-        let held = self.statuses().filter_map(EngineStatus::holds_for).map(|s| s.number).max();
+        let held =
+            self.statuses().filter_map(protocol::EngineStatus::holds_for).map(|s| s.number).max();
         match held {
             None => self.enter(now, Phase::Idle),
             Some(number) => {
@@ -290,12 +294,18 @@
         }
     }
 
-    fn finish(&mut self, now: Duration, number: Number, forward: bool, effects: &mut Vec<Effect>) {
+    fn finish(
+        &mut self,
+        now: Duration,
+        number: protocol::Number,
+        forward: bool,
+        effects: &mut Vec<Effect>,
+    ) {
         if !self.all(|status| status.holds_for().is_none()) {
             return;
         }
         if forward {
-            effects.push(Effect::Switched(Version(number.0)));
+            effects.push(Effect::Switched(protocol::Version(number.0)));
         }
         self.enter(now, Phase::Idle);
     }
@@ -314,11 +324,11 @@
     }
 
     fn prepare(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        let version = Version(self.fence.number.0);
+        let version = protocol::Version(self.fence.number.0);
         if self.all(|status| status.prepared == Some(version)) {
             let furthest = self.statuses().map(|status| status.next_step).max();
-            let step = Step(furthest.unwrap_or_default().0 + self.lead_steps);
-            let switch = Switch { number: self.fence.number, version, step };
+            let step = protocol::Step(furthest.unwrap_or_default().0 + self.lead_steps);
+            let switch = protocol::Switch { number: self.fence.number, version, step };
             self.enter(now, Phase::Arming(switch));
         } else if now > self.phase_since + self.options.prepare_timeout {
             self.abandon(effects);
@@ -326,8 +336,8 @@
         }
     }
 
-    fn arm(&mut self, now: Duration, switch: Switch, effects: &mut Vec<Effect>) {
-        let is_armed = |status: &EngineStatus| status.holds_for() == Some(switch);
+    fn arm(&mut self, now: Duration, switch: protocol::Switch, effects: &mut Vec<Effect>) {
+        let is_armed = |status: &protocol::EngineStatus| status.holds_for() == Some(switch);
         let any_armed = !self.options.safeguards.all_armed && self.statuses().any(is_armed);
         if any_armed || self.all(is_armed) {
             self.lead_steps = self.options.lead_steps;
@@ -346,31 +356,33 @@
     fn send_orders(&mut self, effects: &mut Vec<Effect>) {
         for index in 0..self.ranks.len() {
             let command = self.command(index);
-            if let Command::Join { engine, .. } = command {
+            if let protocol::Command::Join { engine, .. } = command {
                 self.ranks[index].joined.get_or_insert(engine);
             }
-            let order = Order { fence: self.fence, to: self.ranks[index].agent, command };
+            let order = protocol::Order { fence: self.fence, to: self.ranks[index].agent, command };
             effects.push(Effect::Send { rank: index, order });
         }
     }
 
     /// Returns what a rank has to do next; a query where it has done its part.
-    fn command(&self, index: usize) -> Command {
+    fn command(&self, index: usize) -> protocol::Command {
         let rank = &self.ranks[index];
-        let held = rank.status.as_ref().and_then(EngineStatus::holds_for);
+        let held = rank.status.as_ref().and_then(protocol::EngineStatus::holds_for);
         match (self.phase, rank.status) {
             (Phase::Settling { number, forward }, _) if held.is_some() => match forward {
-                true => Command::Release(number),
-                false => Command::Abort(held.map_or(number, |switch| switch.number)),
+                true => protocol::Command::Release(number),
+                false => protocol::Command::Abort(held.map_or(number, |switch| switch.number)),
             },
             (Phase::Joining(version), Some(status))
                 if status.incarnation < self.fence.incarnation =>
             {
-                Command::Join { engine: status.life, version }
+                protocol::Command::Join { engine: status.life, version }
+            }
+            (Phase::Preparing, _) => {
+                protocol::Command::Prepare(protocol::Version(self.fence.number.0))
             }
-            (Phase::Preparing, _) => Command::Prepare(Version(self.fence.number.0)),
-            (Phase::Arming(switch), _) if held.is_none() => Command::Arm(switch),
-            _ => Command::Query,
+            (Phase::Arming(switch), _) if held.is_none() => protocol::Command::Arm(switch),
+            _ => protocol::Command::Query,
         }
     }
 }
--- a/src/expert_map/coordinator/record.rs
+++ b/src/expert_map/coordinator/record.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Coordinator, Effect, Phase, RETRY};
-use crate::expert_map::protocol::{Incarnation, Record, StoreAnswer, Stored, Version};
+use crate::expert_map::protocol;
 
 /// Purpose is why the record should change.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,7 +20,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Proposal {
     purpose: Purpose,
-    record: Record,
+    record: protocol::Record,
 }
 
 impl Coordinator {
@@ -42,7 +42,7 @@
         effects.push(Effect::SwapRecord { revision: stored.revision, record });
     }
 
-    fn propose(&self, present: &Record) -> Option<Proposal> {
+    fn propose(&self, present: &protocol::Record) -> Option<Proposal> {
         let number = present.number.max(self.fence.number).next();
         let newest = self.statuses().map(|status| status.version).max().unwrap_or_default();
         let version = present.version.max(newest);
@@ -51,15 +51,16 @@
             Phase::Forming => {
                 let generation = self.options.generation;
                 let formed = present.incarnation.max(self.fence.incarnation);
-                let incarnation = Incarnation(formed.0 + 1);
-                let record = Record { generation, incarnation, number, version, writer };
+                let incarnation = protocol::Incarnation(formed.0 + 1);
+                let record = protocol::Record { generation, incarnation, number, version, writer };
                 Some(Proposal { purpose: Purpose::Form, record })
             }
-            Phase::Idle if version > present.version => {
-                Some(Proposal { purpose: Purpose::Note, record: Record { version, ..*present } })
-            }
+            Phase::Idle if version > present.version => Some(Proposal {
+                purpose: Purpose::Note,
+                record: protocol::Record { version, ..*present },
+            }),
             Phase::Idle if self.wanted && self.all(|_| true) => {
-                let record = Record { number, writer, ..*present };
+                let record = protocol::Record { number, writer, ..*present };
                 Some(Proposal { purpose: Purpose::Claim, record })
             }
             _ => None,
@@ -71,18 +72,18 @@
     pub(super) fn settle_call(
         &mut self,
         now: Duration,
-        answer: &StoreAnswer,
+        answer: &protocol::StoreAnswer,
         effects: &mut Vec<Effect>,
     ) {
         self.store_busy = false;
         let proposed = self.proposed.take();
         match (answer, proposed) {
-            (StoreAnswer::Read(stored), _) => self.learn(now, stored, effects),
-            (StoreAnswer::Swapped(revision), Some(Proposal { purpose, record })) => {
-                self.stored = Some(Stored { record, revision: *revision });
+            (protocol::StoreAnswer::Read(stored), _) => self.learn(now, stored, effects),
+            (protocol::StoreAnswer::Swapped(revision), Some(Proposal { purpose, record })) => {
+                self.stored = Some(protocol::Stored { record, revision: *revision });
                 self.follow(now, purpose, &record, effects);
             }
-            (StoreAnswer::Unavailable, _) => self.next_call = now + RETRY,
+            (protocol::StoreAnswer::Unavailable, _) => self.next_call = now + RETRY,
             _ => {
                 self.next_call = now + RETRY;
                 self.stored = None;
@@ -90,7 +91,7 @@
         }
     }
 
-    fn learn(&mut self, now: Duration, stored: &Stored, effects: &mut Vec<Effect>) {
+    fn learn(&mut self, now: Duration, stored: &protocol::Stored, effects: &mut Vec<Effect>) {
         self.stored = Some(*stored);
         let record = stored.record;
         if record.generation > self.options.generation {
@@ -108,7 +109,7 @@
         &mut self,
         now: Duration,
         purpose: Purpose,
-        record: &Record,
+        record: &protocol::Record,
         effects: &mut Vec<Effect>,
     ) {
         match (purpose, self.phase) {
@@ -123,7 +124,7 @@
                 self.wanted = false;
                 self.fence.number = record.number;
                 self.forget_statuses();
-                effects.push(Effect::Named(Version(record.number.0)));
+                effects.push(Effect::Named(protocol::Version(record.number.0)));
                 self.enter(now, Phase::Preparing);
             }
             (Purpose::Form, _) if record.incarnation > self.fence.incarnation => {
--- a/src/expert_map/rank_agent.rs
+++ b/src/expert_map/rank_agent.rs
@@ -3,10 +3,7 @@
 
 use std::time::Duration;
 
-use crate::expert_map::protocol::{
-    Command, EngineOrder, EngineStatus, Fence, Incarnation, Life, Order, Report, Safeguards,
-    StoreAnswer,
-};
+use crate::expert_map::protocol;
 
 /// Time after which a starting agent asks its engine and the key-value service again.
 const START_RETRY: Duration = Duration::from_millis(200);
@@ -15,16 +12,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
     /// A coordinator's order arrived.
-    Order(Order),
+    Order(protocol::Order),
     /// The engine has carried out the orders up to one of them.
     Engine {
         /// The last order carried out.
         sequence: u64,
         /// How the engine stands after it.
-        status: EngineStatus,
+        status: protocol::EngineStatus,
     },
     /// The key-value service answered.
-    Store(StoreAnswer),
+    Store(protocol::StoreAnswer),
 }
 
 /// Effect is what the agent's actor does next.
@@ -33,34 +30,34 @@
     /// Read the group's record.
     ReadRecord,
     /// Pass an order to the engine.
-    Engine(EngineOrder),
+    Engine(protocol::EngineOrder),
     /// Send a report to the coordinator that gave the order.
-    Report(Report),
+    Report(protocol::Report),
 }
 
 /// RankAgent is the agent of one rank.
 #[derive(Clone, Debug)]
 pub struct RankAgent {
     rank: usize,
-    life: Life,
-    safeguards: Safeguards,
-    promised: Fence,
+    life: protocol::Life,
+    safeguards: protocol::Safeguards,
+    promised: protocol::Fence,
     number_known: bool,
-    engine: Option<EngineStatus>,
+    engine: Option<protocol::EngineStatus>,
     sequence: u64,
     reports: u64,
-    unanswered: Vec<(u64, Fence)>,
+    unanswered: Vec<(u64, protocol::Fence)>,
     next_start_try: Duration,
 }
 
 impl RankAgent {
     /// Starts without memory; `life` must differ from that of every earlier run.
-    pub fn new(rank: usize, life: Life, safeguards: Safeguards) -> Self {
+    pub fn new(rank: usize, life: protocol::Life, safeguards: protocol::Safeguards) -> Self {
         Self {
             rank,
             life,
             safeguards,
-            promised: Fence::default(),
+            promised: protocol::Fence::default(),
             number_known: false,
             engine: None,
             sequence: 0,
@@ -71,7 +68,7 @@
     }
 
     /// Returns the run of the agent.
-    pub fn life(&self) -> Life {
+    pub fn life(&self) -> protocol::Life {
         self.life
     }
 
@@ -87,7 +84,7 @@
         if !self.is_ready() && now >= self.next_start_try {
             self.next_start_try = now + START_RETRY;
             effects.push(Effect::ReadRecord);
-            self.pass(self.promised, Command::Query, effects);
+            self.pass(self.promised, protocol::Command::Query, effects);
         }
     }
 
@@ -97,23 +94,26 @@
 
     /// Learns the number before any order passes. Where the service is down, the engine's own
     /// incarnation and the lives in the orders protect the rank as well, so the agent goes on.
-    fn read(&mut self, answer: StoreAnswer) {
+    fn read(&mut self, answer: protocol::StoreAnswer) {
         match answer {
-            StoreAnswer::Read(stored) => {
+            protocol::StoreAnswer::Read(stored) => {
                 let record = stored.record;
                 let floor = (record.incarnation, record.number);
                 if floor > (self.promised.incarnation, self.promised.number) {
                     let coordinator = record.writer;
-                    self.promised = Fence { incarnation: floor.0, number: floor.1, coordinator };
+                    self.promised =
+                        protocol::Fence { incarnation: floor.0, number: floor.1, coordinator };
                 }
                 self.number_known = true;
             }
-            StoreAnswer::Unavailable | StoreAnswer::Unknown => self.number_known = true,
-            StoreAnswer::Swapped(_) | StoreAnswer::Conflict => {}
+            protocol::StoreAnswer::Unavailable | protocol::StoreAnswer::Unknown => {
+                self.number_known = true
+            }
+            protocol::StoreAnswer::Swapped(_) | protocol::StoreAnswer::Conflict => {}
         }
     }
 
-    fn receive(&mut self, order: &Order, effects: &mut Vec<Effect>) {
+    fn receive(&mut self, order: &protocol::Order, effects: &mut Vec<Effect>) {
         let (true, Some(status)) = (self.number_known, self.engine) else { return };
         if !self.admits(order) {
             effects.push(self.report(order.fence, status));
@@ -122,47 +122,64 @@
         self.promised = order.fence;
         let command = match passes_engine(&order.command, order.fence.incarnation, &status) {
             true => order.command,
-            false => Command::Query,
+            false => protocol::Command::Query,
         };
         self.pass(order.fence, command, effects);
         self.unanswered.push((self.sequence, order.fence));
     }
 
-    fn admits(&self, order: &Order) -> bool {
+    fn admits(&self, order: &protocol::Order) -> bool {
         let fenced = !self.safeguards.fencing || order.fence.passes(&self.promised);
         let meant = !self.safeguards.lives || order.to == self.life;
-        fenced && (meant || order.command == Command::Query)
+        fenced && (meant || order.command == protocol::Command::Query)
     }
 
-    fn pass(&mut self, fence: Fence, command: Command, effects: &mut Vec<Effect>) {
+    fn pass(
+        &mut self,
+        fence: protocol::Fence,
+        command: protocol::Command,
+        effects: &mut Vec<Effect>,
+    ) {
         self.sequence += 1;
-        effects.push(Effect::Engine(EngineOrder { sequence: self.sequence, fence, command }));
+        effects.push(Effect::Engine(protocol::EngineOrder {
+            sequence: self.sequence,
+            fence,
+            command,
+        }));
     }
 
-    fn hear(&mut self, sequence: u64, status: EngineStatus, effects: &mut Vec<Effect>) {
+    fn hear(&mut self, sequence: u64, status: protocol::EngineStatus, effects: &mut Vec<Effect>) {
         self.engine = Some(status);
         let (answered, left) = self.unanswered.iter().partition(|(order, _)| *order <= sequence);
         self.unanswered = left;
-        let answered: Vec<(u64, Fence)> = answered;
+        let answered: Vec<(u64, protocol::Fence)> = answered;
         effects.extend(answered.into_iter().map(|(_, fence)| self.report(fence, status)));
     }
 
-    fn report(&mut self, fence: Fence, status: EngineStatus) -> Effect {
+    fn report(&mut self, fence: protocol::Fence, status: protocol::EngineStatus) -> Effect {
         self.reports += 1;
         let (rank, life, promised, sequence) = (self.rank, self.life, self.promised, self.reports);
-        Effect::Report(Report { rank, life, fence, promised, sequence, status })
+        Effect::Report(protocol::Report { rank, life, fence, promised, sequence, status })
     }
 }
 
 /// Tells whether a command fits the engine's state. An engine that ignores fences would obey
 /// others as well.
-fn passes_engine(command: &Command, incarnation: Incarnation, status: &EngineStatus) -> bool {
+fn passes_engine(
+    command: &protocol::Command,
+    incarnation: protocol::Incarnation,
+    status: &protocol::EngineStatus,
+) -> bool {
     let same = status.incarnation == incarnation;
     let holds_for = status.holds_for().map(|switch| switch.number);
     match command {
-        Command::Query => true,
-        Command::Join { engine, .. } => *engine == status.life && incarnation > status.incarnation,
-        Command::Prepare(_) | Command::Arm(_) => same && status.armed.is_none(),
-        Command::Release(number) | Command::Abort(number) => same && holds_for == Some(*number),
+        protocol::Command::Query => true,
+        protocol::Command::Join { engine, .. } => {
+            *engine == status.life && incarnation > status.incarnation
+        }
+        protocol::Command::Prepare(_) | protocol::Command::Arm(_) => same && status.armed.is_none(),
+        protocol::Command::Release(number) | protocol::Command::Abort(number) => {
+            same && holds_for == Some(*number)
+        }
     }
 }
--- a/tests/expert_maps.rs
+++ b/tests/expert_maps.rs
@@ -2,7 +2,7 @@
 //! promises on the group model.
 
 use bitternwall::expert_map::coordinator::Phase;
-use bitternwall::expert_map::protocol::{Command, Safeguards, Step};
+use bitternwall::expert_map::protocol;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{RngSeed, TestRunner};
@@ -27,8 +27,9 @@
 
 const RULES: Rules = Rules {
     ranks: 3,
-    safeguards: Safeguards { fencing: true, lives: true, all_armed: true, forward: true },
+    safeguards: protocol::Safeguards { fencing: true, lives: true, all_armed: true, forward: true },
     hold: true,
+    lead_steps: 12,
     engines_check: false,
 };
 
@@ -107,7 +108,7 @@
     let (incarnation, step) = world.progress();
     world.run(WATCHED_TICKS);
     let (later_incarnation, later) = world.progress();
-    later_incarnation == incarnation && later > Step(step.0 + WATCHED_TICKS / 4)
+    later_incarnation == incarnation && later > protocol::Step(step.0 + WATCHED_TICKS / 4)
 }
 
 #[test]
@@ -142,6 +143,21 @@
     proof.unwrap();
 }
 
+/// The lead covers arming and releasing: two round trips, each with the engine's queue.
+#[test]
+fn a_switch_without_faults_makes_no_rank_wait() {
+    for ranks in [2, 8, 32] {
+        let mut world = World::new(Rules { ranks, lead_steps: 30, ..RULES }, SEED);
+        world.run(40);
+        for _ in 0..10 {
+            world.inject(Fault::Want);
+            world.run(90);
+        }
+        assert_eq!((world.switched, world.held), (10, 0));
+        assert_eq!(world.violation, None);
+    }
+}
+
 /// Looks for a case in which the rules let two ranks use different maps, and shows that the full
 /// rules pass the same case.
 fn assert_prevents(rules: Rules) {
@@ -160,7 +176,7 @@
     panic!("no case shows what {rules:?} lacks");
 }
 
-fn without(change: fn(&mut Safeguards)) -> Rules {
+fn without(change: fn(&mut protocol::Safeguards)) -> Rules {
     let mut rules = RULES;
     change(&mut rules.safeguards);
     rules
@@ -188,9 +204,11 @@
     world.run(40);
     let first = world.life(0).expect("host 0 runs");
     world.deliver_orders(move |rank, order| match (order.command, rank) {
-        (Command::Release(_), 1) if order.fence.coordinator == first => Delivery::After(100),
-        (Command::Release(_), _) if order.fence.coordinator == first => Delivery::Lost,
-        (Command::Abort(_), 1) => Delivery::Lost,
+        (protocol::Command::Release(_), 1) if order.fence.coordinator == first => {
+            Delivery::After(100)
+        }
+        (protocol::Command::Release(_), _) if order.fence.coordinator == first => Delivery::Lost,
+        (protocol::Command::Abort(_), 1) => Delivery::Lost,
         _ => Delivery::AsTheNetworkIs,
     });
     world.inject(Fault::Want);
--- a/tests/expert_maps/engines.rs
+++ b/tests/expert_maps/engines.rs
@@ -3,16 +3,14 @@
 use std::collections::BTreeMap;
 
 use super::{LOAD_TICKS, World};
-use bitternwall::expert_map::protocol::{
-    Armed, Command, EngineOrder, EngineStatus, Incarnation, Step,
-};
+use bitternwall::expert_map::protocol;
 use bitternwall::expert_map::rank_agent;
 
 impl World {
     pub(super) fn run_engine_orders(&mut self, host: usize) {
         let Some(mut process) = self.hosts[host].process.take() else { return };
         let count = self.rng.below(process.to_engine.len() + 1).max(process.to_engine.len() / 2);
-        let orders: Vec<EngineOrder> = process.to_engine.drain(..count).collect();
+        let orders: Vec<protocol::EngineOrder> = process.to_engine.drain(..count).collect();
         for order in orders {
             self.obey(host, &order);
             let (sequence, status) = (order.sequence, self.hosts[host].engine.status);
@@ -21,7 +19,7 @@
         self.hosts[host].process = Some(process);
     }
 
-    pub(super) fn obey(&mut self, host: usize, order: &EngineOrder) {
+    pub(super) fn obey(&mut self, host: usize, order: &protocol::EngineOrder) {
         let check = self.rules.engines_check;
         let tick = self.tick;
         let engine = &mut self.hosts[host].engine;
@@ -31,30 +29,35 @@
         engine.newest = order.fence;
         let status = &mut engine.status;
         match order.command {
-            Command::Query => {}
-            Command::Join { version, .. } => {
+            protocol::Command::Query => {}
+            protocol::Command::Join { version, .. } => {
                 let (life, incarnation) = (status.life, order.fence.incarnation);
-                *status = EngineStatus { life, incarnation, version, ..EngineStatus::default() };
+                *status = protocol::EngineStatus {
+                    life,
+                    incarnation,
+                    version,
+                    ..protocol::EngineStatus::default()
+                };
                 engine.loading = None;
             }
-            Command::Prepare(version) => {
+            protocol::Command::Prepare(version) => {
                 if status.prepared != Some(version)
                     && engine.loading.is_none_or(|(_, loading)| loading != version)
                 {
                     engine.loading = Some((tick + LOAD_TICKS, version));
                 }
             }
-            Command::Arm(switch) => {
+            protocol::Command::Arm(switch) => {
                 if status.next_step <= switch.step && status.prepared == Some(switch.version) {
-                    status.armed = Some(Armed { switch, released: false });
+                    status.armed = Some(protocol::Armed { switch, released: false });
                 }
             }
-            Command::Release(_) => {
+            protocol::Command::Release(_) => {
                 if let Some(armed) = &mut status.armed {
                     armed.released = true;
                 }
             }
-            Command::Abort(_) => status.armed = None,
+            protocol::Command::Abort(_) => status.armed = None,
         }
     }
 
@@ -76,16 +79,17 @@
     }
 
     /// Lock-step: a rank begins a step only after all ranks of its incarnation ended the last.
-    pub(super) fn ready_steps(&self) -> BTreeMap<Incarnation, Step> {
-        let mut groups: BTreeMap<Incarnation, (usize, Step)> = BTreeMap::new();
+    pub(super) fn ready_steps(&self) -> BTreeMap<protocol::Incarnation, protocol::Step> {
+        let mut groups: BTreeMap<protocol::Incarnation, (usize, protocol::Step)> = BTreeMap::new();
         for host in &self.hosts {
-            let EngineStatus { incarnation, next_step, .. } = host.engine.status;
+            let protocol::EngineStatus { incarnation, next_step, .. } = host.engine.status;
             let group = groups.entry(incarnation).or_insert((0, next_step));
             *group = (group.0 + 1, group.1.min(next_step));
         }
-        let whole = |(incarnation, (count, _)): &(Incarnation, (usize, Step))| {
-            *incarnation > Incarnation(0) && *count == self.rules.ranks
-        };
+        let whole =
+            |(incarnation, (count, _)): &(protocol::Incarnation, (usize, protocol::Step))| {
+                *incarnation > protocol::Incarnation(0) && *count == self.rules.ranks
+            };
         groups.into_iter().filter(whole).map(|(group, (_, step))| (group, step)).collect()
     }
 
@@ -98,11 +102,12 @@
                 status.armed = None;
                 status.prepared = None;
             } else if self.rules.hold {
+                self.held += 1;
                 return;
             }
         }
         let (step, version) = ((status.incarnation, status.next_step), status.version);
-        status.next_step = Step(status.next_step.0 + 1);
+        status.next_step = protocol::Step(status.next_step.0 + 1);
         let used = *self.used.entry(step).or_insert(version);
         if used != version && self.violation.is_none() {
             let found = format!("host {host} takes {step:?} on {version:?}, another on {used:?}");
--- a/tests/expert_maps/faults.rs
+++ b/tests/expert_maps/faults.rs
@@ -1,7 +1,7 @@
 //! The faults of a world, and how they are brought about.
 
 use bitternwall::expert_map::coordinator;
-use bitternwall::expert_map::protocol::EngineStatus;
+use bitternwall::expert_map::protocol;
 use bitternwall::expert_map::rank_agent;
 
 use super::{Engine, RESTART_TICKS, World};
@@ -43,7 +43,7 @@
             Fault::PauseAgent(host, ticks) => self.hosts[host].paused_until = self.tick + ticks,
             Fault::KillEngine(host) => {
                 let life = self.new_life();
-                let status = EngineStatus { life, ..EngineStatus::default() };
+                let status = protocol::EngineStatus { life, ..protocol::EngineStatus::default() };
                 self.hosts[host].engine = Engine { status, ..Engine::default() };
                 if let Some(process) = &mut self.hosts[host].process {
                     process.to_engine.clear();
--- a/tests/expert_maps/store.rs
+++ b/tests/expert_maps/store.rs
@@ -1,42 +1,54 @@
 //! The key-value service and its outages.
 
 use super::{Packet, StoreMode, World};
-use bitternwall::expert_map::protocol::{Record, StoreAnswer, Stored};
+use bitternwall::expert_map::protocol;
 
 impl World {
-    pub(super) fn read(&mut self) -> StoreAnswer {
+    pub(super) fn read(&mut self) -> protocol::StoreAnswer {
         let down = match self.store_mode {
             StoreMode::Up => false,
             StoreMode::Down | StoreMode::AnswersLost => true,
             StoreMode::Mixed => self.chance(40),
         };
-        if down { StoreAnswer::Unavailable } else { StoreAnswer::Read(self.stored) }
+        if down {
+            protocol::StoreAnswer::Unavailable
+        } else {
+            protocol::StoreAnswer::Read(self.stored)
+        }
     }
 
-    pub(super) fn answer_swap(&mut self, revision: u64, record: Record) -> StoreAnswer {
+    pub(super) fn answer_swap(
+        &mut self,
+        revision: u64,
+        record: protocol::Record,
+    ) -> protocol::StoreAnswer {
         let (late, lost) = (self.chance(30), self.chance(30));
         match self.store_mode {
             StoreMode::Up => self.swap(revision, record),
-            StoreMode::Down => StoreAnswer::Unavailable,
+            StoreMode::Down => protocol::StoreAnswer::Unavailable,
             StoreMode::AnswersLost => {
                 self.swap(revision, record);
-                StoreAnswer::Unknown
+                protocol::StoreAnswer::Unknown
             }
             StoreMode::Mixed if late => {
                 let late = self.tick + self.rng.bits() % 20;
                 self.packets.push((late, Packet::Swap { revision, record }));
-                StoreAnswer::Unknown
+                protocol::StoreAnswer::Unknown
             }
-            StoreMode::Mixed if lost => StoreAnswer::Unknown,
+            StoreMode::Mixed if lost => protocol::StoreAnswer::Unknown,
             StoreMode::Mixed => self.swap(revision, record),
         }
     }
 
-    pub(super) fn swap(&mut self, revision: u64, record: Record) -> StoreAnswer {
+    pub(super) fn swap(
+        &mut self,
+        revision: u64,
+        record: protocol::Record,
+    ) -> protocol::StoreAnswer {
         if self.stored.revision != revision {
-            return StoreAnswer::Conflict;
+            return protocol::StoreAnswer::Conflict;
         }
-        self.stored = Stored { record, revision: revision + 1 };
-        StoreAnswer::Swapped(revision + 1)
+        self.stored = protocol::Stored { record, revision: revision + 1 };
+        protocol::StoreAnswer::Swapped(revision + 1)
     }
 }
--- a/tests/expert_maps/world.rs
+++ b/tests/expert_maps/world.rs
@@ -9,10 +9,7 @@
 use std::time::Duration;
 
 use bitternwall::expert_map::coordinator::{self, Coordinator, Phase};
-use bitternwall::expert_map::protocol::{
-    EngineOrder, EngineStatus, Fence, Incarnation, Life, Order, Record, Report, Safeguards, Step,
-    StoreAnswer, Stored, Version,
-};
+use bitternwall::expert_map::protocol;
 use bitternwall::expert_map::rank_agent::{self, RankAgent};
 
 pub use faults::{Fault, Network, StoreMode};
@@ -20,7 +17,6 @@
 use crate::group::Rng;
 
 pub const TICK: Duration = Duration::from_millis(50);
-const LEAD_STEPS: u64 = 12;
 const LOAD_TICKS: u64 = 6;
 const RESTART_TICKS: u64 = 10;
 
@@ -28,18 +24,20 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
     pub ranks: usize,
-    pub safeguards: Safeguards,
+    pub safeguards: protocol::Safeguards,
     /// Engines hold at the armed step until they are released.
     pub hold: bool,
+    /// Steps that a switch is armed ahead.
+    pub lead_steps: u64,
     /// Engines refuse old fences themselves.
     pub engines_check: bool,
 }
 
 #[derive(Debug, Default)]
 struct Engine {
-    status: EngineStatus,
-    newest: Fence,
-    loading: Option<(u64, Version)>,
+    status: protocol::EngineStatus,
+    newest: protocol::Fence,
+    loading: Option<(u64, protocol::Version)>,
     stalled_until: u64,
 }
 
@@ -49,7 +47,7 @@
     coordinator: Option<Coordinator>,
     agent_inbox: Vec<rank_agent::Event>,
     coordinator_inbox: Vec<coordinator::Event>,
-    to_engine: Vec<EngineOrder>,
+    to_engine: Vec<protocol::EngineOrder>,
 }
 
 #[derive(Debug, Default)]
@@ -62,11 +60,11 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Packet {
-    Order { to: usize, order: Order },
-    Report { to: usize, report: Report },
-    AgentStore { to: usize, life: Life, answer: StoreAnswer },
-    CoordinatorStore { to: usize, life: Life, answer: StoreAnswer },
-    Swap { revision: u64, record: Record },
+    Order { to: usize, order: protocol::Order },
+    Report { to: usize, report: protocol::Report },
+    AgentStore { to: usize, life: protocol::Life, answer: protocol::StoreAnswer },
+    CoordinatorStore { to: usize, life: protocol::Life, answer: protocol::StoreAnswer },
+    Swap { revision: u64, record: protocol::Record },
 }
 
 /// Delivery is what becomes of one order.
@@ -77,7 +75,7 @@
     After(u64),
 }
 
-type Deliver = Box<dyn Fn(usize, &Order) -> Delivery>;
+type Deliver = Box<dyn Fn(usize, &protocol::Order) -> Delivery>;
 
 pub struct World {
     rules: Rules,
@@ -85,16 +83,18 @@
     tick: u64,
     hosts: Vec<Host>,
     lives: u64,
-    spare_lives: Vec<Life>,
+    spare_lives: Vec<protocol::Life>,
     packets: Vec<(u64, Packet)>,
     network: Network,
     deliver_order: Deliver,
     store_mode: StoreMode,
-    stored: Stored,
+    stored: protocol::Stored,
     replaced: bool,
-    used: BTreeMap<(Incarnation, Step), Version>,
+    used: BTreeMap<(protocol::Incarnation, protocol::Step), protocol::Version>,
     pub violation: Option<String>,
     pub switched: usize,
+    /// Ticks in which an engine held at the armed step.
+    pub held: usize,
 }
 
 impl World {
@@ -111,11 +111,12 @@
             network: Network::default(),
             deliver_order: Box::new(|_, _| Delivery::AsTheNetworkIs),
             store_mode: StoreMode::Up,
-            stored: Stored::default(),
+            stored: protocol::Stored::default(),
             replaced: false,
             used: BTreeMap::new(),
             violation: None,
             switched: 0,
+            held: 0,
         };
         for host in 0..=rules.ranks {
             world.hosts[host].engine.status.life = world.new_life();
@@ -124,9 +125,9 @@
         world
     }
 
-    fn new_life(&mut self) -> Life {
+    fn new_life(&mut self) -> protocol::Life {
         self.lives += 1;
-        Life(self.lives)
+        protocol::Life(self.lives)
     }
 
     fn chance(&mut self, percent: u64) -> bool {
@@ -153,7 +154,7 @@
                 ranks: self.rules.ranks,
                 generation,
                 life,
-                lead_steps: LEAD_STEPS,
+                lead_steps: self.rules.lead_steps,
                 prepare_timeout: Duration::from_secs(5),
                 safeguards: self.rules.safeguards,
             })
@@ -168,12 +169,15 @@
     }
 
     /// Decides on each order's delivery from now on.
-    pub fn deliver_orders(&mut self, deliver: impl Fn(usize, &Order) -> Delivery + 'static) {
+    pub fn deliver_orders(
+        &mut self,
+        deliver: impl Fn(usize, &protocol::Order) -> Delivery + 'static,
+    ) {
         self.deliver_order = Box::new(deliver);
     }
 
     /// Returns the run of the agent on a host.
-    pub fn life(&self, host: usize) -> Option<Life> {
+    pub fn life(&self, host: usize) -> Option<protocol::Life> {
         self.hosts[host].process.as_ref().map(|process| process.agent.life())
     }
 
@@ -196,13 +200,13 @@
     }
 
     /// Returns the step that all members of the present group have reached.
-    pub fn progress(&self) -> (Incarnation, Step) {
+    pub fn progress(&self) -> (protocol::Incarnation, protocol::Step) {
         let members = self.members();
         let status = |host: &usize| self.hosts[*host].engine.status;
         let incarnation = members.iter().map(|h| status(h).incarnation).max().unwrap_or_default();
         let of_group = |host: &usize| {
             let status = status(host);
-            if status.incarnation == incarnation { status.next_step } else { Step(0) }
+            if status.incarnation == incarnation { status.next_step } else { protocol::Step(0) }
         };
         (incarnation, members.iter().map(of_group).min().unwrap_or_default())
     }
@@ -298,11 +302,16 @@
         }
     }
 
-    fn coordinator_host(&self, life: Life) -> usize {
+    fn coordinator_host(&self, life: protocol::Life) -> usize {
         if self.spare_lives.contains(&life) { self.spare() } else { 0 }
     }
 
-    fn apply_coordinator(&mut self, host: usize, life: Life, effect: coordinator::Effect) {
+    fn apply_coordinator(
+        &mut self,
+        host: usize,
+        life: protocol::Life,
+        effect: coordinator::Effect,
+    ) {
         match effect {
             coordinator::Effect::Send { rank, order } => {
                 let to = if rank == 0 { host } else { rank };
