Whole answers over real processes; the error event leaves before the cut

Cause: an answer that could not be finished was cut in the same poll as its SSE error event, so the server dropped the event with its unsent bytes and callers saw a bare cut. Ruled out: the frames and the relay; the piece reached the HTTP side each time. Change: AnswerBody lets the server write for 10 ms between the error event and the cut. Scaffolding: a TCP pipe, a reader of streams that takes a cut for an error, a link address in the test fleet's targets. Conclusion: engine killed, agent killed, stream cut again and again, unstreamed answer cut, many concurrent requests: own and whole, or an explicit error.

--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -1,5 +1,6 @@
 //! The callers' HTTP API: chat completions and calls of plain services.
 
+use std::future::Future as _;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,6 +15,7 @@
 use futures_util::Stream;
 use sha2::{Digest as _, Sha256};
 use tokio::sync::mpsc;
+use tokio::time;
 use xxhash_rust::xxh3;
 
 use crate::config::view;
@@ -32,6 +34,8 @@
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 /// Tokens that a call of a plain service counts as, for fair shares.
 const PLAIN_CALL_TOKENS: u64 = 1;
+/// How long the server gets to write an error event before the cut, which drops what is unsent.
+const FLUSH_TIME: Duration = Duration::from_millis(10);
 /// Headers that end at this hop, or that the next one sets itself.
 const NOT_PASSED_ON: [&str; 9] = [
     "authorization",
@@ -140,7 +144,7 @@
         }
         Some(relay::Piece::Head(head)) => {
             let event_stream = relay::is_event_stream(&head.headers);
-            let body = AnswerBody { rx, guard: Some(guard), event_stream };
+            let body = AnswerBody { rx, guard: Some(guard), event_stream, flush: None };
             start_response(api, &head).streaming(body)
         }
         Some(relay::Piece::Refused(refusal) | relay::Piece::Broken(refusal)) => {
@@ -285,6 +289,8 @@
     rx: mpsc::UnboundedReceiver<relay::Piece>,
     guard: Option<CallerGuard>,
     event_stream: bool,
+    /// Runs between the error event and the cut.
+    flush: Option<Pin<Box<time::Sleep>>>,
 }
 
 impl AnswerBody {
@@ -299,8 +305,8 @@
     type Item = Result<Bytes, BrokenAnswer>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        if self.guard.is_none() {
-            return Poll::Ready(Some(Err(BrokenAnswer)));
+        if let Some(flush) = &mut self.flush {
+            return flush.as_mut().poll(cx).map(|()| Some(Err(BrokenAnswer)));
         }
         let Poll::Ready(piece) = self.rx.poll_recv(cx) else { return Poll::Pending };
         match piece {
@@ -311,6 +317,7 @@
             }
             Some(relay::Piece::Broken(refusal)) if self.event_stream => {
                 self.finish();
+                self.flush = Some(Box::pin(time::sleep(FLUSH_TIME)));
                 Poll::Ready(Some(Ok(error_event(&refusal))))
             }
             _ => {
--- a/standins/src/fleet/documents.rs
+++ b/standins/src/fleet/documents.rs
@@ -60,7 +60,7 @@
 fn target(target: &Target) -> Value {
     let spec = json!({
         "service": target.service,
-        "agent": target.agent.address,
+        "agent": target.link,
         "data_centre": target.data_centre,
     });
     resource("target", &target.name, &spec)
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use std::{env, fs, process as std_process};
+use std::{env, fs, io, process as std_process};
 
 use serde_json::{Value, json};
 
@@ -66,8 +66,10 @@
     pub data_centre: &'static str,
     /// The stand-in.
     pub back_end: Process,
-    /// Its agent; the address is where entries connect.
+    /// Its agent.
     pub agent: Process,
+    /// Where entries connect: the agent's address, or that of a pipe before it.
+    pub link: SocketAddr,
     settings: PathBuf,
 }
 
@@ -82,6 +84,20 @@
         self.agent = Process::daemon(&self.name, AGENT, &self.settings, address)?;
         Ok(())
     }
+
+    /// Starts the agent again with its target at another address, such as that of a pipe.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the settings cannot be changed or the agent does not start.
+    pub fn redirect_agent(&mut self, back_end: SocketAddr) -> Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        let mut settings: Value = serde_json::from_str(&text).map_err(io::Error::from)?;
+        settings["target_url"] = json!(format!("http://{back_end}"));
+        fs::write(&self.settings, settings.to_string())?;
+        self.agent.kill()?;
+        self.restart_agent()
+    }
 }
 
 /// Entry is one entry process; its address is where callers connect.
@@ -224,7 +240,8 @@
     let file = write_settings(dir, &format!("agent-{}", back_end.name), &settings)?;
     let agent = Process::daemon(&back_end.name, AGENT, &file, addresses[0])?;
     let (name, data_centre) = (back_end.name.clone(), data_centre(index));
-    Ok(Target { name, service, data_centre, back_end, agent, settings: file })
+    let link = agent.address;
+    Ok(Target { name, service, data_centre, back_end, agent, link, settings: file })
 }
 
 fn entries(plan: &Plan, dir: &Path, store: &Process) -> Result<Vec<Entry>> {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hosts;
 pub mod kv;
 pub mod lagged;
+pub mod pipe;
 pub mod reply;
 pub mod server;
 pub mod service;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the helpers")]
 
+pub mod streams;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -57,7 +59,7 @@
 
     /// Sends the call; none where the connection failed or was cut.
     pub async fn send(self) -> Option<Answer> {
-        let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+        let client = streams::strict_client(CALL_TIMEOUT);
         let method = self.method.parse().expect("the test names a method");
         let url = format!("http://{}{}", self.address, self.path);
         let mut request = client.request(method, url).bearer_auth(self.token);
--- /dev/null
+++ b/tests/whole_answers.rs
@@ -0,0 +1,129 @@
+//! A caller gets its own answer, whole and in order, or an explicit error, whatever dies on the
+//! way.
+
+mod common;
+
+use awc::http::StatusCode;
+use common::streams::{self, Streamed};
+use futures_util::{StreamExt as _, future, stream};
+use serde_json::json;
+use standins::fleet::{Fleet, Plan};
+
+/// Slow enough that a stream is still under way when the test strikes.
+const TOKEN_MS: &str = "20";
+/// Tokens that are read before a fault.
+const BEFORE_FAULT: usize = 10;
+const TOKENS: usize = 60;
+/// Requests of one customer in flight at an entry, below what its policy allows.
+const CONCURRENT: usize = 60;
+
+async fn start(engines: usize, token_ms: &str) -> Fleet {
+    let engine_arguments = vec!["--token-ms".to_owned(), token_ms.to_owned()];
+    let plan = Plan { entries: 2, engines, services: 0, engine_arguments, ..Plan::default() };
+    let fleet = Fleet::start(&plan).expect("the fleet starts");
+    common::declare_and_wait(&fleet).await;
+    fleet
+}
+
+async fn under_way(fleet: &Fleet, prompt: &str) -> (Streamed, usize) {
+    let mut streamed =
+        Streamed::open(fleet.entry(0), prompt, TOKENS).await.expect("an answer begins");
+    assert_eq!(streamed.status, StatusCode::OK);
+    streamed.read_tokens(BEFORE_FAULT).await;
+    let target = streams::index_of(fleet, &streamed.target);
+    (streamed, target)
+}
+
+#[actix_rt::test]
+async fn a_stream_goes_on_after_its_engine_dies() {
+    let mut fleet = start(2, TOKEN_MS).await;
+    let (streamed, target) = under_way(&fleet, "shift log").await;
+    fleet.targets[target].back_end.kill().expect("the engine ends");
+    streamed.finish().await.assert_whole("shift log", TOKENS);
+    let other = &fleet.targets[1 - target];
+    let runs = streams::runs(other.back_end.address).await;
+    assert_eq!(runs.runs.get("shift log"), Some(&1), "the other engine finished it");
+}
+
+#[actix_rt::test]
+async fn a_stream_goes_on_after_its_agent_dies() {
+    let mut fleet = start(2, TOKEN_MS).await;
+    let (streamed, target) = under_way(&fleet, "shift log").await;
+    fleet.targets[target].agent.kill().expect("the agent ends");
+    streamed.finish().await.assert_whole("shift log", TOKENS);
+}
+
+#[actix_rt::test]
+async fn a_stream_cut_again_and_again_is_whole_or_ends_with_an_error() {
+    let fleet = start(4, "2").await;
+    for engine in streams::engines(&fleet) {
+        streams::behave(engine.back_end.address, &json!({ "cut_after_tokens": 10 })).await;
+    }
+    let whole = streams::stream(fleet.entry(0), "three cuts", 35).await;
+    whole.expect("an answer begins").assert_whole("three cuts", 35);
+    let broken = streams::stream(fleet.entry(1), "too many cuts", 60).await;
+    broken.expect("an answer begins").assert_broken("too many cuts", 60);
+}
+
+#[actix_rt::test]
+async fn an_unstreamed_answer_that_is_cut_is_tried_again_unseen() {
+    let fleet = start(2, "2").await;
+    let engine = fleet.targets[0].back_end.address;
+    streams::behave(engine, &json!({ "cut_after_tokens": 5 })).await;
+    let prompts: Vec<String> = (0..8).map(|index| format!("brief {index}")).collect();
+    for prompt in &prompts {
+        let answer = common::chat(fleet.entry(0), prompt, 20, false).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{}", String::from_utf8_lossy(&answer.body));
+        assert_eq!(common::whole_text(&answer), common::expected_text(prompt, 20));
+    }
+    let cut = streams::runs(engine).await;
+    assert!(prompts.iter().any(|prompt| cut.runs.contains_key(prompt)), "one was cut: {cut:?}");
+}
+
+#[actix_rt::test]
+async fn every_one_of_many_concurrent_requests_gets_its_own_text() {
+    let fleet = start(4, "1").await;
+    let ask = async |index: usize| {
+        let (entry, tokens) = (fleet.entry(index % 2), 5 + index % 40);
+        let prompt = format!("{} {index}", if index % 3 == 0 { "draft" } else { "log" });
+        if index % 2 == 0 {
+            let finished = streams::stream(entry, &prompt, tokens).await;
+            finished.expect("an answer begins").assert_whole(&prompt, tokens);
+        } else {
+            let answer = common::chat(entry, &prompt, tokens, false).await.expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+            assert_eq!(common::whole_text(&answer), common::expected_text(&prompt, tokens));
+        }
+    };
+    stream::iter(0..200).map(ask).buffer_unordered(CONCURRENT).collect::<Vec<()>>().await;
+}
+
+#[actix_rt::test]
+async fn no_request_under_way_gets_a_short_or_foreign_answer_when_engine_and_agent_die() {
+    let mut fleet = start(4, "10").await;
+    let entries = [fleet.entry(0), fleet.entry(1)];
+    let ask = |index: usize| async move {
+        let prompt = format!("log {index}");
+        let answered = streams::stream(entries[index % 2], &prompt, TOKENS).await;
+        let finished = answered.expect("an answer or a refusal");
+        if finished.status != StatusCode::OK {
+            return false;
+        }
+        match finished.says_whole() {
+            true => finished.assert_whole(&prompt, TOKENS),
+            false => finished.assert_broken(&prompt, TOKENS),
+        }
+        finished.dones == 1
+    };
+    let strike = async {
+        let [first, second] = [0, 1].map(|index| fleet.targets[index].back_end.address);
+        common::wait_for("runs on both targets", async || {
+            streams::runs(first).await.started > 0 && streams::runs(second).await.started > 0
+        })
+        .await;
+        fleet.targets[0].back_end.kill().expect("the engine ends");
+        fleet.targets[1].agent.kill().expect("the agent ends");
+    };
+    let (answered, ()) = future::join(future::join_all((0..40).map(ask)), strike).await;
+    assert!(answered.iter().any(|whole| *whole), "the two other targets answer");
+}
