--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,304 @@
+//! A planned stop cuts nothing: targets, agents and entries leave while requests go on.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::http::StatusCode;
+use bitternwall::wire;
+use bitternwall::wire::client::{self, LinkEvent};
+use bitternwall::wire::frame::Kind;
+use common::Call;
+use common::streams::{self, Streamed};
+use serde_json::{Value, json};
+use standins::fleet::{self, Fleet, Plan};
+use tokio::sync::mpsc;
+use tokio::time;
+
+/// Within which a leaving target gets no new work any more.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+/// How long a process may take to end, for a broken one only.
+const EXIT_LIMIT: Duration = Duration::from_secs(30);
+const STREAM: &str = "settlement summary";
+/// At 20 ms each the stream outlasts [`LEAVING_LIMIT`] by two seconds.
+const STREAM_TOKENS: usize = 250;
+
+fn start(plan: Plan) -> Fleet {
+    let engine_arguments = vec!["--token-ms".to_owned(), "20".to_owned()];
+    Fleet::start(&Plan { engine_arguments, ..plan }).expect("the fleet starts")
+}
+
+async fn serving(plan: Plan) -> Fleet {
+    let fleet = start(plan);
+    common::declare_and_wait(&fleet).await;
+    fleet
+}
+
+async fn long_stream(fleet: &Fleet) -> (Streamed, usize) {
+    let streamed = Streamed::open(fleet.entry(0), STREAM, STREAM_TOKENS).await;
+    let mut streamed = streamed.expect("an answer begins");
+    streamed.read_tokens(1).await;
+    let target = streams::index_of(fleet, &streamed.target);
+    (streamed, target)
+}
+
+/// Sends short requests by every entry until `end`, each with a prompt of its own, and returns
+/// how many there were.
+async fn load_until(fleet: &Fleet, name: &str, end: Instant) -> usize {
+    let mut count = 0;
+    while Instant::now() < end {
+        let entry = fleet.entry(count % fleet.entries.len());
+        let prompt = format!("{name} {count}");
+        let answer = common::chat(entry, &prompt, 2, false).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{}", String::from_utf8_lossy(&answer.body));
+        assert_eq!(common::whole_text(&answer), common::expected_text(&prompt, 2));
+        count += 1;
+    }
+    count
+}
+
+/// Fails where a target that began to leave at `since` gets work later than it may.
+async fn assert_leaves(fleet: &Fleet, streamed: Streamed, target: usize, since: Instant) {
+    let engine = fleet.targets[target].back_end.address;
+    load_until(fleet, "early", since + LEAVING_LIMIT).await;
+    let before = streams::runs(engine).await;
+    let late = load_until(fleet, "late", since + LEAVING_LIMIT + Duration::from_secs(1)).await;
+    assert!(late > 0);
+    streamed.finish().await.assert_whole(STREAM, STREAM_TOKENS);
+    let after = streams::runs(engine).await;
+    assert_eq!(after.started, before.started, "{after:?}");
+    let all = streams::all_runs(fleet).await;
+    assert_eq!(all.get(STREAM), Some(&1), "the stream was not cut and resumed");
+}
+
+#[actix_rt::test]
+async fn an_agent_that_is_told_to_stop_takes_nothing_new_and_cuts_nothing() {
+    let mut fleet = serving(Plan { entries: 2, engines: 3, services: 0, ..Plan::default() }).await;
+    let (streamed, target) = long_stream(&fleet).await;
+    fleet.targets[target].agent.signal("TERM").expect("the agent is told to stop");
+    assert_leaves(&fleet, streamed, target, Instant::now()).await;
+    let status = fleet.targets[target].agent.wait(EXIT_LIMIT).expect("the agent ends");
+    assert_eq!(status.code(), Some(0));
+}
+
+async fn set_drain(fleet: &Fleet, target: usize, drain: bool) {
+    let path = format!("/v1/resources/target/{}", fleet.targets[target].name);
+    let operator = |call| Call { token: fleet::OPERATOR_TOKEN, ..call };
+    let read = operator(Call::get(fleet.entry(0), &path)).send().await.expect("an answer");
+    let mut document = read.json();
+    document["spec"]["drain"] = json!(drain);
+    let put = Call { method: "PUT", ..Call::post(fleet.entry(0), &path, &document) };
+    let answer = operator(put).send().await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK, "{}", String::from_utf8_lossy(&answer.body));
+}
+
+#[actix_rt::test]
+async fn a_target_drained_by_the_operator_takes_nothing_new_and_cuts_nothing() {
+    let fleet = serving(Plan { entries: 2, engines: 3, services: 0, ..Plan::default() }).await;
+    let (streamed, target) = long_stream(&fleet).await;
+    set_drain(&fleet, target, true).await;
+    assert_leaves(&fleet, streamed, target, Instant::now()).await;
+}
+
+/// Asks an agent as an entry does that knows nothing, and returns the reason of its refusal.
+async fn ask_agent(agent: SocketAddr, counter: u64) -> Option<wire::RefusalReason> {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let dialer = client::Dialer {
+        address: agent,
+        hello: Box::new(wire::Hello::default),
+        heartbeat: Box::new(wire::Heartbeat::default),
+        interval: Duration::from_millis(200),
+        deadline: Duration::from_secs(2),
+    };
+    let id = Some(wire::AttemptId { incarnation: 1, counter });
+    let start = wire::StartAttempt {
+        id,
+        customer: "stale".to_owned(),
+        method: "GET".to_owned(),
+        path: "/health".to_owned(),
+        deadline_ms: 10_000,
+        config_revision: u64::MAX,
+        weight: 1,
+        ..wire::StartAttempt::default()
+    };
+    let link = actix_rt::spawn(client::keep_linked(dialer, move |event| match event {
+        LinkEvent::Up { tx: link, .. } => client::send(&link, Kind::StartAttempt(start.clone())),
+        LinkEvent::Frame(kind) => drop(tx.send(kind)),
+        LinkEvent::Down(_) => {}
+    }));
+    let answered = async {
+        loop {
+            match rx.recv().await.expect("the link is kept") {
+                Kind::Refusal(refusal) if refusal.id == id => return Some(refusal.reason()),
+                Kind::AnswerEnd(end) if end.id == id => return None,
+                _ => {}
+            }
+        }
+    };
+    let reason = time::timeout(EXIT_LIMIT, answered).await.expect("the agent answers");
+    link.abort();
+    reason
+}
+
+#[actix_rt::test]
+async fn a_drained_target_s_agent_itself_refuses_a_stale_entry() {
+    let fleet = serving(Plan { services: 0, ..Plan::default() }).await;
+    let agent = fleet.targets[0].agent.address;
+    assert_eq!(ask_agent(agent, 0).await, None, "it serves before");
+    for (round, drain) in [(1, true), (2, false)] {
+        set_drain(&fleet, 0, drain).await;
+        let mut counter = round * 1_000;
+        let wanted = drain.then_some(wire::RefusalReason::Draining);
+        common::wait_for("the agent's verdict", async || {
+            counter += 1;
+            ask_agent(agent, counter).await == wanted
+        })
+        .await;
+    }
+}
+
+#[actix_rt::test]
+async fn an_entry_that_is_told_to_stop_serves_on_and_finishes_its_streams() {
+    let mut fleet = serving(Plan { entries: 2, engines: 2, services: 0, ..Plan::default() }).await;
+    let keep = Call::get(fleet.entry(1), "/v1/addresses").send().await.expect("an answer");
+    let keep = Duration::from_millis(keep.json()["keep_ms"].as_u64().expect("a time"));
+    let (streamed, _) = long_stream(&fleet).await;
+    let told = Instant::now();
+    fleet.entries[0].process.signal("TERM").expect("the entry is told to stop");
+    while told.elapsed() < keep {
+        let answer = common::chat(fleet.entry(0), "held address", 1, false).await;
+        // An answer that took longer than the callers' time proves nothing either way.
+        if told.elapsed() < keep {
+            assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+        }
+    }
+    streamed.finish().await.assert_whole(STREAM, STREAM_TOKENS);
+    let status = fleet.entries[0].process.wait(EXIT_LIMIT).expect("the entry ends");
+    assert_eq!(status.code(), Some(0));
+    let runs = streams::all_runs(&fleet).await;
+    assert_eq!(runs.get(STREAM), Some(&1), "the stream was not cut and resumed");
+}
+
+/// Caller asks for addresses, keeps them for the time that it is told, and goes to the next one
+/// where an address takes no connection or says that the request was not run.
+struct Caller {
+    addresses: Vec<SocketAddr>,
+    until: Instant,
+    next: usize,
+}
+
+impl Caller {
+    async fn refresh(&mut self) {
+        if Instant::now() < self.until {
+            return;
+        }
+        for address in self.addresses.clone() {
+            let Some(answer) = Call::get(address, "/v1/addresses").send().await else { continue };
+            let document = answer.json();
+            let listed = document["addresses"].as_array().cloned().unwrap_or_default();
+            let parse = |entry: &Value| entry["address"].as_str()?.parse().ok();
+            self.addresses = listed.iter().filter_map(parse).collect();
+            let keep = document["keep_ms"].as_u64().expect("a time");
+            self.until = Instant::now() + Duration::from_millis(keep);
+            return;
+        }
+    }
+
+    /// Asks until there is an answer.
+    async fn ask(&mut self, prompt: &str) {
+        let start = Instant::now();
+        while start.elapsed() < EXIT_LIMIT {
+            self.refresh().await;
+            let address = self.addresses[self.next % self.addresses.len()];
+            let body = common::chat_body(prompt, 5, false).to_string();
+            let url = format!("http://{address}/v1/chat/completions");
+            let request = streams::strict_client(EXIT_LIMIT).post(url).bearer_auth(common::KEY);
+            let mut response = match request.send_body(body).await {
+                Ok(response) => response,
+                Err(awc::error::SendRequestError::Connect(_)) => {
+                    self.next += 1;
+                    continue;
+                }
+                Err(error) => panic!("{prompt} at {address} is lost: {error}"),
+            };
+            let body = response.body().await.expect("the answer is whole");
+            let document: Value = serde_json::from_slice(&body).expect("the answer is JSON");
+            if response.status() == StatusCode::OK {
+                let text = document["choices"][0]["message"]["content"].as_str();
+                assert_eq!(text, Some(&*common::expected_text(prompt, 5)));
+                return;
+            }
+            assert_eq!(document["executed"], "no", "{prompt} at {address}: {document}");
+            self.next += 1;
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("{prompt} is not answered");
+    }
+}
+
+async fn restart_all(fleet: &mut Fleet) {
+    for index in 0..fleet.targets.len() {
+        let target = &mut fleet.targets[index];
+        target.agent.signal("TERM").expect("the agent is told to stop");
+        wait(&mut target.agent).await;
+        target.restart_agent().expect("the agent starts");
+        let name = target.name.clone();
+        let entry = fleet.entry(0);
+        let mut number = 0;
+        common::wait_for("work at the restarted agent", async || {
+            number += 1;
+            let prompt = format!("probe {name} {number}");
+            let answer = common::chat(entry, &prompt, 1, false).await;
+            answer.is_some_and(|answer| answer.header("bitternwall-target") == Some(&name))
+        })
+        .await;
+    }
+    for index in 0..fleet.entries.len() {
+        fleet.entries[index].process.signal("TERM").expect("the entry is told to stop");
+        wait(&mut fleet.entries[index].process).await;
+        fleet.entries[index].restart().expect("the entry starts");
+        let entry = fleet.entry(index);
+        common::wait_for("the restarted entry", async || {
+            let answer = common::chat(entry, "again?", 1, false).await;
+            answer.is_some_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+}
+
+/// Waits for a graceful end while the callers go on.
+async fn wait(process: &mut fleet::Process) {
+    common::wait_for("the process's end", async || !process.is_running()).await;
+    let status = process.wait(EXIT_LIMIT).expect("the process has ended");
+    assert_eq!(status.code(), Some(0), "{}", process.name);
+}
+
+#[actix_rt::test]
+async fn a_rolling_restart_of_every_agent_and_entry_loses_and_doubles_nothing() {
+    const CALLERS: usize = 8;
+    let mut fleet = serving(Plan { entries: 3, engines: 3, services: 0, ..Plan::default() }).await;
+    let addresses: Vec<SocketAddr> = (0..3).map(|index| fleet.entry(index)).collect();
+    let stop = std::cell::Cell::new(false);
+    let call = async |caller: usize| {
+        let mut client =
+            Caller { addresses: addresses.clone(), until: Instant::now(), next: caller };
+        let mut asked = Vec::new();
+        while !stop.get() {
+            let prompt = format!("caller {caller} request {}", asked.len());
+            client.ask(&prompt).await;
+            asked.push(prompt);
+        }
+        asked
+    };
+    let callers = futures_util::future::join_all((0..CALLERS).map(call));
+    let restarts = async {
+        restart_all(&mut fleet).await;
+        stop.set(true);
+    };
+    let (asked, ()) = futures_util::future::join(callers, restarts).await;
+    let runs = streams::all_runs(&fleet).await;
+    for prompt in asked.iter().flatten() {
+        assert_eq!(runs.get(prompt), Some(&1), "{prompt}");
+    }
+}
