--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -65,6 +65,9 @@
 /// The process was paused for longer than the deadline of its connections.
 pub const AGENT_PAUSED: LogEvent =
     LogEvent { number: 2007, severity: Severity::Warning, title: "process was paused" };
+/// The key-value service failed while claims were read.
+pub const CLAIMS_UNAVAILABLE: LogEvent =
+    LogEvent { number: 2008, severity: Severity::Warning, title: "claims unavailable" };
 /// A watch of the key-value service said nothing for too long and is opened again.
 pub const STORE_WATCH_SILENT: LogEvent =
     LogEvent { number: 3001, severity: Severity::Info, title: "store watch reopened" };
@@ -108,6 +111,7 @@
     AGENT_CONFIG,
     AGENT_DRAINING,
     AGENT_PAUSED,
+    CLAIMS_UNAVAILABLE,
     STORE_WATCH_SILENT,
     STORE_CALL_TIMED_OUT,
     CHANGE_ACCEPTED,
