--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -27,8 +27,6 @@
     pub heartbeat: Duration,
     /// Silence after which a connection is dropped.
     pub deadline: Duration,
-    /// How long a configuration counts as current.
-    pub freshness: Duration,
 }
 
 /// Parts is what an agent is made of.
@@ -74,7 +72,6 @@
     pub(crate) relay: relay::Relay,
     pub(crate) exchanges: collections::Map<events::JobId, task::JoinHandle<()>>,
     pub(crate) probing: bool,
-    pub(crate) sequence: u64,
     pending: Vec<events::Event>,
     ticking: bool,
     wake: Option<(Duration, SpawnHandle)>,
@@ -101,7 +98,6 @@
             relay: relay::Relay::default(),
             exchanges: collections::Map::default(),
             probing: false,
-            sequence: 0,
             pending: Vec::new(),
             ticking: false,
             wake: None,
@@ -186,6 +182,7 @@
             log::log(log::LINK_SILENT, format_args!("entry {}", self.links.peer(link)));
             self.close(link, cx);
         }
+        frames::tick_config(self, cx);
         self.schedule(cx);
     }
 
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -12,6 +12,7 @@
 use crate::agent::events;
 use crate::agent::{actor, admin, config_view, metrics, options, target, world};
 use crate::clock;
+use crate::config::{codec, options as config_options};
 use crate::platform::store;
 use crate::settings::agent as agent_settings;
 use crate::telemetry::events as log;
@@ -77,10 +78,12 @@
 ) -> actor::Parts {
     let links = &settings.links;
     let probe_timeout = Duration::from_millis(links.probe_timeout_ms);
+    let clock = clock::Clock::system();
     let member = member(settings);
     let probe_path = settings.probe_path.as_deref();
     actor::Parts {
-        clock: clock::Clock::system(),
+        config: config(settings, &member, &clock),
+        clock,
         world: world::AgentWorld::new(options::core(settings, member.incarnation)),
         member,
         target: target::TargetClient::new(&settings.target_url, probe_path, probe_timeout),
@@ -89,18 +92,35 @@
             call_timeout: Duration::from_millis(settings.claims.call_timeout_ms),
         }),
         service: Rc::from(settings.service.as_str()),
-        config: config_view::ConfigHolder::new(&settings.target, &settings.service),
         metrics,
         readiness,
         timing: actor::Timing {
             heartbeat: Duration::from_millis(links.heartbeat_ms),
             deadline: Duration::from_millis(links.deadline_ms),
-            freshness: Duration::from_millis(links.freshness_ms),
         },
         drained,
     }
 }
 
+fn config(
+    settings: &agent_settings::AgentSettings,
+    member: &wire::Member,
+    clock: &clock::Clock,
+) -> config_view::ConfigHolder {
+    let agent_settings::LinkSettings { heartbeat_ms, deadline_ms, freshness_ms, .. } =
+        settings.links;
+    let timing = config_options::Timing::from_links(
+        Duration::from_millis(heartbeat_ms),
+        Duration::from_millis(deadline_ms),
+        Duration::from_millis(freshness_ms),
+    );
+    let name = codec::name_of(member);
+    let (data_centre, seed) = (&settings.data_centre, member.incarnation);
+    let options = config_options::Options::new(&name, data_centre, false, seed, timing);
+    let (target, service) = (&settings.target, &settings.service);
+    config_view::ConfigHolder::new(options, target, service, clock.monotonic())
+}
+
 fn member(settings: &agent_settings::AgentSettings) -> wire::Member {
     wire::Member {
         name: settings.target.clone(),
--- a/src/agent/frames.rs
+++ b/src/agent/frames.rs
@@ -1,11 +1,10 @@
 //! Frames between the agent and entries.
 
-use std::time::Duration;
-
 use actix::prelude::*;
 
 use crate::agent::actor;
 use crate::agent::events;
+use crate::config::{codec, replica};
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::frame;
@@ -38,10 +37,13 @@
 
 /// Sends a heartbeat on every connection.
 pub(crate) fn beat_all(agent: &mut actor::AgentActor) {
-    agent.sequence += 1;
-    let heartbeat = heartbeat(agent);
+    let beat = agent.config.beat(agent.clock.monotonic());
     for link in agent.links.ids() {
-        agent.links.send(link, frame::Kind::Heartbeat(heartbeat.clone()));
+        let Some(member) = agent.links.member(link) else { continue };
+        let echo = agent.config.replica().contacts().echo(&codec::name_of(member));
+        let mut heartbeat = heartbeat(agent);
+        codec::stamp(&mut heartbeat, &beat, echo);
+        agent.links.send(link, frame::Kind::Heartbeat(heartbeat));
     }
 }
 
@@ -62,8 +64,10 @@
             agent.relay.detach(id);
             agent.push(events::Event::Cancel(id), cx);
         }
-        frame::Kind::ConfigRequest(request) => answer_config(agent, link, &request),
-        frame::Kind::ConfigState(offer) => take_config(agent, link, &offer, cx),
+        frame::Kind::ConfigRequest(request) => answer_config(agent, link, &request, cx),
+        frame::Kind::ConfigState(offer) => {
+            config_event(agent, replica::Event::PeerState(offer), cx);
+        }
         _ => {}
     }
 }
@@ -89,62 +93,79 @@
     heartbeat: &wire::Heartbeat,
     cx: &mut Context<actor::AgentActor>,
 ) {
-    let age = Duration::from_millis(heartbeat.config_age_ms);
-    let heard_at = agent.clock.monotonic().saturating_sub(age);
-    agent.links.note_config(link, heard_at);
-    let held = agent.config.revision();
-    if heartbeat.config_revision > held {
-        let request = wire::ConfigRequest { have_revision: held };
-        agent.links.send(link, frame::Kind::ConfigRequest(request));
-    } else if held > 0 {
-        agent.push(events::Event::Config(agent.config.view(heard_at)), cx);
-    }
     if !heartbeat.fingerprints.is_empty() {
         let list = heartbeat.fingerprints.clone();
         agent.push(events::Event::RefusedFingerprints(list), cx);
     }
+    let Some(member) = agent.links.member(link) else { return };
+    let heard = codec::heard(member, heartbeat, &agent.member.data_centre);
+    config_event(agent, replica::Event::Heard(heard), cx);
 }
 
-/// Answers a peer that asks for the configuration, unless the agent's own may be out of date.
-fn answer_config(agent: &actor::AgentActor, link: server::LinkId, request: &wire::ConfigRequest) {
-    if config_age(agent) > agent.timing.freshness {
-        return;
-    }
-    if let Some(state) = agent.config.answer(request.have_revision) {
-        agent.links.send(link, frame::Kind::ConfigState(state));
-    }
+fn answer_config(
+    agent: &mut actor::AgentActor,
+    link: server::LinkId,
+    request: &wire::ConfigRequest,
+    cx: &mut Context<actor::AgentActor>,
+) {
+    let Some(member) = agent.links.member(link) else { return };
+    let event = replica::Event::PeerRequest(codec::name_of(member), request.have_revision);
+    config_event(agent, event, cx);
 }
 
-fn take_config(
+/// Hands an event to the replica and carries out what follows.
+fn config_event(
     agent: &mut actor::AgentActor,
-    link: server::LinkId,
-    offer: &wire::ConfigState,
+    event: replica::Event,
     cx: &mut Context<actor::AgentActor>,
 ) {
-    if !agent.config.apply(offer) {
-        return;
+    let effects = agent.config.handle(event, agent.clock.monotonic());
+    follow_config(agent, effects, cx);
+}
+
+/// Does what time alone calls for in the replica.
+pub(crate) fn tick_config(agent: &mut actor::AgentActor, cx: &mut Context<actor::AgentActor>) {
+    let effects = agent.config.tick(agent.clock.monotonic());
+    follow_config(agent, effects, cx);
+}
+
+fn follow_config(
+    agent: &mut actor::AgentActor,
+    effects: Vec<replica::Effect>,
+    cx: &mut Context<actor::AgentActor>,
+) {
+    let mut moved = false;
+    for effect in effects {
+        match effect {
+            replica::Effect::RequestFrom(peer, have_revision) => {
+                let request = wire::ConfigRequest { have_revision };
+                agent.links.send_to(&peer, frame::Kind::ConfigRequest(request));
+            }
+            replica::Effect::AnswerPeer(peer, state) => {
+                agent.links.send_to(&peer, frame::Kind::ConfigState(state));
+            }
+            replica::Effect::InForce(revision) => {
+                log::log(log::AGENT_CONFIG, format_args!("revision {revision}"));
+                moved = true;
+            }
+            // Only entries read the key-value service.
+            replica::Effect::Store(_) => {}
+        }
+    }
+    if let Some(view) = agent.config.view(agent.clock.monotonic()) {
+        agent.push(events::Event::Config(view), cx);
+    }
+    if moved {
+        beat_all(agent);
     }
-    let heard_at = agent.links.config_heard_at(link).unwrap_or_default();
-    let view = agent.config.view(heard_at);
-    log::log(log::AGENT_CONFIG, format_args!("revision {}", view.revision));
-    agent.push(events::Event::Config(view), cx);
-    beat_all(agent);
 }
 
+/// Returns a heartbeat without its stamp, which differs from peer to peer.
 fn heartbeat(agent: &actor::AgentActor) -> wire::Heartbeat {
-    let age = config_age(agent).as_millis();
     wire::Heartbeat {
-        sequence: agent.sequence,
-        config_revision: agent.config.revision(),
         draining: agent.world.draining(),
-        config_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
         load: Some(agent.world.load()),
         fingerprints: agent.world.crash_reports(),
-        regions: Vec::new(),
+        ..wire::Heartbeat::default()
     }
 }
-
-fn config_age(agent: &actor::AgentActor) -> Duration {
-    let heard_at = agent.world.config().map(|config| config.heard_at);
-    heard_at.map_or(Duration::MAX, |at| agent.clock.monotonic().saturating_sub(at))
-}
