--- a/benches/support/procfs.rs
+++ b/benches/support/procfs.rs
@@ -52,6 +52,21 @@
     Ok(Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND))
 }
 
+/// Reads the processor time of every thread that a process has, in nanoseconds.
+///
+/// # Errors
+///
+/// Returns an error where the process is gone.
+pub fn thread_time(process: u32) -> io::Result<Duration> {
+    let mut nanos = 0;
+    for thread in fs::read_dir(format!("/proc/{process}/task"))? {
+        let text = fs::read_to_string(thread?.path().join("schedstat")).unwrap_or_default();
+        let run = text.split_whitespace().next().and_then(|run| run.parse::<u64>().ok());
+        nanos += run.unwrap_or_default();
+    }
+    Ok(Duration::from_nanos(nanos))
+}
+
 fn field(text: &str, name: &str) -> u64 {
     let line = text.lines().find_map(|line| line.strip_prefix(name));
     let number = line.and_then(|line| line.split_whitespace().next());
