--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,15 @@
 //! [`agent`] turn I/O into their events and their effects into I/O.
 
 pub mod agent;
+pub mod audit;
+pub mod cli;
 pub mod clock;
 pub mod collections;
 pub mod config;
+pub mod daemon;
 pub mod entry;
 pub mod expert_map;
+pub mod members;
 pub mod platform;
 pub mod problem;
 pub mod resources;
--- a/src/platform/store/gateway.rs
+++ b/src/platform/store/gateway.rs
@@ -21,21 +21,11 @@
     range_end: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     limit: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    sort_order: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    sort_target: Option<&'static str>,
 }
 
 impl RangeRequest {
     pub(super) fn key(key: &str) -> Self {
-        Self {
-            key: STANDARD.encode(key),
-            range_end: None,
-            limit: None,
-            sort_order: None,
-            sort_target: None,
-        }
+        Self { key: STANDARD.encode(key), range_end: None, limit: None }
     }
 
     pub(super) fn prefix(prefix: &str) -> Self {
@@ -45,10 +35,6 @@
     pub(super) fn first(self, limit: u32) -> Self {
         Self { limit: Some(limit.to_string()), ..self }
     }
-
-    pub(super) fn last(self, limit: u32) -> Self {
-        Self { sort_order: Some("DESCEND"), sort_target: Some("KEY"), ..self.first(limit) }
-    }
 }
 
 #[derive(Serialize)]
@@ -236,8 +222,8 @@
 
 /// WatchMessage is one line of a watch.
 pub(super) enum WatchMessage {
-    /// The watch stands.
-    Created,
+    /// The watch stands, and this is the service's present revision.
+    Created { revision: u64 },
     /// Changes, with the revision of the last one; or none, and all up to the revision are told.
     Progress { revision: u64, events: Vec<super::WatchEvent> },
     /// The service ended the watch.
@@ -274,7 +260,7 @@
         return Ok(WatchMessage::Cancelled { reason: result.cancel_reason });
     }
     if result.created {
-        return Ok(WatchMessage::Created);
+        return Ok(WatchMessage::Created { revision: result.header.revision });
     }
     let events = result.events.into_iter().map(decode_event).collect::<Result<Vec<_>>>()?;
     // A batch that catches up carries the service's present revision in its header, though more
--- a/src/platform/store/transport.rs
+++ b/src/platform/store/transport.rs
@@ -13,6 +13,7 @@
 
 use super::calls::{CallCounts, CallKind, Counters};
 use super::{Result, StoreError, StoreOptions};
+use crate::telemetry::events;
 
 /// A connection that is idle for longer is not used again: it may have gone silent.
 const IDLE_CONNECTION_LIMIT: Duration = Duration::from_secs(15);
@@ -35,7 +36,8 @@
 pub(super) struct Transport {
     options: StoreOptions,
     client: RefCell<awc::Client>,
-    /// The endpoint that took the last call.
+    /// The endpoint that is asked first: the last one that answered, or the one after it where it
+    /// left a call without an answer, as a stopped process does for good.
     preferred: Cell<usize>,
     counters: Counters,
 }
@@ -113,13 +115,15 @@
 
     async fn call(&self, index: usize, kind: CallKind, request: &impl Serialize) -> Result<Bytes> {
         let exchange = self.exchange(index, kind, request);
-        match time::timeout(self.options.call_timeout, exchange).await {
-            Ok(answer) => answer,
-            Err(elapsed) => {
-                self.forget_connections();
-                Err(self.unknown(index, kind, &elapsed))
-            }
+        let answered = time::timeout(self.options.call_timeout, exchange).await;
+        let answer = answered.unwrap_or_else(|elapsed| {
+            self.forget_connections(index, kind);
+            Err(self.unknown(index, kind, &elapsed))
+        });
+        if let Err(StoreError::Unknown { .. }) = answer {
+            self.preferred.set((index + 1) % self.options.endpoints.len());
         }
+        answer
     }
 
     async fn exchange(
@@ -142,7 +146,7 @@
     async fn open(&self, index: usize, kind: CallKind, request: &impl Serialize) -> Result<Body> {
         let head = time::timeout(self.options.call_timeout, self.send(index, kind, request));
         let mut answer = head.await.map_err(|elapsed| {
-            self.forget_connections();
+            self.forget_connections(index, kind);
             self.unknown(index, kind, &elapsed)
         })??;
         if answer.status().is_success() {
@@ -169,7 +173,9 @@
     }
 
     /// Drops pooled connections, since one that went silent would swallow the next call as well.
-    fn forget_connections(&self) {
+    fn forget_connections(&self, index: usize, kind: CallKind) {
+        let endpoint = &self.options.endpoints[index];
+        events::log(events::STORE_CALL_TIMED_OUT, format_args!("{} at {endpoint}", kind.name()));
         *self.client.borrow_mut() = new_client(self.options.call_timeout);
     }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -67,17 +67,22 @@
     pub config_revision: u64,
     #[prost(bool, tag = "3")]
     pub draining: bool,
-    /// Milliseconds since the sender knew its configuration to be current.
-    #[prost(uint64, tag = "4")]
-    pub config_age_ms: u64,
+    /// Milliseconds since the sender knew its configuration to be current; absent for a sender that
+    /// has no vote yet.
+    #[prost(uint64, optional, tag = "4")]
+    pub config_age_ms: ::core::option::Option<u64>,
     #[prost(message, optional, tag = "5")]
     pub load: ::core::option::Option<Load>,
-    /// Fingerprints that the sender refuses since they crashed targets.
+    /// Requests that crashed targets, as far as the sender knows.
     #[prost(message, repeated, tag = "6")]
-    pub refused_fingerprints: ::prost::alloc::vec::Vec<Fingerprint>,
+    pub fingerprints: ::prost::alloc::vec::Vec<Fingerprint>,
     /// The lowest revision that every live process the sender knows of has in force, for a region.
     #[prost(message, repeated, tag = "7")]
     pub regions: ::prost::alloc::vec::Vec<RegionProgress>,
+    /// The highest sequence that the sender has heard from the receiver, which dates this heartbeat
+    /// by it; zero before the first.
+    #[prost(uint64, tag = "8")]
+    pub heard_sequence: u64,
 }
 /// Load is what an agent knows of its target.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -95,12 +100,16 @@
     pub target_healthy: bool,
 }
 /// Fingerprint is the hash of a request's body, refused for a while.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Fingerprint {
     #[prost(fixed64, tag = "1")]
     pub hash: u64,
     #[prost(uint64, tag = "2")]
     pub ttl_ms: u64,
+    /// Deaths of targets that were running it, each with an id that its agent drew; a body with two
+    /// of them is refused.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub crash_ids: ::prost::alloc::vec::Vec<u64>,
 }
 /// RegionProgress is the configuration progress of one data centre.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -327,6 +336,9 @@
     Cancelled = 9,
     TargetUnreachable = 10,
     TargetCrashed = 11,
+    /// The idempotency key was used before with another body.
+    KeyReused = 12,
+    NotPermitted = 13,
 }
 impl RefusalReason {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -347,6 +359,8 @@
             Self::Cancelled => "REFUSAL_REASON_CANCELLED",
             Self::TargetUnreachable => "REFUSAL_REASON_TARGET_UNREACHABLE",
             Self::TargetCrashed => "REFUSAL_REASON_TARGET_CRASHED",
+            Self::KeyReused => "REFUSAL_REASON_KEY_REUSED",
+            Self::NotPermitted => "REFUSAL_REASON_NOT_PERMITTED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -364,6 +378,8 @@
             "REFUSAL_REASON_CANCELLED" => Some(Self::Cancelled),
             "REFUSAL_REASON_TARGET_UNREACHABLE" => Some(Self::TargetUnreachable),
             "REFUSAL_REASON_TARGET_CRASHED" => Some(Self::TargetCrashed),
+            "REFUSAL_REASON_KEY_REUSED" => Some(Self::KeyReused),
+            "REFUSAL_REASON_NOT_PERMITTED" => Some(Self::NotPermitted),
             _ => None,
         }
     }
--- /dev/null
+++ b/tests/configuration/fleet.rs
@@ -0,0 +1,340 @@
+//! Several replicas and the model of the store on one passed-in clock, with faults.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitternwall::config::contacts::Heard;
+use bitternwall::config::options::{Guards, Options, Timing};
+use bitternwall::config::progress::Progress;
+use bitternwall::config::replica::{Effect, Event, Replica};
+use bitternwall::config::source::Call;
+use bitternwall::wire;
+use rand::{Rng, SeedableRng, rngs};
+
+use crate::model;
+
+#[path = "checks.rs"]
+mod checks;
+#[path = "network.rs"]
+mod network;
+
+const STEP_MS: u64 = 50;
+const LARGE_TICK_STEPS: u64 = 5;
+pub const DATA_CENTRES: [&str; 2] = ["ikeja", "lekki"];
+
+/// What a plan does at a step; times are in steps.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Put(u8),
+    Delete(u8),
+    /// The store answers nothing, or refuses.
+    StoreDown(u32),
+    /// These processes and the store (the highest bit) are cut from all others.
+    Cut(u32, u32),
+    /// All that one process sends or is sent comes this much later.
+    Slow(usize, u32, u32),
+    Pause(usize, u32),
+    Restart(usize, u32),
+    /// This share of messages, in percent, is lost.
+    Loss(u32, u32),
+    Compact,
+    /// Other keys of the store are written.
+    Elsewhere(u8),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Event(Event),
+    Beat(Heard, Vec<wire::RegionProgress>),
+    Call(Call),
+    Ask(u64),
+    State(wire::ConfigState),
+}
+
+#[derive(Clone)]
+struct Packet {
+    at: u64,
+    from: (usize, u64),
+    to: usize,
+    /// Answers of the store go to one life only.
+    life: Option<u64>,
+    message: Message,
+}
+
+pub struct Process {
+    pub name: Arc<str>,
+    pub data_centre: usize,
+    pub entry: bool,
+    pub life: u64,
+    pub replica: Replica,
+    pub progress: Progress,
+    clock_start: Duration,
+    rate: f64,
+    down_until: u64,
+    paused_until: u64,
+    slow: (u64, u64),
+    last_beat: Option<Duration>,
+    last_revision: u64,
+    alone_since: Option<u64>,
+    pub started_step: u64,
+}
+
+pub struct Fleet {
+    pub processes: Vec<Process>,
+    pub store: model::Store,
+    pub step: u64,
+    timing: Timing,
+    tick_steps: u64,
+    guards: Guards,
+    rng: rngs::StdRng,
+    packets: BTreeMap<(u64, u64), Packet>,
+    packet_count: u64,
+    store_down_until: u64,
+    cut: (u32, u64),
+    loss: (u32, u64),
+    claimed: [u64; 2],
+    pub claimed_everywhere: u64,
+    pub faults: Vec<String>,
+}
+
+fn time(steps: u64) -> Duration {
+    Duration::from_millis(steps * STEP_MS)
+}
+
+impl Fleet {
+    pub fn new(entries: usize, agents: usize, seed: u64, timing: Timing, guards: Guards) -> Self {
+        let mut fleet = Self {
+            processes: Vec::new(),
+            store: model::Store::new(),
+            step: 0,
+            timing,
+            tick_steps: if timing == Timing::SMALL { 1 } else { LARGE_TICK_STEPS },
+            guards,
+            rng: rngs::StdRng::seed_from_u64(seed),
+            packets: BTreeMap::new(),
+            packet_count: 0,
+            store_down_until: 0,
+            cut: (0, 0),
+            loss: (0, 0),
+            claimed: [0; 2],
+            claimed_everywhere: 0,
+            faults: Vec::new(),
+        };
+        for (data_centre, _) in DATA_CENTRES.iter().enumerate() {
+            for index in 0..entries + agents {
+                let process = fleet.process(data_centre, index, index < entries);
+                fleet.processes.push(process);
+            }
+        }
+        for index in 0..fleet.processes.len() {
+            fleet.start(index);
+        }
+        fleet
+    }
+
+    fn process(&mut self, data_centre: usize, index: usize, entry: bool) -> Process {
+        let name = format!("{}-{index}", DATA_CENTRES[data_centre]);
+        let options = Options::new(&name, DATA_CENTRES[data_centre], entry, 0, self.timing);
+        Process {
+            name: Arc::from(name),
+            data_centre,
+            entry,
+            life: 0,
+            replica: Replica::new(options, Duration::ZERO),
+            progress: Progress::default(),
+            clock_start: Duration::from_secs(self.rng.random_range(0..10_000)),
+            rate: self.rng.random_range(0.99..1.01),
+            down_until: 0,
+            paused_until: 0,
+            slow: (0, 0),
+            last_beat: None,
+            last_revision: 0,
+            alone_since: None,
+            started_step: 0,
+        }
+    }
+
+    /// Starts a process with nothing but its settings and the host list.
+    fn start(&mut self, index: usize) {
+        let now = self.now(index);
+        let life = self.rng.random();
+        let peers =
+            self.processes.iter().filter(|p| self.processes[index].data_centre == p.data_centre);
+        let names: Vec<_> = peers.map(|p| (Arc::clone(&p.name), p.entry)).collect();
+        let process = &mut self.processes[index];
+        let (name, place) = (Arc::clone(&process.name), DATA_CENTRES[process.data_centre]);
+        let mut options = Options::new(&name, place, process.entry, life, self.timing);
+        options.guards = self.guards;
+        process.replica = Replica::new(options, now);
+        let voters = names.iter().filter(|(_, entry)| *entry).map(|(name, _)| &**name);
+        process.replica.set_voters(voters, now);
+        process.progress = Progress::default();
+        process.progress.expect(names.iter().map(|(name, _)| &**name));
+        let others = DATA_CENTRES.iter().copied().filter(|other| *other != place);
+        process.progress.expect_data_centres(others);
+        process.life = life;
+        process.last_beat = None;
+        process.last_revision = 0;
+        process.alone_since = None;
+        process.started_step = self.step;
+        self.store.watches.retain(|watch| watch.owner.0 != index);
+    }
+
+    pub fn now(&self, index: usize) -> Duration {
+        let process = &self.processes[index];
+        let elapsed = time(self.step);
+        process.clock_start + elapsed.mul_f64(process.rate)
+    }
+
+    pub fn is_running(&self, index: usize) -> bool {
+        let process = &self.processes[index];
+        process.down_until <= self.step && process.paused_until <= self.step
+    }
+
+    pub fn may_serve(&self, index: usize) -> bool {
+        self.is_running(index) && self.processes[index].replica.may_serve(self.now(index)).is_ok()
+    }
+
+    pub fn inject(&mut self, fault: &Fault) {
+        let step = self.step;
+        let count = self.processes.len();
+        match *fault {
+            Fault::Put(key) => self.store.put(&format!("key-{key}")),
+            Fault::Delete(key) => self.store.delete(&format!("key-{key}")),
+            Fault::StoreDown(steps) => self.store_down_until = step + u64::from(steps),
+            Fault::Cut(side, steps) => self.cut = (side, step + u64::from(steps)),
+            Fault::Slow(index, late, steps) => {
+                let until = step + u64::from(steps);
+                self.processes[index % count].slow = (u64::from(late), until);
+            }
+            Fault::Pause(index, steps) => {
+                self.processes[index % count].paused_until = step + u64::from(steps);
+            }
+            Fault::Restart(index, steps) => {
+                self.processes[index % count].down_until = step + u64::from(steps).max(1);
+            }
+            Fault::Loss(percent, steps) => self.loss = (percent, step + u64::from(steps)),
+            Fault::Compact => self.store.compacted = self.store.revision,
+            Fault::Elsewhere(writes) => self.store.revision += u64::from(writes),
+        }
+    }
+
+    /// Ends all faults but those of processes that are down.
+    pub fn heal(&mut self) {
+        (self.cut, self.loss, self.store_down_until) = ((0, 0), (0, 0), 0);
+        for process in &mut self.processes {
+            process.slow = (0, 0);
+            process.paused_until = process.paused_until.min(self.step);
+            process.down_until = process.down_until.min(self.step + 1);
+        }
+    }
+
+    pub fn run(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.advance();
+        }
+    }
+
+    pub fn advance(&mut self) {
+        self.step += 1;
+        for index in 0..self.processes.len() {
+            if self.processes[index].down_until == self.step {
+                self.start(index);
+            }
+        }
+        self.check();
+        self.push_watches();
+        let later = self.packets.split_off(&(self.step + 1, 0));
+        let due = std::mem::replace(&mut self.packets, later);
+        for packet in due.into_values() {
+            self.deliver(packet);
+        }
+        for index in 0..self.processes.len() {
+            if self.is_running(index) && self.step.is_multiple_of(self.tick_steps) {
+                self.tick(index);
+            }
+        }
+        self.check();
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now(index);
+        let process = &mut self.processes[index];
+        let mut effects = Vec::new();
+        process.replica.tick(now, &mut effects);
+        process.progress.tick(&process.replica, now);
+        let interval = self.timing.heartbeat;
+        let beats = process.last_beat.is_none_or(|at| now.saturating_sub(at) >= interval);
+        self.carry_out(index, effects);
+        if beats {
+            self.beat(index);
+        }
+        self.note_claims(index);
+    }
+
+    fn beat(&mut self, index: usize) {
+        let now = self.now(index);
+        let process = &mut self.processes[index];
+        process.last_beat = Some(now);
+        let beat = process.replica.beat(now);
+        let process = &self.processes[index];
+        let summaries = process.progress.summaries(&process.replica, now);
+        let mut messages = Vec::new();
+        for (other, peer) in self.processes.iter().enumerate() {
+            let same_place = peer.data_centre == process.data_centre;
+            let linked = same_place && (peer.entry || process.entry) || peer.entry && process.entry;
+            if other == index || !linked {
+                continue;
+            }
+            let heard = Heard {
+                peer: Arc::clone(&process.name),
+                incarnation: process.life,
+                data_centre: Arc::from(DATA_CENTRES[process.data_centre]),
+                entry: process.entry,
+                sequence: beat.sequence,
+                revision: beat.revision,
+                age: beat.age,
+                echo: process.replica.contacts().echo(&peer.name),
+            };
+            messages.push((other, Message::Beat(heard, summaries.clone())));
+        }
+        for (other, message) in messages {
+            self.send(index, other, None, &message);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Store(Call::Close(id)) => {
+                    let owner = (index, self.processes[index].life);
+                    self.store.close(owner, id);
+                }
+                Effect::Store(call) => {
+                    self.store.calls.push(self.step);
+                    self.send(index, self.processes.len(), None, &Message::Call(call));
+                }
+                Effect::RequestFrom(peer, have) => {
+                    let to = self.index_of(&peer);
+                    self.send(index, to, None, &Message::Ask(have));
+                }
+                Effect::AnswerPeer(peer, state) => {
+                    let to = self.index_of(&peer);
+                    self.send(index, to, None, &Message::State(state));
+                }
+                Effect::InForce(revision) => {
+                    self.check_state(index, revision);
+                    self.beat(index);
+                }
+            }
+        }
+    }
+
+    fn index_of(&self, name: &str) -> usize {
+        self.processes
+            .iter()
+            .position(|process| *process.name == *name)
+            .expect("every name is a process's")
+    }
+}
