--- a/src/config/codec.rs
+++ b/src/config/codec.rs
@@ -26,7 +26,8 @@
     heartbeat.sequence = beat.sequence;
     heartbeat.config_revision = beat.revision;
     // An age is rounded up, for it must never be too low.
-    let age_ms = |age: Duration| u64::try_from(age.as_millis()).map_or(u64::MAX, |ms| ms + 1);
+    let age_ms =
+        |age: Duration| u64::try_from(age.as_millis()).map_or(u64::MAX, |ms| ms.saturating_add(1));
     heartbeat.config_age_ms = beat.age.map(age_ms);
     heartbeat.heard_sequence = echo;
 }
--- a/src/config/options.rs
+++ b/src/config/options.rs
@@ -48,7 +48,7 @@
     pub const LARGE: Self = Self {
         heartbeat: Duration::from_millis(2_000),
         peer_timeout: Duration::from_millis(5_000),
-        freshness: Duration::from_millis(7_000),
+        freshness: Duration::from_millis(5_000),
         margin: Duration::from_millis(500),
         pause_limit: Duration::from_millis(5_000),
         request_timeout: Duration::from_millis(1_000),
--- a/src/config/replica.rs
+++ b/src/config/replica.rs
@@ -23,6 +23,9 @@
 /// Rows of processes that were not heard for this many peer timeouts are dropped.
 const FORGET_PEER_TIMEOUTS: u32 = 20;
 
+/// A reader without a state leaves it to its peers for this many peer timeouts.
+const PEERS_FIRST_PEER_TIMEOUTS: u32 = 4;
+
 /// Event is what reached the process.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -202,16 +205,21 @@
         let need = source::Need {
             reader: self.is_reader(now),
             held: self.revision(),
-            peer_offers: self
-                .contacts
-                .iter()
-                .any(|(_, contact)| contact.revision > 0 && contact.is_heard(now, &timing)),
+            peer_offers: self.peer_offers(now),
         };
         let mut calls = Vec::new();
         self.source.tick(need, now, &mut calls);
         effects.extend(calls.into_iter().map(Effect::Store));
     }
 
+    /// Tells whether a first state is to come from a peer. After a while the store is asked all
+    /// the same, for peers that are stale do not answer.
+    fn peer_offers(&self, now: Duration) -> bool {
+        let timing = &self.options.timing;
+        let is_young = now <= self.started_at + PEERS_FIRST_PEER_TIMEOUTS * timing.peer_timeout;
+        is_young && self.contacts.iter().any(|(_, c)| c.revision > 0 && c.is_heard(now, timing))
+    }
+
     fn notice_pause(&mut self, now: Duration) {
         if now.saturating_sub(self.last_tick) <= self.options.timing.pause_limit {
             return;
