Configuration: readers' takeover, an unreachable data centre, times at size

Cause: three promises had no test of their own: two readers with takeover in seconds, a data centre that is cut off is named and serves on, and convergence at the target's times. Change: three tests; random plans run at both sizes' times.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -1,7 +1,10 @@
 //! Proves the rules of docs/CONFIGURATION.md on several replicas, a model of the store and a
 //! passed-in clock, under faults.
 
+use std::collections::BTreeSet;
+
 use bitternwall::config::options::{Guards, Timing};
+use bitternwall::config::progress::InForce;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
@@ -28,6 +31,15 @@
 const SCENARIO_STEPS: u64 = 10 * STEPS_PER_SECOND;
 const LEKKI: u32 = 0b1111_0000;
 
+/// A size of fleet, with the seconds in which it must converge.
+struct Size {
+    timing: Timing,
+    converges_within: u64,
+}
+
+const SMALL: Size = Size { timing: Timing::SMALL, converges_within: 5 };
+const LARGE: Size = Size { timing: Timing::LARGE, converges_within: 18 };
+
 #[derive(Clone, Debug)]
 struct Plan {
     seed: u64,
@@ -77,8 +89,8 @@
     fleet
 }
 
-fn run(plan: &Plan, guards: Guards) -> Result<(), TestCaseError> {
-    let mut fleet = started(plan.seed, guards);
+fn run(plan: &Plan, size: &Size, guards: Guards) -> Result<(), TestCaseError> {
+    let mut fleet = started_with(ENTRIES, size.timing, plan.seed, guards);
     prop_assert!(fleet.has_converged(), "the fleet does not start");
     let mut faults = plan.faults.iter().peekable();
     for step in 0..PLAN_STEPS {
@@ -89,24 +101,31 @@
     }
     fleet.heal();
     fleet.store.put("key-last");
-    fleet.run(5 * STEPS_PER_SECOND);
+    fleet.run(size.converges_within * STEPS_PER_SECOND);
     prop_assert!(fleet.faults.is_empty(), "{:?}", fleet.faults.first());
-    prop_assert!(fleet.has_converged(), "no convergence within 5 s after the faults");
+    prop_assert!(fleet.has_converged(), "no convergence after the faults");
     Ok(())
 }
 
-fn explore(guards: Guards, cases: u32) -> Result<(), String> {
+fn explore(size: &Size, guards: Guards, cases: u32) -> Result<(), String> {
     let config =
         Config { cases, failure_persistence: None, max_shrink_iters: 0, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     TestRunner::new_with_rng(config, rng)
-        .run(&plan(), |plan| run(&plan, guards))
+        .run(&plan(), |plan| run(&plan, size, guards))
         .map_err(|error| error.to_string())
 }
 
 #[test]
 fn no_process_goes_back_and_in_force_is_never_said_too_early() {
-    if let Err(error) = explore(Guards::default(), CASES) {
+    if let Err(error) = explore(&SMALL, Guards::default(), CASES) {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn the_times_of_the_target_size_hold_as_well() {
+    if let Err(error) = explore(&LARGE, Guards::default(), CASES) {
         panic!("{error}");
     }
 }
@@ -115,7 +134,7 @@
 fn assert_caught(switch_off: fn(&mut Guards), expected: &str) {
     let mut guards = Guards::default();
     switch_off(&mut guards);
-    let error = explore(guards, CASES).expect_err("the checker sees nothing without it");
+    let error = explore(&SMALL, guards, CASES).expect_err("the checker sees nothing without it");
     assert!(error.contains(expected), "{error}");
 }
 
@@ -276,3 +295,44 @@
     assert!(steady.max(outage).max(back) <= share, "{steady}, {outage}, {back} of {share}");
     assert!(reads <= 4 * fleet::DATA_CENTRES.len(), "{reads} ranges read");
 }
+
+/// Returns how many entries of each data centre watch the store.
+fn watching(fleet: &Fleet) -> [usize; 2] {
+    let owners: BTreeSet<_> = fleet.store.watches.iter().map(|watch| watch.owner.0).collect();
+    let places = owners.iter().map(|&owner| fleet.processes[owner].data_centre);
+    let in_first = places.filter(|place| *place == 0).count();
+    [in_first, owners.len() - in_first]
+}
+
+#[test]
+fn two_entries_of_each_data_centre_watch_and_others_take_over() {
+    let mut fleet = started_with(5, Timing::SMALL, 11, Guards::default());
+    assert_eq!(watching(&fleet), [2, 2]);
+    let readers: BTreeSet<_> = fleet.store.watches.iter().map(|watch| watch.owner.0).collect();
+    for &reader in &readers {
+        fleet.inject(&Fault::Restart(reader, u32::MAX));
+        fleet.store.watches.retain(|watch| watch.owner.0 != reader);
+    }
+    fleet.run(3 * STEPS_PER_SECOND);
+    assert_eq!(watching(&fleet), [2, 2], "others take over within 3 s");
+    assert!(fleet.store.watches.iter().all(|watch| !readers.contains(&watch.owner.0)));
+}
+
+/// A data centre that is cut off as a whole serves on, and the others name it.
+#[test]
+fn a_data_centre_that_cannot_be_reached_is_named() {
+    let mut fleet = started(5, Guards::default());
+    fleet.inject(&Fault::Cut(LEKKI, 30 * 20));
+    fleet.run(10 * STEPS_PER_SECOND);
+    fleet.store.put("key-1");
+    fleet.run(10 * STEPS_PER_SECOND);
+    let unreachable =
+        InForce::Unreachable { data_centres: vec!["lekki".to_owned()], waiting: Vec::new() };
+    for index in 0..PROCESSES {
+        assert!(fleet.may_serve(index));
+        let told = fleet.told_by(index);
+        assert_eq!(told == unreachable, index < PROCESSES / 2, "{index} says {told:?}");
+    }
+    fleet.run(15 * STEPS_PER_SECOND);
+    assert!(fleet.has_converged());
+}
--- a/tests/configuration/checks.rs
+++ b/tests/configuration/checks.rs
@@ -75,6 +75,12 @@
         })
     }
 
+    /// Returns what a process says of the newest change.
+    pub fn told_by(&self, index: usize) -> InForce {
+        let process = &self.processes[index];
+        process.progress.in_force(&process.replica, self.store.head, self.now(index))
+    }
+
     pub fn has_converged(&self) -> bool {
         (0..self.processes.len()).all(|index| {
             let process = &self.processes[index];
