Let a new generation form its group after an outage of the store

Cause: what the record said was acted on only when it was read. A coordinator of a new generation that was refused while its swap waited for the store went back to surveying ranks that would never answer it.

Change: the record as it is known is followed at every tick.

--- a/src/expert_map/coordinator.rs
+++ b/src/expert_map/coordinator.rs
@@ -156,6 +156,7 @@
                 Event::Store(answer) => self.settle_call(now, answer, effects),
             }
         }
+        self.follow_record(now, effects);
         if self.phase == Phase::Deposed {
             return;
         }
--- a/src/expert_map/coordinator/record.rs
+++ b/src/expert_map/coordinator/record.rs
@@ -78,7 +78,7 @@
         self.store_busy = false;
         let proposed = self.proposed.take();
         match (answer, proposed) {
-            (protocol::StoreAnswer::Read(stored), _) => self.learn(now, stored, effects),
+            (protocol::StoreAnswer::Read(stored), _) => self.stored = Some(*stored),
             (protocol::StoreAnswer::Swapped(revision), Some(Proposal { purpose, record })) => {
                 self.stored = Some(protocol::Stored { record, revision: *revision });
                 self.follow(now, purpose, &record, effects);
@@ -91,14 +91,16 @@
         }
     }
 
-    fn learn(&mut self, now: Duration, stored: &protocol::Stored, effects: &mut Vec<Effect>) {
-        self.stored = Some(*stored);
-        let record = stored.record;
+    /// Follows the record as it is known, whatever else happened since it was read.
+    pub(super) fn follow_record(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let Some(protocol::Stored { record, .. }) = self.stored else { return };
         if record.generation > self.options.generation {
             self.abandon(effects);
             self.enter(now, Phase::Deposed);
         } else if record.generation < self.options.generation {
-            self.enter(now, Phase::Forming);
+            if self.phase != Phase::Forming {
+                self.enter(now, Phase::Forming);
+            }
         } else if record.incarnation > self.fence.incarnation {
             self.adopt(now, record.incarnation, effects);
         }
@@ -127,9 +129,6 @@
                 effects.push(Effect::Named(protocol::Version(record.number.0)));
                 self.enter(now, Phase::Preparing);
             }
-            (Purpose::Form, _) if record.incarnation > self.fence.incarnation => {
-                self.adopt(now, record.incarnation, effects);
-            }
             _ => {}
         }
     }
--- a/tests/expert_maps.rs
+++ b/tests/expert_maps.rs
@@ -129,6 +129,29 @@
     proof.unwrap();
 }
 
+/// A new generation's coordinator is refused while its swap waits for the store.
+#[test]
+fn a_new_generation_forms_its_group_after_an_outage() {
+    let script = [
+        (0, Fault::PauseAgent(0, 1)),
+        (0, Fault::Want),
+        (42, Fault::Want),
+        (61, Fault::Want),
+        (465, Fault::KillAgent(1)),
+        (473, Fault::ReplaceRankZero),
+        (474, Fault::Store(StoreMode::Down)),
+    ];
+    for ranks in [2, 8, 32] {
+        for seed in 0..20 {
+            let mut world = run(Rules { ranks, ..RULES }, seed, &script);
+            world.heal();
+            world.inject(Fault::Store(StoreMode::Up));
+            assert!(advances(&mut world), "{ranks} ranks, seed {seed}: {:?}", world.phase());
+            assert_eq!(world.violation, None);
+        }
+    }
+}
+
 #[test]
 fn a_group_whose_ranks_live_goes_on_while_the_store_stays_down() {
     let cases = (2usize..=32, any::<bool>(), any::<u64>(), script(survivable()));
