--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 const REGION: &str = "delta-north";
 
 /// Plan is how large a fleet is, and how it differs from the usual.
+#[derive(Clone)]
 pub struct Plan {
     /// Entries.
     pub entries: usize,
--- a/tests/common/agent.rs
+++ b/tests/common/agent.rs
@@ -5,6 +5,8 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, ExitStatus};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bitternwall::wire;
@@ -81,12 +83,20 @@
     }
 }
 
+/// Tells whether the agent knows its configuration to be current.
+fn is_confirmed(beat: &wire::Heartbeat) -> bool {
+    let is_young = |age_ms| Duration::from_millis(age_ms) < PATIENCE;
+    beat.config_revision == REVISION && beat.config_age_ms.is_some_and(is_young)
+}
+
 /// EntryLink is a connection of an entry that the test plays.
 pub struct EntryLink {
     tx: mpsc::Sender<wire::Frame>,
     inbound: tonic::Streaming<wire::Frame>,
     incarnation: u64,
     next: u64,
+    /// The agent's last heartbeat, which the entry's own echo.
+    heard: Arc<AtomicU64>,
 }
 
 impl EntryLink {
@@ -102,27 +112,40 @@
         let (tx, rx) = mpsc::channel(64);
         let outbound = wrappers::ReceiverStream::new(rx);
         let inbound = client.open(outbound).await.unwrap().into_inner();
-        let mut link = Self { tx, inbound, incarnation, next: 0 };
-        let heartbeat = wire::Heartbeat { config_revision: REVISION, ..Default::default() };
-        let hello = wire::Hello { member: None, heartbeat: Some(heartbeat.clone()) };
+        let heard = Arc::default();
+        let mut link = Self { tx, inbound, incarnation, next: 0, heard };
+        let member = wire::Member {
+            name: "entry-of-the-test".to_owned(),
+            incarnation,
+            role: wire::Role::Entry.into(),
+            ..Default::default()
+        };
+        let hello = wire::Hello { member: Some(member), heartbeat: None };
         link.send(frame::Kind::Hello(hello)).await;
+        link.keep_alive();
         let kind = link.until(|kind| matches!(kind, frame::Kind::ConfigRequest(_))).await;
         assert!(matches!(kind, frame::Kind::ConfigRequest(_)));
         link.send(frame::Kind::ConfigState(configuration())).await;
-        link.until(
-            |kind| matches!(kind, frame::Kind::Heartbeat(beat) if beat.config_revision == REVISION),
-        )
-        .await;
-        link.keep_alive(heartbeat);
+        link.until(|kind| matches!(kind, frame::Kind::Heartbeat(beat) if is_confirmed(beat))).await;
         link
     }
 
-    fn keep_alive(&self, heartbeat: wire::Heartbeat) {
-        let tx = self.tx.clone();
+    fn keep_alive(&self) {
+        let (tx, heard) = (self.tx.clone(), Arc::clone(&self.heard));
         tokio::spawn(async move {
-            let kind = Some(frame::Kind::Heartbeat(heartbeat));
-            while tx.send(wire::Frame { kind: kind.clone() }).await.is_ok() {
-                tokio::time::sleep(Duration::from_millis(200)).await;
+            for sequence in 1.. {
+                let heartbeat = wire::Heartbeat {
+                    sequence,
+                    config_revision: REVISION,
+                    config_age_ms: Some(0),
+                    heard_sequence: heard.load(Ordering::Relaxed),
+                    ..Default::default()
+                };
+                let kind = Some(frame::Kind::Heartbeat(heartbeat));
+                if tx.send(wire::Frame { kind }).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
             }
         });
     }
@@ -137,6 +160,9 @@
         let reading = async {
             loop {
                 let frame = self.inbound.message().await.unwrap().expect("the link is open");
+                if let Some(frame::Kind::Heartbeat(beat)) = &frame.kind {
+                    self.heard.store(beat.sequence, Ordering::Relaxed);
+                }
                 if let Some(kind) = frame.kind
                     && fits(&kind)
                 {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -24,13 +24,13 @@
 /// At 20 ms each the stream outlasts [`LEAVING_LIMIT`] by two seconds.
 const STREAM_TOKENS: usize = 250;
 
-fn start(plan: Plan) -> Fleet {
+fn start(plan: &Plan) -> Fleet {
     let engine_arguments = vec!["--token-ms".to_owned(), "20".to_owned()];
-    Fleet::start(&Plan { engine_arguments, ..plan }).expect("the fleet starts")
+    Fleet::start(&Plan { engine_arguments, ..plan.clone() }).expect("the fleet starts")
 }
 
 async fn serving(plan: Plan) -> Fleet {
-    let fleet = start(plan);
+    let fleet = start(&plan);
     common::declare_and_wait(&fleet).await;
     fleet
 }
@@ -106,9 +106,7 @@
     let (tx, mut rx) = mpsc::unbounded_channel();
     let dialer = client::Dialer {
         address: agent,
-        hello: Box::new(wire::Hello::default),
-        heartbeat: Box::new(wire::Heartbeat::default),
-        interval: Duration::from_millis(200),
+        own: wire::Member::default(),
         deadline: Duration::from_secs(2),
     };
     let id = Some(wire::AttemptId { incarnation: 1, counter });
