--- a/src/agent/frames.rs
+++ b/src/agent/frames.rs
@@ -19,10 +19,7 @@
     match event {
         server::LinkEvent::Opened { link, sender } => {
             agent.links.open(link, sender, agent.clock.monotonic());
-            let hello = wire::Hello {
-                member: Some(agent.member.clone()),
-                heartbeat: Some(heartbeat(agent)),
-            };
+            let hello = hello(agent);
             agent.links.send(link, frame::Kind::Hello(hello));
         }
         server::LinkEvent::Frame { link, kind } => {
@@ -160,11 +157,23 @@
     }
 }
 
+/// Returns the first frame of a connection. It is numbered, so that the entry's first heartbeat
+/// confirms the agent's configuration at once.
+fn hello(agent: &mut actor::AgentActor) -> wire::Hello {
+    let beat = agent.config.beat(agent.clock.monotonic());
+    let mut heartbeat = heartbeat(agent);
+    codec::stamp(&mut heartbeat, &beat, 0);
+    wire::Hello { member: Some(agent.member.clone()), heartbeat: Some(heartbeat) }
+}
+
 /// Returns a heartbeat without its stamp, which differs from peer to peer.
 fn heartbeat(agent: &actor::AgentActor) -> wire::Heartbeat {
+    let now = agent.clock.monotonic();
+    let mut load = agent.world.load();
+    load.takes_work &= agent.config.replica().confirmed_at(now).is_ok();
     wire::Heartbeat {
         draining: agent.world.draining(),
-        load: Some(agent.world.load()),
+        load: Some(load),
         fingerprints: agent.world.crash_reports(),
         ..wire::Heartbeat::default()
     }
--- a/src/agent/world.rs
+++ b/src/agent/world.rs
@@ -159,6 +159,7 @@
             slots: count(self.options.slots),
             tokens_ahead: self.jobs.cost(),
             target_healthy: self.target.healthy,
+            takes_work: self.target.healthy,
         }
     }
 
--- a/src/entry/core/events.rs
+++ b/src/entry/core/events.rs
@@ -111,8 +111,8 @@
     pub slots: u32,
     /// True where the agent takes no new work.
     pub draining: bool,
-    /// True where the target answers its health check.
-    pub healthy: bool,
+    /// True where the target is healthy and the agent's configuration current.
+    pub takes_work: bool,
 }
 
 /// CrashReport is what a process knows of one crashing request.
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -45,8 +45,11 @@
         self.left = (self.left + self.share).min(self.burst);
     }
 
-    fn spend(&mut self) -> bool {
-        let enough = self.left >= 1.0;
+    /// Takes one retry, if there is one left. What keeps an answer whole of which the caller has
+    /// a part may overdraw the budget.
+    fn spend(&mut self, may_overdraw: bool) -> bool {
+        let floor = if may_overdraw { -self.burst } else { 0.0 };
+        let enough = self.left - 1.0 >= floor;
         if enough {
             self.left -= 1.0;
         }
@@ -87,7 +90,8 @@
         request.may_have_run = true;
     }
     note_avoided(request, &ended.target, failure);
-    let again = may_try_again(world, ended.request, failure) && world.budget.spend();
+    let resumes = request.passed_on;
+    let again = may_try_again(world, ended.request, failure) && world.budget.spend(resumes);
     let next = again.then(|| routing::start(world, now, ended.request)).flatten();
     match next {
         Some(start) => effects.push(Effect::Start(start)),
--- a/src/entry/core/routing.rs
+++ b/src/entry/core/routing.rs
@@ -112,7 +112,7 @@
 
 /// Tells whether a target may get new work from this entry.
 pub fn takes_work(target: &Target, now: Duration) -> bool {
-    let reachable = target.incarnation.is_some() && target.report.healthy;
+    let reachable = target.incarnation.is_some() && target.report.takes_work;
     reachable && !target.report.draining && target.ejected_until <= now
 }
 
--- a/src/entry/core/targets.rs
+++ b/src/entry/core/targets.rs
@@ -55,10 +55,10 @@
     }
 }
 
-/// Takes an agent's report in; a target that becomes healthy starts slowly.
+/// Takes an agent's report in; a target that takes work again starts slowly.
 pub fn report(tables: &mut Tables, now: Duration, name: &str, report: TargetReport) {
     let Some(target) = tables.targets.get_mut(name) else { return };
-    if report.healthy && !target.report.healthy {
+    if report.takes_work && !target.report.takes_work {
         target.returned_at = now;
     }
     target.report = report;
--- a/src/entry/frames.rs
+++ b/src/entry/frames.rs
@@ -14,7 +14,7 @@
         queued: load.queued,
         slots: load.slots,
         draining: heartbeat.draining,
-        healthy: load.target_healthy,
+        takes_work: load.takes_work,
     }
 }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -98,6 +98,9 @@
     pub tokens_ahead: u64,
     #[prost(bool, tag = "5")]
     pub target_healthy: bool,
+    /// False where the agent would refuse, since its target is ill or its configuration too old.
+    #[prost(bool, tag = "6")]
+    pub takes_work: bool,
 }
 /// Fingerprint is the hash of a request's body, refused for a while.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -208,7 +208,8 @@
 
 /// Returns the events of a link that comes up to a healthy target.
 pub fn link_up(target: &str) -> [Event; 2] {
-    let report = TargetReport { running: 0, queued: 0, slots: 8, draining: false, healthy: true };
+    let report =
+        TargetReport { running: 0, queued: 0, slots: 8, draining: false, takes_work: true };
     [
         Event::LinkUp { target: target.to_owned(), incarnation: 1 },
         Event::Heartbeat { target: target.to_owned(), report },
--- a/tests/foreign_lives.rs
+++ b/tests/foreign_lives.rs
@@ -109,7 +109,7 @@
     let member = Some(member(TARGET, wire::Role::Agent));
     link(entry, LinkEvent::Up { hello: Box::new(wire::Hello { member, heartbeat: None }), tx });
     link(entry, LinkEvent::Frame(Kind::ConfigState(configuration())));
-    let load = wire::Load { slots: 8, target_healthy: true, ..wire::Load::default() };
+    let load = wire::Load { slots: 8, takes_work: true, ..wire::Load::default() };
     loop {
         let frame = time::timeout(PATIENCE, agent.recv()).await.expect("heartbeats come");
         let Some(Kind::Heartbeat(heard)) = frame.expect("the link is up").kind else { continue };
