--- a/tests/common/agent.rs
+++ b/tests/common/agent.rs
@@ -5,6 +5,8 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, ExitStatus};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bitternwall::wire;
@@ -16,6 +18,8 @@
 
 /// How long a test waits for what must come.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// Between two heartbeats of the entry.
+const BEAT: Duration = Duration::from_millis(50);
 /// The revision of the configuration that the tests offer.
 pub const REVISION: u64 = 7;
 
@@ -84,13 +88,13 @@
 /// EntryLink is a connection of an entry that the test plays.
 pub struct EntryLink {
     tx: mpsc::Sender<wire::Frame>,
-    inbound: tonic::Streaming<wire::Frame>,
+    rx: mpsc::UnboundedReceiver<frame::Kind>,
     incarnation: u64,
     next: u64,
 }
 
 impl EntryLink {
-    /// Connects, and gives the agent a configuration.
+    /// Connects, gives the agent a configuration, and waits until it takes work.
     pub async fn open(agent: SocketAddr, incarnation: u64) -> Self {
         let mut client = loop {
             let url = format!("http://{agent}");
@@ -102,29 +106,26 @@
         let (tx, rx) = mpsc::channel(64);
         let outbound = wrappers::ReceiverStream::new(rx);
         let inbound = client.open(outbound).await.unwrap().into_inner();
-        let mut link = Self { tx, inbound, incarnation, next: 0 };
-        let heartbeat = wire::Heartbeat { config_revision: REVISION, ..Default::default() };
-        let hello = wire::Hello { member: None, heartbeat: Some(heartbeat.clone()) };
-        link.send(frame::Kind::Hello(hello)).await;
-        let kind = link.until(|kind| matches!(kind, frame::Kind::ConfigRequest(_))).await;
-        assert!(matches!(kind, frame::Kind::ConfigRequest(_)));
+        let heard = Arc::new(AtomicU64::new(0));
+        let (frames, rx) = mpsc::unbounded_channel();
+        tokio::spawn(read(inbound, frames, Arc::clone(&heard)));
+        tokio::spawn(beat(tx.clone(), heard, incarnation));
+        let mut link = Self { tx, rx, incarnation, next: 0 };
+        link.until(|kind| matches!(kind, frame::Kind::ConfigRequest(_))).await;
         link.send(frame::Kind::ConfigState(configuration())).await;
         link.until(
             |kind| matches!(kind, frame::Kind::Heartbeat(beat) if beat.config_revision == REVISION),
         )
         .await;
-        link.keep_alive(heartbeat);
-        link
-    }
-
-    fn keep_alive(&self, heartbeat: wire::Heartbeat) {
-        let tx = self.tx.clone();
-        tokio::spawn(async move {
-            let kind = Some(frame::Kind::Heartbeat(heartbeat));
-            while tx.send(wire::Frame { kind: kind.clone() }).await.is_ok() {
-                tokio::time::sleep(Duration::from_millis(200)).await;
+        loop {
+            let id = link.start("GET", "/ready", b"").await;
+            let refusal = link.finish(id).await.refusal;
+            let stale = wire::RefusalReason::StaleConfig;
+            if refusal.is_none_or(|refusal| refusal.reason() != stale) {
+                return link;
             }
-        });
+            tokio::time::sleep(BEAT).await;
+        }
     }
 
     /// Sends a frame.
@@ -136,10 +137,8 @@
     pub async fn until(&mut self, fits: impl Fn(&frame::Kind) -> bool) -> frame::Kind {
         let reading = async {
             loop {
-                let frame = self.inbound.message().await.unwrap().expect("the link is open");
-                if let Some(kind) = frame.kind
-                    && fits(&kind)
-                {
+                let kind = self.rx.recv().await.expect("the link is open");
+                if fits(&kind) {
                     return kind;
                 }
             }
@@ -203,6 +202,47 @@
     pub refusal: Option<wire::Refusal>,
 }
 
+async fn read(
+    mut inbound: tonic::Streaming<wire::Frame>,
+    frames: mpsc::UnboundedSender<frame::Kind>,
+    heard: Arc<AtomicU64>,
+) {
+    while let Ok(Some(wire::Frame { kind: Some(kind) })) = inbound.message().await {
+        if let frame::Kind::Heartbeat(beat) = &kind {
+            heard.store(beat.sequence, Ordering::Relaxed);
+        }
+        if frames.send(kind).is_err() {
+            return;
+        }
+    }
+}
+
+/// Says hello, then keeps the link alive as an entry with the latest configuration.
+async fn beat(tx: mpsc::Sender<wire::Frame>, heard: Arc<AtomicU64>, incarnation: u64) {
+    let member = wire::Member {
+        name: "entry-1".to_owned(),
+        incarnation,
+        role: wire::Role::Entry.into(),
+        data_centre: "kafr-data-centre".to_owned(),
+        ..Default::default()
+    };
+    let hello = wire::Hello { member: Some(member), heartbeat: None };
+    let mut kind = frame::Kind::Hello(hello);
+    for sequence in 1.. {
+        if tx.send(wire::Frame { kind: Some(kind) }).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(BEAT).await;
+        kind = frame::Kind::Heartbeat(wire::Heartbeat {
+            sequence,
+            config_revision: REVISION,
+            config_age_ms: Some(0),
+            heard_sequence: heard.load(Ordering::Relaxed),
+            ..Default::default()
+        });
+    }
+}
+
 fn configuration() -> wire::ConfigState {
     let service = json!({ "kind": "plain", "claim_shards": 2 });
     let target = json!({
