Agent: an outage of the store leaves open only what it meets on the way

Cause: a shard whose commit got no answer was written again without being read, so in a long outage every other call was refused as "unknown" though it never ran.

Change: after a failure the shard is read before its next commit.

--- /dev/null
+++ b/benches/claims.rs
@@ -0,0 +1,171 @@
+//! Claims and writes a second, and what a claim adds to a call, against one write a call.
+//!
+//! An agent as a process stands before a plain service; the key-value service takes 300 writes
+//! a second. Each row is one line of JSON. Run `cargo bench --bench claims`.
+
+#![allow(clippy::unwrap_used, reason = "a measurement fails by panicking")]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use bitternwall::collections;
+use bitternwall::platform::store;
+use bitternwall::wire::frame;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use serde_json::json;
+use standins::{kv, service};
+
+#[allow(dead_code, reason = "the tests use the rest")]
+#[path = "../tests/common/agent.rs"]
+mod agent;
+
+const RATES: [u64; 3] = [10, 100, 1_000];
+const DURATION: Duration = Duration::from_secs(8);
+/// How long answers are waited for after the last call.
+const REST: Duration = Duration::from_secs(3);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Row is one measurement.
+struct Row {
+    mode: &'static str,
+    rate: u64,
+    sent: u64,
+    done: u64,
+    refused: u64,
+    writes: u64,
+    micros: Histogram<u64>,
+}
+
+impl Row {
+    fn new(mode: &'static str, rate: u64) -> Self {
+        let micros = Histogram::new(3).unwrap();
+        Self { mode, rate, sent: 0, done: 0, refused: 0, writes: 0, micros }
+    }
+
+    fn print(&self) {
+        let seconds = DURATION.as_secs();
+        let quantile = |q| self.micros.value_at_quantile(q) / 1_000;
+        let row = json!({
+            "bench": "claims",
+            "mode": self.mode,
+            "requests_per_second": self.rate,
+            "sent": self.sent,
+            "done": self.done,
+            "refused": self.refused,
+            "claims_per_second": self.done / seconds,
+            "writes_per_second": self.writes / seconds,
+            "p50_ms": quantile(0.5),
+            "p99_ms": quantile(0.99),
+        });
+        println!("{row}");
+    }
+}
+
+#[actix_rt::main]
+async fn main() {
+    for rate in RATES {
+        let kv = stand_in(|listen| kv::start(listen, kv::Options::default()));
+        grouped(rate, kv).await.print();
+        let kv = stand_in(|listen| kv::start(listen, kv::Options::default()));
+        one_write_each(rate, kv).await.print();
+    }
+}
+
+/// Starts a stand-in on a thread of its own.
+fn stand_in(
+    start: impl FnOnce(SocketAddr) -> standins::server::Result<standins::Running> + Send + 'static,
+) -> SocketAddr {
+    let (tx, rx) = mpsc::channel();
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let running = start("127.0.0.1:0".parse().unwrap()).unwrap();
+            tx.send(running.address).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    rx.recv().unwrap()
+}
+
+async fn grouped(rate: u64, kv: SocketAddr) -> Row {
+    let names = ("dispatch-api".to_owned(), "t-1".to_owned());
+    let options = service::Options { service: names.0, target: names.1 };
+    let target = stand_in(|listen| service::start(listen, options));
+    let process = agent::AgentProcess::start(target, kv);
+    let mut link = agent::EntryLink::open(process.listen, 1).await;
+    let before = writes(kv).await;
+    let mut row = Row::new("grouped", rate);
+    let mut started = collections::Map::default();
+    let begin = Instant::now();
+    let interval = Duration::from_secs(1) / u32::try_from(rate).unwrap();
+    while begin.elapsed() < DURATION + REST {
+        let due = interval * u32::try_from(row.sent).unwrap();
+        if due < DURATION && begin.elapsed() >= due {
+            let key = xxhash_rust::xxh3::xxh3_128(&row.sent.to_le_bytes()).to_le_bytes();
+            let id = link.start("POST", "/holds", &key).await;
+            started.insert(id, Instant::now());
+            row.sent += 1;
+            continue;
+        }
+        let wait = if due < DURATION { due.saturating_sub(begin.elapsed()) } else { interval };
+        let Some(kind) = link.next(wait.max(Duration::from_micros(100))).await else { continue };
+        match kind {
+            frame::Kind::AnswerEnd(end) if end.complete => {
+                row.done += 1;
+                let at: Instant = started[&end.id.unwrap()];
+                row.micros.record(u64::try_from(at.elapsed().as_micros()).unwrap()).unwrap();
+            }
+            frame::Kind::Refusal(_) => row.refused += 1,
+            _ => {}
+        }
+    }
+    row.writes = writes(kv).await - before;
+    row
+}
+
+async fn one_write_each(rate: u64, kv: SocketAddr) -> Row {
+    let endpoints = vec![format!("http://{kv}")];
+    let store = store::Store::new(store::StoreOptions { endpoints, call_timeout: CALL_TIMEOUT });
+    let row = Rc::new(std::cell::RefCell::new(Row::new("one_write_each", rate)));
+    let interval = Duration::from_secs(1) / u32::try_from(rate).unwrap();
+    let begin = Instant::now();
+    while begin.elapsed() < DURATION {
+        let sent = row.borrow().sent;
+        let due = interval * u32::try_from(sent).unwrap();
+        if begin.elapsed() < due {
+            actix_rt::time::sleep(due - begin.elapsed()).await;
+            continue;
+        }
+        row.borrow_mut().sent += 1;
+        let (store, row) = (store.clone(), Rc::clone(&row));
+        actix_rt::spawn(async move {
+            let started = Instant::now();
+            let key = format!("/claims/{sent}");
+            let compares = [store::Compare::ModRevision(key.clone(), 0)];
+            let value = Bytes::from_static(b"1");
+            let writes = [store::Write::Put { key, value, lease: None }];
+            let committed = store.commit(&compares, &writes).await;
+            let mut row = row.borrow_mut();
+            if committed.is_ok_and(|commit| commit.succeeded) {
+                row.done += 1;
+                let micros = u64::try_from(started.elapsed().as_micros()).unwrap();
+                row.micros.record(micros).unwrap();
+            } else {
+                row.refused += 1;
+            }
+        });
+    }
+    actix_rt::time::sleep(REST).await;
+    row.borrow_mut().writes = writes(kv).await;
+    Rc::try_unwrap(row).ok().unwrap().into_inner()
+}
+
+/// Returns how many transactions the key-value service was asked for.
+async fn writes(kv: SocketAddr) -> u64 {
+    let url = format!("http://{kv}/control/counts");
+    let mut answer = awc::Client::new().get(url).send().await.unwrap();
+    let counts: serde_json::Value = answer.json().await.unwrap();
+    counts["calls"]["txn"].as_u64().unwrap_or(0)
+}
--- a/src/agent/systems/claims.rs
+++ b/src/agent/systems/claims.rs
@@ -115,7 +115,6 @@
 ) {
     let Some(shard) = world.claims.shards.get_mut(index) else { return };
     let Some(snapshot) = snapshot else {
-        shard.phase = shard::Phase::Unread;
         store_failed(world, index, effects);
         return;
     };
@@ -148,7 +147,6 @@
         events::CommitOutcome::Conflict => {
             shard.conflicts += 1;
             let wait = conflict_pause(world, index);
-            world.claims.shards[index].phase = shard::Phase::Unread;
             world.claims.retry_at = world.claims.retry_at.max(world.now + wait);
             start_read(world, index, effects);
         }
@@ -158,7 +156,6 @@
             for pending in &mut shard.in_flight {
                 pending.tries.retain(|attempt| attempt.commit != refused);
             }
-            shard.phase = shard::Phase::Ready;
             store_failed(world, index, effects);
         }
     }
@@ -290,10 +287,12 @@
 }
 
 /// Refuses at once whatever waits for a shard that cannot be read or written. What no commit
-/// tried to save was certainly not run and is in nobody's way.
+/// tried to save was certainly not run and is in nobody's way. The shard is read before it is
+/// written again, so that an outage leaves nothing open but what it met on the way.
 fn store_failed(world: &mut world::AgentWorld, index: usize, effects: &mut Vec<events::Effect>) {
     let pause = back_off(world);
     let shard = &mut world.claims.shards[index];
+    shard.phase = shard::Phase::Unread;
     let mut open = std::mem::take(&mut shard.in_flight);
     open.extend(std::mem::take(&mut shard.waiting));
     for pending in open {
--- a/tests/agent_process.rs
+++ b/tests/agent_process.rs
@@ -62,7 +62,17 @@
 #[actix_rt::test]
 async fn a_graceful_stop_finishes_what_runs_and_refuses_what_is_new() {
     let target = target(
-        &["HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 6\r\n\r\n", "one", "", "", "", "", "", "", "two"],
+        &[
+            "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 6\r\n\r\n",
+            "one",
+            "",
+            "",
+            "",
+            "",
+            "",
+            "",
+            "two",
+        ],
         PAUSE,
     )
     .await;
--- a/tests/common/agent.rs
+++ b/tests/common/agent.rs
@@ -28,6 +28,21 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+/// Starts a stand-in on a thread of its own and returns its address.
+pub fn stand_in(
+    start: impl FnOnce(SocketAddr) -> standins::server::Result<standins::Running> + Send + 'static,
+) -> SocketAddr {
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let running = start("127.0.0.1:0".parse().unwrap()).unwrap();
+            tx.send(running.address).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    rx.recv().unwrap()
+}
+
 /// AgentProcess is an agent that ends with its test.
 pub struct AgentProcess {
     child: Child,
@@ -167,6 +182,11 @@
         id
     }
 
+    /// Reads the next frame, if one comes in time.
+    pub async fn next(&mut self, wait: Duration) -> Option<frame::Kind> {
+        tokio::time::timeout(wait, self.rx.recv()).await.ok().flatten()
+    }
+
     /// Reads the answer of an attempt.
     pub async fn finish(&mut self, id: wire::AttemptId) -> Finish {
         let mut finish = Finish::default();
