--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -12,7 +12,7 @@
 };
 use crate::clock;
 use crate::collections;
-use crate::platform::store;
+use crate::platform::{host_list, store};
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::server;
@@ -51,6 +51,8 @@
     pub readiness: admin::Readiness,
     /// The timing.
     pub timing: Timing,
+    /// The platform's host list, and how often it is read.
+    pub host_list: Option<(host_list::HostList, Duration)>,
     /// Told when a drain by signal is done.
     pub drained: oneshot::Sender<()>,
 }
@@ -67,6 +69,7 @@
     pub(crate) metrics: metrics::Metrics,
     pub(crate) readiness: admin::Readiness,
     pub(crate) timing: Timing,
+    pub(crate) host_list: Option<(host_list::HostList, Duration)>,
     pub(crate) drained: Option<oneshot::Sender<()>>,
     pub(crate) links: links::Links,
     pub(crate) relay: relay::Relay,
@@ -93,6 +96,7 @@
             metrics: parts.metrics,
             readiness: parts.readiness,
             timing: parts.timing,
+            host_list: parts.host_list,
             drained: Some(parts.drained),
             links: links::Links::default(),
             relay: relay::Relay::default(),
@@ -206,6 +210,9 @@
             effects::probe(actor, cx);
         });
         effects::probe(self, cx);
+        if let Some((_, poll)) = self.host_list {
+            cx.run_interval(poll, |actor, cx| effects::read_host_list(actor, cx));
+        }
     }
 }
 
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -13,14 +13,16 @@
 use crate::agent::{actor, admin, config_view, metrics, options, target, world};
 use crate::clock;
 use crate::config::{codec, options as config_options};
-use crate::platform::store;
-use crate::settings::agent as agent_settings;
-use crate::telemetry::events as log;
+use crate::platform::{host_list, store};
+use crate::settings::{agent as agent_settings, common};
+use crate::telemetry::{events as log, logs};
 use crate::wire;
 use crate::wire::server;
 
 /// How often the end of a stop is checked for.
 const STOP_POLL: Duration = Duration::from_millis(10);
+/// How long a read of the host list may take.
+const HOST_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long connections may take to close after all work is done.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -30,6 +32,7 @@
 ///
 /// Returns an error where an address cannot be listened on or a server fails.
 pub fn run(settings: agent_settings::AgentSettings) -> anyhow::Result<()> {
+    logs::start(&settings.log)?;
     actix::System::new().block_on(serve(settings))
 }
 
@@ -98,10 +101,16 @@
             heartbeat: Duration::from_millis(links.heartbeat_ms),
             deadline: Duration::from_millis(links.deadline_ms),
         },
+        host_list: settings.host_list.as_ref().map(host_list_client),
         drained,
     }
 }
 
+fn host_list_client(settings: &common::HostListSettings) -> (host_list::HostList, Duration) {
+    let poll = Duration::from_millis(settings.poll_ms);
+    (host_list::HostList::new(&settings.url, HOST_LIST_TIMEOUT), poll)
+}
+
 fn config(
     settings: &agent_settings::AgentSettings,
     member: &wire::Member,
--- a/src/agent/effects.rs
+++ b/src/agent/effects.rs
@@ -8,7 +8,7 @@
 
 use crate::agent::events;
 use crate::agent::{actor, claim_store, frames, target};
-use crate::platform::store;
+use crate::platform::{host_list, store};
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::frame;
@@ -96,6 +96,22 @@
     agent.push(events::Event::Probed(probe), cx);
 }
 
+/// Reads whether the host is to leave. A list that gives no answer, or does not name the host,
+/// changes nothing.
+pub(crate) fn read_host_list(agent: &actor::AgentActor, cx: &mut Cx) {
+    let Some((list, _)) = agent.host_list.clone() else { return };
+    let (name, address) = (agent.member.name.clone(), cx.address());
+    actix_rt::spawn(async move {
+        let Ok(hosts) = list.read().await else { return };
+        let is_own =
+            |host: &&host_list::Host| host.role == host_list::HostRole::Agent && host.name == name;
+        let Some(host) = hosts.iter().find(is_own) else { return };
+        let on = host.state == host_list::HostState::Leaving;
+        let cause = events::DrainCause::HostList;
+        address.do_send(actor::Happened(events::Event::Drain { cause, on }));
+    });
+}
+
 fn refuse(
     agent: &mut actor::AgentActor,
     to: events::Subscriber,
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -2,10 +2,15 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde::Deserialize;
 
 use crate::settings;
+use crate::settings::common;
+
+/// How often the host list may be read.
+const POLL_MS: RangeInclusive<u64> = 100..=600_000;
 
 /// AgentSettings is an agent's settings file.
 #[derive(Clone, Debug, Deserialize)]
@@ -30,6 +35,12 @@
     pub probe_path: Option<String>,
     /// Base addresses of the key-value service.
     pub store: Vec<String>,
+    /// The platform's host list; without it, only the resource and signals drain the target.
+    #[serde(default)]
+    pub host_list: Option<common::HostListSettings>,
+    /// The log.
+    #[serde(default)]
+    pub log: common::LogSettings,
     /// The queue before the target.
     #[serde(default)]
     pub queue: QueueSettings,
@@ -159,15 +170,18 @@
 }
 
 fn check_addresses(settings: &AgentSettings) -> Option<settings::Problem> {
-    let allowed = "an address such as http://127.0.0.1:8000";
-    if !is_base_url(&settings.target_url) {
-        return Some(problem("target_url", format!("\"{}\"", settings.target_url), allowed));
-    }
     if settings.store.is_empty() {
         return Some(problem("store", "[]", "at least one address"));
     }
-    let bad = settings.store.iter().enumerate().find(|(_, url)| !is_base_url(url));
-    bad.map(|(index, url)| problem(&format!("store[{index}]"), format!("\"{url}\""), allowed))
+    let stores = settings.store.iter().enumerate();
+    let stores = stores.map(|(index, url)| common::check_url(&format!("store[{index}]"), url));
+    let list = settings.host_list.as_ref();
+    common::check_url("target_url", &settings.target_url)
+        .or_else(|| stores.flatten().next())
+        .or_else(|| list.and_then(|list| common::check_url("host_list.url", &list.url)))
+        .or_else(|| {
+            list.and_then(|list| common::check_range("host_list.poll_ms", list.poll_ms, POLL_MS))
+        })
 }
 
 fn check_relations(settings: &AgentSettings) -> Option<settings::Problem> {
@@ -180,11 +194,6 @@
     too_long.then(|| problem("claims.bucket_s", claims.bucket_s, "at most claims.retention_s"))
 }
 
-fn is_base_url(url: &str) -> bool {
-    let Some(rest) = url.strip_prefix("http://") else { return false };
-    !rest.is_empty() && !rest.contains('/')
-}
-
 fn problem<V: fmt::Display>(field: &str, value: V, allowed: &str) -> settings::Problem {
     settings::Problem {
         field: field.to_owned(),
--- a/tests/agent_process.rs
+++ b/tests/agent_process.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+#[allow(dead_code, reason = "other tests use the rest")]
 #[path = "common/agent.rs"]
 mod agent;
 
