--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -7,7 +7,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 use bitternwall::collections;
@@ -67,32 +66,17 @@
 #[actix_rt::main]
 async fn main() {
     for rate in RATES {
-        let kv = stand_in(|listen| kv::start(listen, kv::Options::default()));
+        let kv = agent::stand_in(|listen| kv::start(listen, kv::Options::default()));
         grouped(rate, kv).await.print();
-        let kv = stand_in(|listen| kv::start(listen, kv::Options::default()));
+        let kv = agent::stand_in(|listen| kv::start(listen, kv::Options::default()));
         one_write_each(rate, kv).await.print();
     }
 }
 
-/// Starts a stand-in on a thread of its own.
-fn stand_in(
-    start: impl FnOnce(SocketAddr) -> standins::server::Result<standins::Running> + Send + 'static,
-) -> SocketAddr {
-    let (tx, rx) = mpsc::channel();
-    std::thread::spawn(move || {
-        actix_rt::System::new().block_on(async {
-            let running = start("127.0.0.1:0".parse().unwrap()).unwrap();
-            tx.send(running.address).unwrap();
-            std::future::pending::<()>().await;
-        });
-    });
-    rx.recv().unwrap()
-}
-
 async fn grouped(rate: u64, kv: SocketAddr) -> Row {
     let names = ("dispatch-api".to_owned(), "t-1".to_owned());
     let options = service::Options { service: names.0, target: names.1 };
-    let target = stand_in(|listen| service::start(listen, options));
+    let target = agent::stand_in(|listen| service::start(listen, options));
     let process = agent::AgentProcess::start(target, kv);
     let mut link = agent::EntryLink::open(process.listen, 1).await;
     let before = writes(kv).await;
--- a/src/agent/effects.rs
+++ b/src/agent/effects.rs
@@ -36,7 +36,7 @@
         events::Effect::Commit { shard, compares, writes } => {
             commit(agent, shard, compares, writes, cx);
         }
-        events::Effect::Probe => probe(agent, cx),
+        events::Effect::Probe => probe_anew(agent, cx),
         events::Effect::Beat => {
             let draining = agent.world.draining();
             log::log(log::AGENT_DRAINING, format_args!("draining is {draining}"));
@@ -87,9 +87,20 @@
     });
 }
 
+/// Starts a health probe after what has just happened: one under way may have been answered
+/// before the target died, so its outcome is passed over.
+fn probe_anew(agent: &mut actor::AgentActor, cx: &mut Cx) {
+    agent.probe_outdated = agent.probing;
+    probe(agent, cx);
+}
+
 /// Takes in the outcome of a health probe.
 pub(crate) fn probed(agent: &mut actor::AgentActor, probe: events::Probe, cx: &mut Cx) {
     agent.probing = false;
+    if std::mem::take(&mut agent.probe_outdated) {
+        self::probe(agent, cx);
+        return;
+    }
     if agent.world.load().target_healthy != (probe == events::Probe::Healthy) {
         log::log(log::TARGET_HEALTH, format_args!("the probe says {probe:?}"));
     }
--- a/src/agent/systems/admission.rs
+++ b/src/agent/systems/admission.rs
@@ -10,6 +10,9 @@
 use crate::wire;
 use crate::wire::server;
 
+/// How long a request that may not be repeated runs on after its caller has left.
+const MAX_RUN: Duration = Duration::from_secs(600);
+
 /// Admits, joins or refuses one attempt.
 pub fn start(
     world: &mut world::AgentWorld,
@@ -26,8 +29,7 @@
         Some(tables::Seen::Joined { job, .. }) => {
             answers::resent(world, job, to, effects) == answers::Resent::StartAgain
         }
-        Some(tables::Seen::Closed) => {
-            let (reason, executed) = (wire::RefusalReason::Cancelled, wire::Executed::No);
+        Some(tables::Seen::Closed { reason, executed }) => {
             world.refuse(to, reason, executed, effects);
             false
         }
@@ -43,9 +45,18 @@
     id: crate::wire::AttemptId,
     effects: &mut Vec<events::Effect>,
 ) {
-    let joined = world.seen.get(id);
-    world.remember(id, tables::Seen::Closed);
-    let Some(tables::Seen::Joined { job, .. }) = joined else { return };
+    let seen = world.seen.get(id);
+    if matches!(seen, Some(tables::Seen::Closed { .. })) {
+        return;
+    }
+    let job = match seen {
+        Some(tables::Seen::Joined { job, .. }) => Some(job),
+        _ => None,
+    };
+    let reason = wire::RefusalReason::Cancelled;
+    let executed = job.map_or(wire::Executed::No, |job| executed_if_left(world, job));
+    world.remember(id, tables::Seen::Closed { reason, executed });
+    let Some(job) = job else { return };
     if let Some(job) = world.jobs.get_mut(job) {
         job.subscribers.retain(|other| other.id != id);
     }
@@ -79,7 +90,8 @@
         .jobs
         .iter()
         .filter(|(_, job)| {
-            job.subscribers.iter().any(|to| to.deadline <= now) || late(job, now, max_wait)
+            let passed = job.subscribers.iter().any(|to| to.deadline <= now);
+            passed || late(job, now, max_wait) || overrun(job, now)
         })
         .map(|(id, _)| id)
         .collect();
@@ -227,7 +239,7 @@
 fn expire_job(world: &mut world::AgentWorld, id: events::JobId, effects: &mut Vec<events::Effect>) {
     let (now, max_wait) = (world.now, world.options.max_wait);
     let Some(job) = world.jobs.get_mut(id) else { return };
-    let (state, key) = (job.state, job.key);
+    let (state, key, overran) = (job.state, job.key, overrun(job, now));
     let overdue = late(job, now, max_wait);
     let subscribers = std::mem::take(&mut job.subscribers);
     let (gone, rest): (Vec<events::Subscriber>, Vec<events::Subscriber>) =
@@ -246,13 +258,21 @@
             if late { wire::RefusalReason::Deadline } else { wire::RefusalReason::Overloaded };
         world.refuse(to, reason, executed, effects);
     }
-    if withdrawn {
+    if withdrawn || overran {
         answers::drop_job(world, id, effects);
     } else {
         answers::abandon(world, id, effects);
     }
 }
 
+/// Returns what may be said to one attempt that leaves a job.
+fn executed_if_left(world: &world::AgentWorld, id: events::JobId) -> wire::Executed {
+    match world.jobs.get(id) {
+        Some(job) if job.subscribers.len() == 1 => executed_so_far(job.state),
+        _ => wire::Executed::Unknown,
+    }
+}
+
 /// Returns what may be said of a job that is given up in the given state, where nobody else
 /// waits for it. While a claim is being saved its fate is open, so that a resend may find it.
 fn executed_so_far(state: tables::JobState) -> wire::Executed {
@@ -268,6 +288,12 @@
     waits(job.state) && job.admitted_at + max_wait <= now
 }
 
+/// Returns true for a job that nobody waits for and that holds its slot for too long.
+fn overrun(job: &tables::Job, now: Duration) -> bool {
+    let forsaken = job.subscribers.is_empty() && job.state == tables::JobState::Running;
+    forsaken && job.started_at + MAX_RUN <= now
+}
+
 fn waits(state: tables::JobState) -> bool {
     matches!(state, tables::JobState::Queued | tables::JobState::Ready)
 }
@@ -275,7 +301,9 @@
 fn expiry(job: &tables::Job, max_wait: Duration) -> Option<Duration> {
     let deadline = job.subscribers.iter().map(|to| to.deadline).min();
     let bound = waits(job.state).then(|| job.admitted_at + max_wait);
-    [deadline, bound].into_iter().flatten().min()
+    let forsaken = job.subscribers.is_empty() && job.state == tables::JobState::Running;
+    let overrun = forsaken.then(|| job.started_at + MAX_RUN);
+    [deadline, bound, overrun].into_iter().flatten().min()
 }
 
 fn comeback(world: &world::AgentWorld, wait: Duration) -> Duration {
--- a/src/agent/systems/retry.rs
+++ b/src/agent/systems/retry.rs
@@ -13,6 +13,8 @@
 
 /// Crashes after which a fingerprint is refused.
 const CRASHES_TO_REFUSE: usize = 2;
+/// Probes in a row without an answer after which a target counts as unhealthy.
+const SILENT_PROBES: u32 = 2;
 /// Fingerprints that are refused or counted at once.
 const MAX_FINGERPRINTS: usize = 1_024;
 
@@ -41,7 +43,10 @@
     probe: events::Probe,
     effects: &mut Vec<events::Effect>,
 ) {
-    let healthy = probe == events::Probe::Healthy;
+    let silent = probe == events::Probe::Silent;
+    world.target.silent_probes = if silent { world.target.silent_probes + 1 } else { 0 };
+    let doubtful = silent && world.target.silent_probes < SILENT_PROBES;
+    let healthy = probe == events::Probe::Healthy || (doubtful && world.target.healthy);
     if world.target.healthy != healthy {
         world.target.healthy = healthy;
         effects.push(events::Effect::Beat);
--- a/src/agent/tables.rs
+++ b/src/agent/tables.rs
@@ -149,8 +149,13 @@
         /// The connection that it came by last.
         link: server::LinkId,
     },
-    /// It was refused, or cancelled before it was handed on; it never starts.
-    Closed,
+    /// It was refused or cancelled, and never starts; a second copy is told the same.
+    Closed {
+        /// Why.
+        reason: wire::RefusalReason,
+        /// Whether it ran.
+        executed: wire::Executed,
+    },
 }
 
 /// SeenAttempts remembers attempt ids up to a bound.
@@ -181,7 +186,6 @@
     /// Forgets an attempt that never started, so that it may come again.
     pub fn forget(&mut self, id: wire::AttemptId) {
         self.rows.remove(&id);
-        self.order.retain(|other| *other != id);
     }
 }
 
@@ -249,6 +253,8 @@
 #[derive(Debug)]
 pub struct Target {
     pub(crate) healthy: bool,
+    /// Probes in a row without an answer.
+    pub(crate) silent_probes: u32,
     /// Microseconds that the target takes for a token of one job; zero before the first.
     pub(crate) micros_per_token: u64,
     /// Microseconds that a job holds its slot; zero before the first.
--- a/src/agent/world.rs
+++ b/src/agent/world.rs
@@ -117,7 +117,12 @@
             queue: tables::FairQueue::default(),
             ready: std::collections::VecDeque::new(),
             suspects: tables::Suspects::default(),
-            target: tables::Target { healthy: true, micros_per_token: 0, micros_per_job: 0 },
+            target: tables::Target {
+                healthy: true,
+                silent_probes: 0,
+                micros_per_token: 0,
+                micros_per_job: 0,
+            },
             drains: tables::Drains::default(),
             claims: tables::Claims::default(),
             config: None,
@@ -224,7 +229,7 @@
         retry_after: Duration,
         effects: &mut Vec<events::Effect>,
     ) {
-        self.remember(to.id, tables::Seen::Closed);
+        self.remember(to.id, tables::Seen::Closed { reason, executed });
         effects.push(events::Effect::Refuse { to, reason, executed, retry_after });
     }
 
--- a/tests/common/claims_model.rs
+++ b/tests/common/claims_model.rs
@@ -65,6 +65,8 @@
     answered: BTreeSet<u64>,
     /// Attempts that one life of an agent refused as not run.
     refused: BTreeSet<(usize, u64, u64)>,
+    /// Attempts whose request the target of one life of an agent ran.
+    ran: BTreeSet<(usize, u64, u64)>,
     ended: BTreeSet<(usize, u64, JobId)>,
     seen: Seen,
 }
@@ -87,6 +89,7 @@
             runs: BTreeMap::new(),
             answered: BTreeSet::new(),
             refused: BTreeSet::new(),
+            ran: BTreeSet::new(),
             ended: BTreeSet::new(),
             seen: Seen::default(),
         };
@@ -222,6 +225,12 @@
                 }
                 self.answered.insert(to.id.counter);
                 if executed == wire::Executed::No {
+                    if self.ran.contains(&(agent, life, to.id.counter)) {
+                        return Err(format!(
+                            "attempt {} ran, but is refused as not run",
+                            to.id.counter
+                        ));
+                    }
                     self.refused.insert((agent, life, to.id.counter));
                 }
             }
@@ -231,6 +240,9 @@
                         return Err(format!("attempt {} was refused as not run", to.id.counter));
                     }
                     self.answered.insert(to.id.counter);
+                    if !matches!(self.target.last(), Some(Run::Unreachable)) {
+                        self.ran.insert((agent, life, to.id.counter));
+                    }
                 }
                 return self.hand_on(agent, life, job, &request);
             }
