--- a/src/agent/effects.rs
+++ b/src/agent/effects.rs
@@ -8,7 +8,7 @@
 
 use crate::agent::events;
 use crate::agent::{actor, claim_store, frames, target};
-use crate::platform::store;
+use crate::platform::{host_list, store};
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::frame;
@@ -36,7 +36,7 @@
         events::Effect::Commit { shard, compares, writes } => {
             commit(agent, shard, compares, writes, cx);
         }
-        events::Effect::Probe => probe(agent, cx),
+        events::Effect::Probe => probe_anew(agent, cx),
         events::Effect::Beat => {
             let draining = agent.world.draining();
             log::log(log::AGENT_DRAINING, format_args!("draining is {draining}"));
@@ -87,15 +87,42 @@
     });
 }
 
+/// Starts a health probe after what has just happened: one under way may have been answered
+/// before the target died, so its outcome is passed over.
+fn probe_anew(agent: &mut actor::AgentActor, cx: &mut Cx) {
+    agent.probe_outdated = agent.probing;
+    probe(agent, cx);
+}
+
 /// Takes in the outcome of a health probe.
 pub(crate) fn probed(agent: &mut actor::AgentActor, probe: events::Probe, cx: &mut Cx) {
     agent.probing = false;
+    if std::mem::take(&mut agent.probe_outdated) {
+        self::probe(agent, cx);
+        return;
+    }
     if agent.world.load().target_healthy != (probe == events::Probe::Healthy) {
         log::log(log::TARGET_HEALTH, format_args!("the probe says {probe:?}"));
     }
     agent.push(events::Event::Probed(probe), cx);
 }
 
+/// Reads whether the host is to leave. A list that gives no answer, or does not name the host,
+/// changes nothing.
+pub(crate) fn read_host_list(agent: &actor::AgentActor, cx: &mut Cx) {
+    let Some((list, _)) = agent.host_list.clone() else { return };
+    let (name, address) = (agent.member.name.clone(), cx.address());
+    actix_rt::spawn(async move {
+        let Ok(hosts) = list.read().await else { return };
+        let is_own =
+            |host: &&host_list::Host| host.role == host_list::HostRole::Agent && host.name == name;
+        let Some(host) = hosts.iter().find(is_own) else { return };
+        let on = host.state == host_list::HostState::Leaving;
+        let cause = events::DrainCause::HostList;
+        address.do_send(actor::Happened(events::Event::Drain { cause, on }));
+    });
+}
+
 fn refuse(
     agent: &mut actor::AgentActor,
     to: events::Subscriber,
--- a/tests/agent_process.rs
+++ b/tests/agent_process.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+#[allow(dead_code, reason = "other tests use the rest")]
 #[path = "common/agent.rs"]
 mod agent;
 
@@ -34,7 +35,7 @@
 }
 
 const PAUSE: Duration = Duration::from_millis(50);
-const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n";
 
 #[actix_rt::test]
 async fn a_streamed_answer_arrives_whole() {
@@ -62,7 +63,17 @@
 #[actix_rt::test]
 async fn a_graceful_stop_finishes_what_runs_and_refuses_what_is_new() {
     let target = target(
-        &["HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n", "one", "", "", "", "", "", "", "two"],
+        &[
+            "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 6\r\n\r\n",
+            "one",
+            "",
+            "",
+            "",
+            "",
+            "",
+            "",
+            "two",
+        ],
         PAUSE,
     )
     .await;
