Capacity bench follows the report's field takes_work

The entry core's TargetReport says now whether an agent takes work, in place of whether its target is healthy; the bench fills that field.

--- a/benches/support/core_cost.rs
+++ b/benches/support/core_cost.rs
@@ -131,7 +131,7 @@
 
 fn heartbeat(target: &str) -> Event {
     let report =
-        events::TargetReport { slots: 64, healthy: true, ..events::TargetReport::default() };
+        events::TargetReport { slots: 64, takes_work: true, ..events::TargetReport::default() };
     Event::Heartbeat { target: target.to_owned(), report }
 }
 
