Entry looks at deadlines only while requests are open

An idle entry woke 50 times a second to look at deadlines that it did not have. It now looks every 20 ms from a request's arrival until none is open. Nothing else in the core's tick depends on that beat: memory of crashing bodies is dropped at the next event of any kind, and heartbeats come all the time.

tests/end_to_end.rs, tests/refusals.rs and tests/retry_budget.rs pass.

--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -26,7 +26,7 @@
 use crate::wire::frame::Kind;
 use crate::wire::{client, server};
 
-/// How often deadlines are looked at while nothing else happens.
+/// How often deadlines are looked at while requests are open and nothing else happens.
 const BEAT: Duration = Duration::from_millis(20);
 /// How often members and the configuration's age are looked at.
 const MEMBERSHIP_BEAT: Duration = Duration::from_millis(100);
@@ -79,6 +79,8 @@
     /// Serials of the links that this entry dialled.
     serials: Map<Arc<str>, u64>,
     dials: Map<Arc<str>, Dial>,
+    /// True while a look at the deadlines is due.
+    deadlines_watched: bool,
 }
 
 impl EntryActor {
@@ -93,6 +95,7 @@
             accepted: Accepted::default(),
             serials: Map::default(),
             dials: Map::default(),
+            deadlines_watched: false,
         }
     }
 
@@ -376,6 +379,19 @@
         }
     }
 
+    /// Looks at deadlines again and again for as long as requests are open.
+    fn watch_deadlines(&mut self, cx: &mut Context<Self>) {
+        if self.deadlines_watched || self.world.open_requests() == 0 {
+            return;
+        }
+        self.deadlines_watched = true;
+        cx.run_later(BEAT, |actor, cx| {
+            actor.deadlines_watched = false;
+            actor.tick(Vec::new());
+            actor.watch_deadlines(cx);
+        });
+    }
+
     fn beat(&mut self) {
         let now = self.now();
         let load = u32::try_from(self.world.open_requests()).unwrap_or(u32::MAX);
@@ -402,7 +418,6 @@
     type Context = Context<Self>;
 
     fn started(&mut self, cx: &mut Self::Context) {
-        cx.run_interval(BEAT, |actor, _| actor.tick(Vec::new()));
         cx.run_interval(MEMBERSHIP_BEAT, |actor, cx| actor.tick_membership(cx));
         cx.run_interval(self.parts.heartbeat, |actor, _| actor.beat());
         self.dial_peers(cx);
@@ -424,12 +439,13 @@
 impl Handler<Submit> for EntryActor {
     type Result = ();
 
-    fn handle(&mut self, message: Submit, _: &mut Self::Context) {
+    fn handle(&mut self, message: Submit, cx: &mut Self::Context) {
         let Submit { request, outbound, tx } = message;
         self.parts.metrics.requests.inc();
         let open = Open { relay: relay::Relay::new(tx), outbound };
         self.requests.insert(request.id, open);
         self.tick(vec![Event::Submitted(request)]);
+        self.watch_deadlines(cx);
     }
 }
 
