--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -26,7 +26,7 @@
 
 use anyhow::Context as _;
 use clap::{Arg, ArgAction};
-use fleet_cost::Shape;
+use fleet_cost::{Heartbeats, Shape};
 use serde_json::{Value, json};
 use slopes::Point;
 
@@ -47,11 +47,15 @@
 async fn main() -> anyhow::Result<()> {
     let matches = command().get_matches();
     let seconds = *matches.get_one::<u64>("seconds").expect("the argument has a default");
+    let heartbeats = match matches.get_flag("slow-heartbeats") {
+        true => Heartbeats::Slow,
+        false => Heartbeats::Usual,
+    };
     let core = core_cost::measure();
     say(&format!("core: {core}"))?;
     let mut rows = Vec::new();
     for shape in shapes(matches.get_flag("core-only"), matches.get_flag("small")) {
-        let row = fleet_cost::measure(*shape, Duration::from_secs(seconds)).await?;
+        let row = fleet_cost::measure(*shape, Duration::from_secs(seconds), heartbeats).await?;
         say(&format!("fleet: {row}"))?;
         rows.push(row);
     }
@@ -62,6 +66,7 @@
     let ran_at = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
     let document = json!({
         "bench": "capacity", "ran_at_unix_s": ran_at, "phase_s": seconds, "core": core,
+        "slow_heartbeats": matches.get_flag("slow-heartbeats"),
         "fleets": rows, "fits": fits,
     });
     if let Some(file) = matches.get_one::<PathBuf>("json") {
@@ -82,14 +87,15 @@
         .arg(seconds.help("How long each fleet stays idle, and is changed"))
         .arg(json.value_parser(clap::value_parser!(PathBuf)))
         .arg(flag("core-only", "Run no processes"))
-        .arg(flag("small", "Run the two smallest fleets only"))
+        .arg(flag("slow-heartbeats", "Send heartbeats every two seconds"))
+        .arg(flag("small", "Run 4, 16 and 64 agents with two entries only"))
         .arg(flag("bench", "Taken from cargo and ignored").hide(true))
 }
 
 fn shapes(core_only: bool, small: bool) -> &'static [Shape] {
     match (core_only, small) {
         (true, _) => &[],
-        (false, true) => &SHAPES[..2],
+        (false, true) => &SHAPES[1..4],
         (false, false) => &SHAPES,
     }
 }
--- a/benches/support/fleet_cost.rs
+++ b/benches/support/fleet_cost.rs
@@ -40,23 +40,60 @@
     pub entries: usize,
 }
 
+/// Heartbeats is how often processes send them.
+#[derive(Clone, Copy, Debug)]
+pub enum Heartbeats {
+    /// As the settings have it where they say nothing.
+    Usual,
+    /// Every two seconds, as a large fleet would.
+    Slow,
+}
+
+fn near_entry(settings: &mut Value) {
+    settings["data_centre"] = json!(DATA_CENTRE);
+    for peer in settings["peers"].as_array_mut().into_iter().flatten() {
+        peer["data_centre"] = json!(DATA_CENTRE);
+    }
+}
+
+fn near_agent(settings: &mut Value) {
+    settings["data_centre"] = json!(DATA_CENTRE);
+}
+
+fn slow_entry(settings: &mut Value) {
+    near_entry(settings);
+    settings["heartbeat_ms"] = json!(2_000);
+    settings["link_deadline_ms"] = json!(5_000);
+}
+
+fn slow_agent(settings: &mut Value) {
+    near_agent(settings);
+    settings["links"] =
+        json!({ "heartbeat_ms": 2_000, "deadline_ms": 5_000, "freshness_ms": 10_000 });
+}
+
 /// Runs a fleet of one shape through all phases and returns its row.
 ///
 /// # Errors
 ///
 /// Returns an error where the fleet does not start, serve or stop.
-pub async fn measure(shape: Shape, phase: Duration) -> anyhow::Result<Value> {
+pub async fn measure(
+    shape: Shape,
+    phase: Duration,
+    heartbeats: Heartbeats,
+) -> anyhow::Result<Value> {
     let plan = Plan {
         entries: shape.entries,
         engines: shape.agents,
         services: 0,
-        adjust_entry: |settings| {
-            settings["data_centre"] = json!(DATA_CENTRE);
-            for peer in settings["peers"].as_array_mut().into_iter().flatten() {
-                peer["data_centre"] = json!(DATA_CENTRE);
-            }
+        adjust_entry: match heartbeats {
+            Heartbeats::Usual => near_entry,
+            Heartbeats::Slow => slow_entry,
+        },
+        adjust_agent: match heartbeats {
+            Heartbeats::Usual => near_agent,
+            Heartbeats::Slow => slow_agent,
         },
-        adjust_agent: |settings| settings["data_centre"] = json!(DATA_CENTRE),
         ..Plan::default()
     };
     let mut fleet = Fleet::start(&plan)?;
