Learn the number from the engine where the store is down

Cause: agents that forgot while the store was down took a lower number from their coordinator than their engines had seen; engines that check fences then refused an abort for good, and the group stayed blocked.

Change: an engine that checks fences says the newest that it has seen, and an agent takes it over before it passes any order, so the coordinator learns it from the refusal.

--- a/src/expert_map/protocol.rs
+++ b/src/expert_map/protocol.rs
@@ -112,6 +112,8 @@
     pub armed: Option<Armed>,
     /// The number of the last switch that it took.
     pub last_taken: Number,
+    /// The newest fence that it has seen; the default where it does not check fences.
+    pub newest: Fence,
 }
 
 impl EngineStatus {
--- a/src/expert_map/rank_agent.rs
+++ b/src/expert_map/rank_agent.rs
@@ -97,13 +97,9 @@
     fn read(&mut self, answer: protocol::StoreAnswer) {
         match answer {
             protocol::StoreAnswer::Read(stored) => {
-                let record = stored.record;
-                let floor = (record.incarnation, record.number);
-                if floor > (self.promised.incarnation, self.promised.number) {
-                    let coordinator = record.writer;
-                    self.promised =
-                        protocol::Fence { incarnation: floor.0, number: floor.1, coordinator };
-                }
+                let protocol::Record { incarnation, number, writer: coordinator, .. } =
+                    stored.record;
+                self.learn(protocol::Fence { incarnation, number, coordinator });
                 self.number_known = true;
             }
             protocol::StoreAnswer::Unavailable | protocol::StoreAnswer::Unknown => {
@@ -113,6 +109,13 @@
         }
     }
 
+    fn learn(&mut self, fence: protocol::Fence) {
+        let known = (self.promised.incarnation, self.promised.number);
+        if (fence.incarnation, fence.number) > known {
+            self.promised = fence;
+        }
+    }
+
     fn receive(&mut self, order: &protocol::Order, effects: &mut Vec<Effect>) {
         let (true, Some(status)) = (self.number_known, self.engine) else { return };
         if !self.admits(order) {
@@ -150,6 +153,7 @@
 
     fn hear(&mut self, sequence: u64, status: protocol::EngineStatus, effects: &mut Vec<Effect>) {
         self.engine = Some(status);
+        self.learn(status.newest);
         let (answered, left) = self.unanswered.iter().partition(|(order, _)| *order <= sequence);
         self.unanswered = left;
         let answered: Vec<(u64, protocol::Fence)> = answered;
--- a/tests/expert_maps.rs
+++ b/tests/expert_maps.rs
@@ -152,6 +152,26 @@
     }
 }
 
+/// Both agents forget while the store is down, and the engines remember a higher number.
+#[test]
+fn a_coordinator_learns_the_number_from_engines_that_check_it() {
+    for (ranks, engines_check) in [(2, true), (2, false), (5, true)] {
+        let mut world = World::new(Rules { ranks, engines_check, ..RULES }, SEED);
+        world.run(40);
+        (0..5).for_each(|_| {
+            world.inject(Fault::Want);
+            world.run(60);
+        });
+        world.inject(Fault::Want);
+        world.run_until(|phase| matches!(phase, Phase::Arming(_)));
+        world.run(3);
+        world.inject(Fault::Store(StoreMode::Down));
+        (0..ranks).for_each(|host| world.inject(Fault::KillAgent(host)));
+        assert!(advances(&mut world), "{ranks} ranks: {:?}", world.phase());
+        assert_eq!(world.violation, None);
+    }
+}
+
 #[test]
 fn a_group_whose_ranks_live_goes_on_while_the_store_stays_down() {
     let cases = (2usize..=32, any::<bool>(), any::<u64>(), script(survivable()));
--- a/tests/expert_maps/engines.rs
+++ b/tests/expert_maps/engines.rs
@@ -23,19 +23,23 @@
         let check = self.rules.engines_check;
         let tick = self.tick;
         let engine = &mut self.hosts[host].engine;
-        if check && !order.fence.passes(&engine.newest) {
+        if check && !order.fence.passes(&engine.status.newest) {
             return;
         }
-        engine.newest = order.fence;
         let status = &mut engine.status;
+        if check {
+            status.newest = order.fence;
+        }
         match order.command {
             protocol::Command::Query => {}
             protocol::Command::Join { version, .. } => {
-                let (life, incarnation) = (status.life, order.fence.incarnation);
+                let (life, newest) = (status.life, status.newest);
+                let incarnation = order.fence.incarnation;
                 *status = protocol::EngineStatus {
                     life,
                     incarnation,
                     version,
+                    newest,
                     ..protocol::EngineStatus::default()
                 };
                 engine.loading = None;
--- a/tests/expert_maps/world.rs
+++ b/tests/expert_maps/world.rs
@@ -36,7 +36,6 @@
 #[derive(Debug, Default)]
 struct Engine {
     status: protocol::EngineStatus,
-    newest: protocol::Fence,
     loading: Option<(u64, protocol::Version)>,
     stalled_until: u64,
 }
