Bound the orders that wait for a hung engine

Cause: a coordinator repeats its orders every 200 ms, and an agent whose engine hangs kept every one of them.

Change: at most 32 orders wait; a new connection to the engine voids them.

--- a/src/expert_map/rank_agent.rs
+++ b/src/expert_map/rank_agent.rs
@@ -7,6 +7,8 @@
 
 /// Time after which a starting agent asks its engine and the key-value service again.
 const START_RETRY: Duration = Duration::from_millis(200);
+/// Orders that may wait for the engine; a coordinator repeats those that the agent drops.
+const MAX_UNANSWERED: usize = 32;
 
 /// Event is what happened since the last tick.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,7 +17,7 @@
     Order(protocol::Order),
     /// The engine has carried out the orders up to one of them.
     Engine {
-        /// The last order carried out.
+        /// The last order carried out; zero on a new connection, which voids all orders before.
         sequence: u64,
         /// How the engine stands after it.
         status: protocol::EngineStatus,
@@ -118,6 +120,9 @@
 
     fn receive(&mut self, order: &protocol::Order, effects: &mut Vec<Effect>) {
         let (true, Some(status)) = (self.number_known, self.engine) else { return };
+        if self.unanswered.len() >= MAX_UNANSWERED {
+            return;
+        }
         if !self.admits(order) {
             effects.push(self.report(order.fence, status));
             return;
@@ -154,6 +159,9 @@
     fn hear(&mut self, sequence: u64, status: protocol::EngineStatus, effects: &mut Vec<Effect>) {
         self.engine = Some(status);
         self.learn(status.newest);
+        if sequence == 0 {
+            self.unanswered.clear();
+        }
         let (answered, left) = self.unanswered.iter().partition(|(order, _)| *order <= sequence);
         self.unanswered = left;
         let answered: Vec<(u64, protocol::Fence)> = answered;
