Split the planner's plan into its steps

Cause: one function weighed, placed and explained.

Change: what a plan counts with is one struct; no decision changes.

--- a/src/expert_map/planner.rs
+++ b/src/expert_map/planner.rs
@@ -178,41 +178,51 @@
         if self.loads.shares.len() != self.shape.layers {
             return Ok(self.keep(Reason::NoLoads));
         }
+        let outlook = self.outlook(present, costs);
+        let planned = self.place(present, &outlook);
+        let explanation = self.explain(present, &planned, &outlook);
+        let switch_to = (explanation.reason == Reason::Pays).then_some(planned);
+        Ok(Plan { switch_to, replace: self.replaceable(), explanation })
+    }
+
+    fn outlook<'a>(&self, present: &map::ExpertMap, costs: &'a Costs) -> Outlook<'a> {
         let speeds = self.speeds();
-        let before = self.peaks(present, &speeds);
-        let total: f64 = before.iter().sum();
-        let life = self.expected_life();
-        let needed = f64::from(self.weights.cost) / f64::from(self.weights.skew.max(1));
-        let value = |peak: f64, loads: usize| {
-            -peak / total * life.as_secs_f64() - needed * costs.capacity_seconds(loads)
-        };
-        let planned = self.place(present, &speeds, &value);
-        let after: f64 = self.peaks(&planned, &speeds).iter().sum();
+        let present_time = self.step_time(present, &speeds);
+        let needed_ratio = f64::from(self.weights.cost) / f64::from(self.weights.skew.max(1));
+        let life_seconds = self.expected_life().as_secs_f64();
+        Outlook { speeds, present_time, needed_ratio, life_seconds, costs }
+    }
+
+    fn explain(
+        &self,
+        present: &map::ExpertMap,
+        planned: &map::ExpertMap,
+        outlook: &Outlook<'_>,
+    ) -> Explanation {
+        let planned_time = self.step_time(planned, &outlook.speeds);
+        let saved = (outlook.present_time - planned_time) / outlook.present_time;
         let loads = planned.loads_from(present);
-        let saved = (total - after) / total;
-        let saved_seconds = saved * life.as_secs_f64();
-        let cost_seconds = costs.capacity_seconds(loads);
+        let saved_seconds = saved * outlook.life_seconds;
+        let cost_seconds = outlook.costs.capacity_seconds(loads);
         let reason = if saved < MIN_SAVED {
             Reason::NothingBetter
-        } else if saved_seconds < needed * cost_seconds {
+        } else if saved_seconds < outlook.needed_ratio * cost_seconds {
             Reason::CostsMore
         } else {
             Reason::Pays
         };
-        let ideal = super::float(self.shape.layers) / speeds.iter().sum::<f64>();
-        let explanation = Explanation {
+        let perfect_time = super::float(self.shape.layers) / outlook.speeds.iter().sum::<f64>();
+        Explanation {
             reason,
-            present_skew: total / ideal,
-            planned_skew: after / ideal,
+            present_skew: outlook.present_time / perfect_time,
+            planned_skew: planned_time / perfect_time,
             saved_seconds,
             cost_seconds,
-            needed_ratio: needed,
-            expected_life_seconds: life.as_secs_f64(),
+            needed_ratio: outlook.needed_ratio,
+            expected_life_seconds: outlook.life_seconds,
             loads,
             stragglers: self.stragglers(),
-        };
-        let switch_to = (reason == Reason::Pays).then_some(planned);
-        Ok(Plan { switch_to, replace: self.replaceable(), explanation })
+        }
     }
 
     fn keep(&self, reason: Reason) -> Plan {
@@ -249,20 +259,16 @@
         placement::Demand { shares: &self.loads.shares[layer], speeds, slots_per_rank }
     }
 
-    fn peaks(&self, map: &map::ExpertMap, speeds: &[f64]) -> Vec<f64> {
+    fn step_time(&self, map: &map::ExpertMap, speeds: &[f64]) -> f64 {
         let peak = |(layer, placed)| self.demand(layer, speeds).peak(placed);
-        map.layers.iter().enumerate().map(peak).collect()
+        map.layers.iter().enumerate().map(peak).sum()
     }
 
-    fn place(
-        &self,
-        present: &map::ExpertMap,
-        speeds: &[f64],
-        value: &dyn Fn(f64, usize) -> f64,
-    ) -> map::ExpertMap {
+    fn place(&self, present: &map::ExpertMap, outlook: &Outlook<'_>) -> map::ExpertMap {
+        let value = |peak: f64, loads: usize| outlook.value(peak, loads);
         let layers = present.layers.iter().enumerate().map(|(index, placed)| {
-            let demand = self.demand(index, speeds);
-            best_layer(&demand, placed, value)
+            let demand = self.demand(index, &outlook.speeds);
+            best_layer(&demand, placed, &value)
         });
         map::ExpertMap { layers: layers.collect() }
     }
@@ -275,6 +281,24 @@
     }
 }
 
+/// Outlook is what one plan counts with.
+struct Outlook<'a> {
+    speeds: Vec<f64>,
+    present_time: f64,
+    needed_ratio: f64,
+    life_seconds: f64,
+    costs: &'a Costs,
+}
+
+impl Outlook<'_> {
+    /// Returns the weighted seconds that a layer with this peak is worth, if ranks load `loads`
+    /// experts for it.
+    fn value(&self, peak: f64, loads: usize) -> f64 {
+        let step_time = peak / self.present_time * self.life_seconds;
+        -step_time - self.needed_ratio * self.costs.capacity_seconds(loads)
+    }
+}
+
 fn best_layer(
     demand: &placement::Demand<'_>,
     present: &map::Layer,
