Say which generation a coordinator is given

Cause: a coordinator with a later generation forms the group anew; given the resource's plain generation, a change of a weight would restart the steps.

--- a/src/expert_map/coordinator.rs
+++ b/src/expert_map/coordinator.rs
@@ -21,7 +21,8 @@
 pub struct Options {
     /// Ranks of the group.
     pub ranks: usize,
-    /// The generation of the group's resource that names these ranks.
+    /// The generation of the group's resource at which its ranks last changed; a later one forms
+    /// the group anew, so a change of other fields must not raise it.
     pub generation: u64,
     /// The run of the coordinator; it must differ from that of every earlier run.
     pub life: protocol::Life,
--- a/src/expert_map/protocol.rs
+++ b/src/expert_map/protocol.rs
@@ -53,7 +53,7 @@
 /// Record is what the key-value service holds of a group, changed only by compare-and-swap.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Record {
-    /// The generation of the group's resource that names its ranks.
+    /// The generation of the group's resource at which its ranks last changed.
     pub generation: u64,
     /// The present group of ranks.
     pub incarnation: Incarnation,
