Entries publish how many targets take work; tests wait for all

Cause: tests/whole_answers.rs failed in about half of its runs: the second engine's agent was younger than its first confirmed configuration, so a stream that broke early had nowhere to go. That refusal is right; the tests began too soon. Ruled out: the retry budget (10 left), ejection, the crash memory. Change: gauges targets_taking_work and open_requests; declare_and_wait waits until every entry counts every target; readers ask for the head once a heartbeat.

--- a/src/config/options.rs
+++ b/src/config/options.rs
@@ -67,7 +67,7 @@
             margin: heartbeat / 2,
             pause_limit: peer_timeout,
             request_timeout: peer_timeout / 2,
-            probe_interval: heartbeat * 2,
+            probe_interval: heartbeat,
             call_timeout: peer_timeout,
             backoff_min: heartbeat / 2,
             backoff_max: heartbeat * 8,
--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -382,6 +382,13 @@
         self.parts.membership.beat(load, &self.links, now);
     }
 
+    fn publish(&self, now: Duration) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let metrics = &self.parts.metrics;
+        metrics.targets_taking_work.set(gauge(self.world.targets_taking_work(now)));
+        metrics.open_requests.set(gauge(self.world.open_requests()));
+    }
+
     fn tick_membership(&mut self, cx: &mut Context<Self>) {
         let now = self.now();
         let silent_since = now.saturating_sub(self.parts.link_deadline);
@@ -390,6 +397,7 @@
         }
         let moved = self.parts.membership.tick(&self.links, now);
         self.after_config(moved, cx);
+        self.publish(now);
     }
 }
 
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -116,6 +116,12 @@
         self.tables.requests.len()
     }
 
+    /// Returns how many targets would get work now.
+    pub fn targets_taking_work(&self, now: Duration) -> usize {
+        let targets = self.tables.targets.values();
+        targets.filter(|target| routing::takes_work(target, now)).count()
+    }
+
     fn handle(&mut self, now: Duration, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Submitted(request) => admission::submit(self, now, request, effects),
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::result;
 
-use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use crate::entry::core::events::Refusal;
 use crate::entry::refusals;
@@ -17,6 +17,10 @@
     pub requests: IntCounter,
     /// Attempts that were sent to agents.
     pub attempts: IntCounter,
+    /// Targets that would get work now.
+    pub targets_taking_work: IntGauge,
+    /// Requests without a final answer.
+    pub open_requests: IntGauge,
     refusals: IntCounterVec,
 }
 
@@ -33,10 +37,18 @@
             IntCounter::new("bitternwall_entry_attempts_total", "Attempts sent to agents.")?;
         let opts = Opts::new("bitternwall_entry_refusals_total", "Requests that were refused.");
         let refusals = IntCounterVec::new(opts, &["type"])?;
+        let targets_taking_work = IntGauge::new(
+            "bitternwall_entry_targets_taking_work",
+            "Targets that would get work now.",
+        )?;
+        let open_requests =
+            IntGauge::new("bitternwall_entry_open_requests", "Requests without a final answer.")?;
+        registry.register(Box::new(targets_taking_work.clone()))?;
+        registry.register(Box::new(open_requests.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
-        Ok(Self { requests, attempts, refusals })
+        Ok(Self { requests, attempts, targets_taking_work, open_requests, refusals })
     }
 
     /// Counts a refusal by its type.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -85,6 +85,7 @@
         declare(fleet.entry(0), &document).await;
     }
     for index in 0..fleet.entries.len() {
+        wait_for_targets(fleet, fleet.entries[index].admin).await;
         wait_until_serving(fleet, fleet.entry(index)).await;
     }
 }
@@ -99,6 +100,16 @@
     assert_eq!(answer.status, StatusCode::CREATED, "{document}: {text}");
 }
 
+/// Waits until an entry would give work to every target.
+async fn wait_for_targets(fleet: &Fleet, admin: SocketAddr) {
+    let line = format!("bitternwall_entry_targets_taking_work {}", fleet.targets.len());
+    wait_for("every target to take work", async || {
+        let answer = Call::get(admin, "/metrics").send().await;
+        answer.is_some_and(|answer| String::from_utf8_lossy(&answer.body).contains(&line))
+    })
+    .await;
+}
+
 async fn wait_until_serving(fleet: &Fleet, entry: SocketAddr) {
     if fleet.targets.iter().any(|target| target.service == fleet::MODEL_SERVICE) {
         wait_for("a chat", async || {
