Configuration: votes under host lists that differ by one entry

Found: with lists that also tell an entry whom to wait for, a claim came while a process served that no list of that entry named and that it had not heard. Change: random plans hide one entry from some processes' votes.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -64,6 +64,7 @@
         3 => (0..PROCESSES, steps.clone()).prop_map(|(i, s)| Fault::Pause(i, s)),
         4 => (0..PROCESSES, 1..60_u32).prop_map(|(i, s)| Fault::Restart(i, s)),
         2 => (1..60_u32, steps).prop_map(|(percent, steps)| Fault::Loss(percent, steps)),
+        2 => (0..PROCESSES, any::<u32>()).prop_map(|(i, viewers)| Fault::Unlist(i, viewers)),
         1 => Just(Fault::Compact),
         1 => (1..9_u8).prop_map(Fault::Elsewhere),
     ]
--- a/tests/configuration/fleet.rs
+++ b/tests/configuration/fleet.rs
@@ -39,6 +39,8 @@
     /// This share of messages, in percent, is lost.
     Loss(u32, u32),
     Compact,
+    /// The host list that these processes see lacks one entry.
+    Unlist(usize, u32),
     /// Other keys of the store are written.
     Elsewhere(u8),
 }
@@ -93,6 +95,7 @@
     store_down_until: u64,
     cut: (u32, u64),
     loss: (u32, u64),
+    unlisted: (usize, u32),
     claimed: [u64; 2],
     pub claimed_everywhere: u64,
     pub faults: Vec<String>,
@@ -117,6 +120,7 @@
             store_down_until: 0,
             cut: (0, 0),
             loss: (0, 0),
+            unlisted: (0, 0),
             claimed: [0; 2],
             claimed_everywhere: 0,
             faults: Vec::new(),
@@ -159,18 +163,12 @@
     fn start(&mut self, index: usize) {
         let now = self.now(index);
         let life = self.rng.random();
-        let peers =
-            self.processes.iter().filter(|p| self.processes[index].data_centre == p.data_centre);
-        let names: Vec<_> = peers.map(|p| (Arc::clone(&p.name), p.entry)).collect();
         let process = &mut self.processes[index];
         let (name, place) = (Arc::clone(&process.name), DATA_CENTRES[process.data_centre]);
         let mut options = Options::new(&name, place, process.entry, life, self.timing);
         options.guards = self.guards;
         process.replica = Replica::new(options, now);
-        let voters = names.iter().filter(|(_, entry)| *entry).map(|(name, _)| &**name);
-        process.replica.set_voters(voters, now);
         process.progress = Progress::default();
-        process.progress.expect(names.iter().map(|(name, _)| &**name));
         let others = DATA_CENTRES.iter().copied().filter(|other| *other != place);
         process.progress.expect_data_centres(others);
         process.life = life;
@@ -179,6 +177,25 @@
         process.alone_since = None;
         process.started_step = self.step;
         self.store.watches.retain(|watch| watch.owner.0 != index);
+        self.read_list(index);
+    }
+
+    /// Takes the host list, which may lack one entry.
+    fn read_list(&mut self, index: usize) {
+        let now = self.now(index);
+        let (unlisted, viewers) = self.unlisted;
+        let lacks = |other: usize| viewers >> index & 1 == 1 && other == unlisted && other != index;
+        let place = self.processes[index].data_centre;
+        let members = self.processes.iter().enumerate().filter(|(_, p)| p.data_centre == place);
+        let voters: Vec<_> = members
+            .clone()
+            .filter(|(other, peer)| peer.entry && !lacks(*other))
+            .map(|(_, peer)| Arc::clone(&peer.name))
+            .collect();
+        let names: Vec<_> = members.map(|(_, peer)| Arc::clone(&peer.name)).collect();
+        let process = &mut self.processes[index];
+        process.replica.set_voters(voters.iter().map(|name| &**name), now);
+        process.progress.expect(names.iter().map(|name| &**name));
     }
 
     pub fn now(&self, index: usize) -> Duration {
@@ -215,6 +232,7 @@
                 self.processes[index % count].down_until = step + u64::from(steps).max(1);
             }
             Fault::Loss(percent, steps) => self.loss = (percent, step + u64::from(steps)),
+            Fault::Unlist(index, viewers) => self.unlisted = (index % count, viewers),
             Fault::Compact => self.store.compacted = self.store.revision,
             Fault::Elsewhere(writes) => self.store.revision += u64::from(writes),
         }
@@ -223,6 +241,7 @@
     /// Ends all faults but those of processes that are down.
     pub fn heal(&mut self) {
         (self.cut, self.loss, self.store_down_until) = ((0, 0), (0, 0), 0);
+        self.unlisted = (0, 0);
         for process in &mut self.processes {
             process.slow = (0, 0);
             process.paused_until = process.paused_until.min(self.step);
@@ -268,6 +287,7 @@
         let beats = process.last_beat.is_none_or(|at| now.saturating_sub(at) >= interval);
         self.carry_out(index, effects);
         if beats {
+            self.read_list(index);
             self.beat(index);
         }
         self.note_claims(index);
