Leaving over real processes; an agent drains by its own target's resource

Change: the core takes the resource's drain as a drain cause with each configuration. Callers are still handed the leaving entry's address; that needs the entries to know each other.

--- a/src/agent/systems/admission.rs
+++ b/src/agent/systems/admission.rs
@@ -4,7 +4,7 @@
 
 use crate::agent::config_view;
 use crate::agent::events;
-use crate::agent::systems::{answers, claims, queue, retry};
+use crate::agent::systems::{answers, claims, drain, queue, retry};
 use crate::agent::tables;
 use crate::agent::world;
 use crate::wire;
@@ -66,6 +66,7 @@
     }
     let heard_at = world.config.map_or(view.heard_at, |config| config.heard_at.max(view.heard_at));
     world.config = Some(config_view::ConfigView { heard_at, ..view });
+    drain::set(world, events::DrainCause::Resource, view.drain);
 }
 
 /// Refuses, at once, every attempt whose deadline or whose bound on waiting has passed.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -205,36 +205,53 @@
         }
     }
 
-    /// Asks until there is an answer.
-    async fn ask(&mut self, prompt: &str) {
+    /// Asks until there is an answer, and returns it.
+    async fn ask(&mut self, path: &str, key: &str, body: &Value) -> Value {
         let start = Instant::now();
         while start.elapsed() < EXIT_LIMIT {
             self.refresh().await;
             let address = self.addresses[self.next % self.addresses.len()];
-            let body = common::chat_body(prompt, 5, false).to_string();
-            let url = format!("http://{address}/v1/chat/completions");
+            let url = format!("http://{address}{path}");
             let request = streams::strict_client(EXIT_LIMIT).post(url).bearer_auth(common::KEY);
-            let mut response = match request.send_body(body).await {
+            let request = request.insert_header(("idempotency-key", key));
+            let mut response = match request.send_body(body.to_string()).await {
                 Ok(response) => response,
                 Err(awc::error::SendRequestError::Connect(_)) => {
                     self.next += 1;
                     continue;
                 }
-                Err(error) => panic!("{prompt} at {address} is lost: {error}"),
+                Err(error) => panic!("{key} at {address} is lost: {error}"),
             };
             let body = response.body().await.expect("the answer is whole");
             let document: Value = serde_json::from_slice(&body).expect("the answer is JSON");
             if response.status() == StatusCode::OK {
-                let text = document["choices"][0]["message"]["content"].as_str();
-                assert_eq!(text, Some(&*common::expected_text(prompt, 5)));
-                return;
+                return document;
             }
-            assert_eq!(document["executed"], "no", "{prompt} at {address}: {document}");
+            assert_eq!(document["executed"], "no", "{key} at {address}: {document}");
             self.next += 1;
             time::sleep(Duration::from_millis(20)).await;
         }
-        panic!("{prompt} is not answered");
+        panic!("{key} is not answered");
     }
+
+    async fn chat(&mut self, prompt: &str) {
+        let body = common::chat_body(prompt, 5, false);
+        let document = self.ask("/v1/chat/completions", prompt, &body).await;
+        let text = document["choices"][0]["message"]["content"].as_str();
+        assert_eq!(text, Some(&*common::expected_text(prompt, 5)));
+    }
+
+    async fn hold(&mut self, key: &str) {
+        self.ask("/v1/services/dispatch-api/holds", key, &json!({ "valve": 7 })).await;
+    }
+}
+
+async fn probe(entry: SocketAddr, service: &str, text: &str) -> Option<common::Answer> {
+    if service == fleet::MODEL_SERVICE {
+        return common::chat(entry, text, 1, false).await;
+    }
+    let path = "/v1/services/dispatch-api/echo";
+    Call::post(entry, path, &json!({ "text": text })).send().await
 }
 
 async fn restart_all(fleet: &mut Fleet) {
@@ -243,13 +260,12 @@
         target.agent.signal("TERM").expect("the agent is told to stop");
         wait(&mut target.agent).await;
         target.restart_agent().expect("the agent starts");
-        let name = target.name.clone();
+        let (name, service) = (target.name.clone(), target.service);
         let entry = fleet.entry(0);
         let mut number = 0;
         common::wait_for("work at the restarted agent", async || {
             number += 1;
-            let prompt = format!("probe {name} {number}");
-            let answer = common::chat(entry, &prompt, 1, false).await;
+            let answer = probe(entry, service, &format!("probe {name} {number}")).await;
             answer.is_some_and(|answer| answer.header("bitternwall-target") == Some(&name))
         })
         .await;
@@ -277,7 +293,7 @@
 #[actix_rt::test]
 async fn a_rolling_restart_of_every_agent_and_entry_loses_and_doubles_nothing() {
     const CALLERS: usize = 8;
-    let mut fleet = serving(Plan { entries: 3, engines: 3, services: 0, ..Plan::default() }).await;
+    let mut fleet = serving(Plan { entries: 3, engines: 2, services: 2, ..Plan::default() }).await;
     let addresses: Vec<SocketAddr> = (0..3).map(|index| fleet.entry(index)).collect();
     let stop = std::cell::Cell::new(false);
     let call = async |caller: usize| {
@@ -286,7 +302,10 @@
         let mut asked = Vec::new();
         while !stop.get() {
             let prompt = format!("caller {caller} request {}", asked.len());
-            client.ask(&prompt).await;
+            match caller.is_multiple_of(2) {
+                true => client.chat(&prompt).await,
+                false => client.hold(&prompt).await,
+            }
             asked.push(prompt);
         }
         asked
@@ -298,7 +317,13 @@
     };
     let (asked, ()) = futures_util::future::join(callers, restarts).await;
     let runs = streams::all_runs(&fleet).await;
-    for prompt in asked.iter().flatten() {
-        assert_eq!(runs.get(prompt), Some(&1), "{prompt}");
+    for (caller, prompts) in asked.iter().enumerate() {
+        for prompt in prompts {
+            let count = match caller.is_multiple_of(2) {
+                true => runs.get(prompt).copied().unwrap_or_default(),
+                false => common::runs_with_key(&fleet, prompt).await,
+            };
+            assert_eq!(count, 1, "{prompt}");
+        }
     }
 }
