--- a/src/agent/config_view.rs
+++ b/src/agent/config_view.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use crate::config::{history, view};
+use crate::config::{options, replica, view};
 use crate::resources::kinds;
-use crate::wire;
 
 /// ConfigView is the part of the configuration in force that concerns one agent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ConfigView {
     /// The revision in force; zero where none is known.
     pub revision: u64,
@@ -17,50 +16,77 @@
     pub kind: Option<kinds::ServiceKind>,
     /// The claim shards of its service; zero where it is not declared.
     pub claim_shards: u32,
-    /// When the revision was last heard to be current, on the agent's own clock.
+    /// When the revision was last known to allow serving, on the agent's own clock.
     pub heard_at: Duration,
 }
 
-/// ConfigHolder holds the configuration that entries offered and reduces it to a view.
+/// ConfigHolder is the agent's replica of the configuration, reduced to a view.
 pub struct ConfigHolder {
-    history: history::History,
+    replica: replica::Replica,
     target: String,
     service: String,
+    tables: ConfigView,
 }
 
 impl ConfigHolder {
     /// Returns a holder without a configuration, for one target of a service.
-    pub fn new(target: &str, service: &str) -> Self {
-        let history = history::History::default();
-        Self { history, target: target.to_owned(), service: service.to_owned() }
+    pub fn new(options: options::Options, target: &str, service: &str, now: Duration) -> Self {
+        Self {
+            replica: replica::Replica::new(options, now),
+            target: target.to_owned(),
+            service: service.to_owned(),
+            tables: ConfigView::default(),
+        }
+    }
+
+    /// Returns the replica.
+    pub fn replica(&self) -> &replica::Replica {
+        &self.replica
     }
 
     /// Returns the revision in force; zero where there is none.
     pub fn revision(&self) -> u64 {
-        self.history.revision()
+        self.replica.revision()
+    }
+
+    /// Numbers the heartbeat that goes to all entries now.
+    pub fn beat(&mut self, now: Duration) -> replica::Beat {
+        self.replica.beat(now)
+    }
+
+    /// Takes what an entry said; returns what to send.
+    pub fn handle(&mut self, event: replica::Event, now: Duration) -> Vec<replica::Effect> {
+        let mut effects = Vec::new();
+        self.replica.handle(event, now, &mut effects);
+        effects
     }
 
-    /// Takes what an entry offers, and returns whether it was newer.
-    pub fn apply(&mut self, offer: &wire::ConfigState) -> bool {
-        self.history.apply_answer(offer).is_ok()
+    /// Does what time calls for; returns what to send.
+    pub fn tick(&mut self, now: Duration) -> Vec<replica::Effect> {
+        let mut effects = Vec::new();
+        self.replica.tick(now, &mut effects);
+        effects
     }
 
-    /// Returns what brings a peer up to date, or nothing where it is.
-    pub fn answer(&self, have: u64) -> Option<wire::ConfigState> {
-        self.history.answer(have)
+    /// Returns what concerns the agent, unless the configuration is too old to serve on.
+    pub fn view(&mut self, now: Duration) -> Option<ConfigView> {
+        let heard_at = self.replica.confirmed_at(now).ok()?;
+        if self.tables.revision != self.replica.revision() {
+            self.tables = self.derive();
+        }
+        Some(ConfigView { heard_at, ..self.tables })
     }
 
-    /// Returns what concerns the agent; `heard_at` is when the state was current.
-    pub fn view(&self, heard_at: Duration) -> ConfigView {
-        let tables = view::View::new(self.history.state());
+    fn derive(&self) -> ConfigView {
+        let tables = view::View::new(self.replica.state());
         let service = tables.service_by_name(&self.service).map(|(_, service)| &service.spec);
         let target = tables.target_by_name(&self.target).map(|(_, target)| &target.spec);
         ConfigView {
-            revision: self.revision(),
+            revision: self.replica.revision(),
             drain: target.is_some_and(|target| target.drain),
             kind: service.map(|service| service.kind),
             claim_shards: service.map_or(0, |service| service.claim_shards),
-            heard_at,
+            heard_at: Duration::ZERO,
         }
     }
 }
--- a/src/config/options.rs
+++ b/src/config/options.rs
@@ -58,6 +58,22 @@
         backoff_max: Duration::from_millis(10_000),
     };
 
+    /// Returns the times that follow from what the settings give.
+    pub fn from_links(heartbeat: Duration, peer_timeout: Duration, freshness: Duration) -> Self {
+        Self {
+            heartbeat,
+            peer_timeout,
+            freshness,
+            margin: heartbeat / 2,
+            pause_limit: peer_timeout,
+            request_timeout: peer_timeout / 2,
+            probe_interval: heartbeat * 2,
+            call_timeout: peer_timeout,
+            backoff_min: heartbeat / 2,
+            backoff_max: heartbeat * 8,
+        }
+    }
+
     /// How long after a majority of a data centre's entries holds a revision every process there
     /// that lacks it has stopped serving.
     pub fn silence_limit(&self) -> Duration {
--- a/src/config/replica/serving.rs
+++ b/src/config/replica/serving.rs
@@ -43,6 +43,16 @@
     ///
     /// Returns why the process must refuse it as not run.
     pub fn may_serve(&self, now: Duration) -> Result<()> {
+        self.confirmed_at(now).map(drop)
+    }
+
+    /// Returns when the configuration was last known to allow serving; the freshness time counts
+    /// from there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the process must refuse new work as not run.
+    pub fn confirmed_at(&self, now: Duration) -> Result<Duration> {
         let revision = self.revision();
         if revision == 0 {
             return Err(Stale::Empty);
@@ -57,7 +67,7 @@
             return Err(Stale::Joining { revision });
         }
         if self.is_within_freshness(valid_at, now) {
-            return Ok(());
+            return Ok(valid_at);
         }
         Err(Stale::Old { revision, age: now.saturating_sub(valid_at) })
     }
