--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -31,14 +31,14 @@
     settings["link_deadline_ms"] = json!(1_200);
 }
 
-fn start(plan: Plan) -> Fleet {
+fn start(plan: &Plan) -> Fleet {
     let engine_arguments = vec!["--token-ms".to_owned(), "20".to_owned()];
-    let plan = Plan { engine_arguments, adjust_entry: quicken, ..plan };
+    let plan = Plan { engine_arguments, adjust_entry: quicken, ..plan.clone() };
     Fleet::start(&plan).expect("the fleet starts")
 }
 
 async fn serving(plan: Plan) -> Fleet {
-    let fleet = start(plan);
+    let fleet = start(&plan);
     common::declare_and_wait(&fleet).await;
     fleet
 }
