--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -101,7 +101,7 @@
 }
 
 /// Waits until an entry would give work to every target.
-async fn wait_for_targets(fleet: &Fleet, admin: SocketAddr) {
+pub async fn wait_for_targets(fleet: &Fleet, admin: SocketAddr) {
     let line = format!("bitternwall_entry_targets_taking_work {}", fleet.targets.len());
     wait_for("every target to take work", async || {
         let answer = Call::get(admin, "/metrics").send().await;
