--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`world::AgentWorld`] takes every decision (admission, the fair queue, claims, suspects,
 //! drain) without I/O; [`actor`] turns frames and answers into its events and its effects into
-//! I/O. docs/DESIGN.md tells why the agent decides all this alone.
+//! I/O. docs/AGENT.md tells why the agent decides all this alone.
 
 pub mod actor;
 pub mod admin;
--- a/src/agent/segment.rs
+++ b/src/agent/segment.rs
@@ -1,4 +1,4 @@
-//! How claims lie in the key-value service; docs/DESIGN.md draws the layout.
+//! How claims lie in the key-value service; docs/AGENT.md draws the layout.
 //!
 //! A service's claims are spread over shards by their hash. Each shard has a head, which names
 //! its segments, and the segments, of which only the current one is ever written.
--- a/src/agent/systems/claims.rs
+++ b/src/agent/systems/claims.rs
@@ -2,7 +2,7 @@
 //!
 //! Safety rests on the compare-and-swap of each commit alone, never on time or on a lease.
 //! Commits are made in groups, one under way in each shard, spaced by a budget of writes, so
-//! that writes do not grow with requests (docs/DESIGN.md).
+//! that writes do not grow with requests (docs/AGENT.md).
 
 use std::time::Duration;
 
--- a/src/agent/systems/drain.rs
+++ b/src/agent/systems/drain.rs
@@ -1,5 +1,5 @@
 //! Draining: the agent refuses new work itself, so that a late list or a stale entry cannot
-//! break the promise that a leaving target gets none (docs/DESIGN.md).
+//! break the promise that a leaving target gets none (docs/AGENT.md).
 
 use crate::agent::events;
 use crate::agent::world;
--- a/src/agent/systems/queue.rs
+++ b/src/agent/systems/queue.rs
@@ -3,7 +3,7 @@
 //! Start-time fair queueing by customer: each customer has a place in virtual time, which moves
 //! on by tokens over weight; the customer furthest behind goes next. A customer that used less
 //! than its share may be behind by a few requests, so that its next burst goes first; beyond
-//! that, idle time saves up nothing. docs/DESIGN.md tells why this was chosen over deficit round
+//! that, idle time saves up nothing. docs/AGENT.md tells why this was chosen over deficit round
 //! robin.
 
 use std::time::Duration;
--- a/src/agent/systems/retry.rs
+++ b/src/agent/systems/retry.rs
@@ -1,5 +1,5 @@
 //! Crashing requests: what ran when the target died is suspect, suspects run alone, and a
-//! fingerprint that was there twice is refused for a while (docs/DESIGN.md).
+//! fingerprint that was there twice is refused for a while (docs/AGENT.md).
 
 use std::time::Duration;
 
