--- /dev/null
+++ b/tests/silent_connections.rs
@@ -0,0 +1,148 @@
+//! A connection that swallows everything is found, and idempotent work goes on.
+//!
+//! A pipe stands between two processes; at a moment of the test the connections through it go
+//! silent for good, while new ones work.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::StatusCode;
+use bitternwall::settings;
+use bitternwall::settings::agent::AgentSettings;
+use bitternwall::settings::entry::EntrySettings;
+use common::Call;
+use common::streams::{self, Streamed};
+use serde_json::json;
+use standins::fleet::{Fleet, Plan};
+use standins::pipe::Pipe;
+
+/// Within which a silent connection is to be found.
+const FOUND_LIMIT: Duration = Duration::from_secs(3);
+const PROMPT: &str = "quality readings";
+/// At 20 ms each the stream lasts longer than it takes to find the silence.
+const TOKENS: usize = 200;
+const BEFORE_FAULT: usize = 20;
+
+fn plan(engines: usize, services: usize) -> Plan {
+    let engine_arguments = vec!["--token-ms".to_owned(), "20".to_owned()];
+    Plan { engines, services, engine_arguments, ..Plan::default() }
+}
+
+/// Starts a fleet with a pipe between the entry and each agent.
+async fn piped_links(engines: usize, services: usize) -> (Fleet, Vec<Pipe>) {
+    let mut fleet = Fleet::start(&plan(engines, services)).expect("the fleet starts");
+    let mut pipes = Vec::new();
+    for target in &mut fleet.targets {
+        let pipe = Pipe::start(target.agent.address).await.expect("a port is free");
+        target.link = pipe.address;
+        pipes.push(pipe);
+    }
+    common::declare_and_wait(&fleet).await;
+    (fleet, pipes)
+}
+
+/// Starts a fleet with a pipe between each agent and its target.
+async fn piped_targets(engines: usize, services: usize) -> (Fleet, Vec<Pipe>) {
+    let mut fleet = Fleet::start(&plan(engines, services)).expect("the fleet starts");
+    let mut pipes = Vec::new();
+    for target in &mut fleet.targets {
+        let pipe = Pipe::start(target.back_end.address).await.expect("a port is free");
+        target.redirect_agent(pipe.address).expect("the agent starts again");
+        pipes.push(pipe);
+    }
+    common::declare_and_wait(&fleet).await;
+    (fleet, pipes)
+}
+
+async fn under_way(entry: SocketAddr) -> Streamed {
+    let mut streamed = Streamed::open(entry, PROMPT, TOKENS).await.expect("an answer begins");
+    assert_eq!(streamed.status, StatusCode::OK);
+    streamed.read_tokens(BEFORE_FAULT).await;
+    streamed
+}
+
+#[test]
+fn the_deadlines_in_the_settings_find_a_silent_connection_in_time() {
+    let entry: EntrySettings =
+        settings::load("examples/settings/entry.json".as_ref(), settings::entry::check)
+            .expect("the example is sound");
+    assert!(entry.link_deadline() < FOUND_LIMIT, "{:?}", entry.link_deadline());
+    let agent: AgentSettings =
+        settings::load("examples/settings/agent-model.json".as_ref(), settings::agent::check)
+            .expect("the example is sound");
+    assert!(Duration::from_millis(agent.links.deadline_ms) < FOUND_LIMIT);
+}
+
+#[actix_rt::test]
+async fn a_stream_goes_on_when_the_link_to_its_agent_goes_silent() {
+    let (fleet, pipes) = piped_links(2, 0).await;
+    let streamed = under_way(fleet.entry(0)).await;
+    let pipe = &pipes[streams::index_of(&fleet, &streamed.target)];
+    let before = pipe.accepted();
+    pipe.swallow();
+    streamed.finish().await.assert_whole(PROMPT, TOKENS);
+    common::wait_for("a new connection", async || pipe.accepted() > before).await;
+}
+
+#[actix_rt::test]
+async fn the_only_target_serves_again_by_a_new_link() {
+    let (fleet, pipes) = piped_links(1, 1).await;
+    for pipe in &pipes {
+        pipe.swallow();
+    }
+    common::wait_for("an answer by a new link", async || {
+        let answer = common::chat(fleet.entry(0), "again", 5, false).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+}
+
+/// Asks for a hold, silences the connections while it runs, and asks once more.
+async fn hold_across_silence(fleet: &Fleet, pipes: &[Pipe]) {
+    for target in &fleet.targets {
+        streams::behave(target.back_end.address, &json!({ "delay_ms": 500 })).await;
+    }
+    let entry = fleet.entry(0);
+    let hold = async || {
+        let headers = [("idempotency-key", "hold-7"), ("request-timeout-ms", "6000")];
+        let path = "/v1/services/dispatch-api/holds";
+        let call = Call { headers: &headers, ..Call::post(entry, path, &json!({ "valve": 7 })) };
+        call.send().await.expect("an answer")
+    };
+    let swallow = async {
+        common::wait_for("the hold's run", async || {
+            common::runs_with_key(fleet, "hold-7").await > 0
+        })
+        .await;
+        pipes.iter().for_each(Pipe::swallow);
+    };
+    let (first, ()) = futures_util::future::join(hold(), swallow).await;
+    let second = hold().await;
+    for answer in [&first, &second] {
+        let is_true = answer.status == StatusCode::OK || answer.json()["executed"] != "no";
+        assert!(is_true, "{}", String::from_utf8_lossy(&answer.body));
+    }
+    assert_eq!(common::runs_with_key(fleet, "hold-7").await, 1);
+}
+
+#[actix_rt::test]
+async fn what_may_not_be_repeated_runs_once_when_the_link_goes_silent() {
+    let (fleet, pipes) = piped_links(0, 2).await;
+    hold_across_silence(&fleet, &pipes).await;
+}
+
+#[actix_rt::test]
+async fn what_may_not_be_repeated_runs_once_when_the_target_s_connection_goes_silent() {
+    let (fleet, pipes) = piped_targets(0, 2).await;
+    hold_across_silence(&fleet, &pipes).await;
+}
+
+#[actix_rt::test]
+async fn a_stream_goes_on_when_its_target_s_connection_goes_silent() {
+    let (fleet, pipes) = piped_targets(2, 0).await;
+    let streamed = under_way(fleet.entry(0)).await;
+    pipes[streams::index_of(&fleet, &streamed.target)].swallow();
+    streamed.finish().await.assert_whole(PROMPT, TOKENS);
+}
