--- a/src/expert_map/protocol.rs
+++ b/src/expert_map/protocol.rs
@@ -53,7 +53,7 @@
 /// Record is what the key-value service holds of a group, changed only by compare-and-swap.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Record {
-    /// The generation of the group's resource that names its ranks.
+    /// The generation of the group's resource at which its ranks last changed.
     pub generation: u64,
     /// The present group of ranks.
     pub incarnation: Incarnation,
@@ -112,6 +112,8 @@
     pub armed: Option<Armed>,
     /// The number of the last switch that it took.
     pub last_taken: Number,
+    /// The newest fence that it has seen; the default where it does not check fences.
+    pub newest: Fence,
 }
 
 impl EngineStatus {
