Log events, settings, problems and metrics on pages that tests hold to the code

Cause: docs/LOG_EVENTS.md and docs/SETTINGS.md were named by the code but did not exist, and `bitternwall check` accepted any JSON. Ruled out: rendering the pages from the code; the columns that say what to do are written by hand, so a test compares the rest. Found: entries accept `host_list` but do not read it; the page says so.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,8 +1,10 @@
-//! Checks a settings file as the daemon would, without starting it.
+//! Checks a settings file as the daemon would, without starting it; docs/SETTINGS.md lists the
+//! fields.
 
 use std::path::Path;
 
 use crate::settings;
+use crate::settings::{agent, entry};
 
 /// Role is the daemon that a settings file is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,6 +22,7 @@
 /// Returns a [`settings::SettingsError`] that names the file and the field.
 pub fn check(role: Role, file: &Path) -> settings::Result<()> {
     match role {
-        Role::Entry | Role::Agent => settings::load::<serde_json::Value>(file, |_| None).map(drop),
+        Role::Entry => settings::load(file, entry::check).map(drop),
+        Role::Agent => settings::load(file, agent::check).map(drop),
     }
 }
--- /dev/null
+++ b/tests/documentation/problems.rs
@@ -0,0 +1,77 @@
+//! docs/OPERATING.md lists every type of problem document and every metric.
+
+use std::collections::BTreeSet;
+
+use bitternwall::agent;
+use bitternwall::entry;
+
+use crate::{read, table_rows};
+
+const PAGE: &str = "docs/OPERATING.md";
+
+/// Returns the code spans that a page's tables begin their rows with.
+fn documented(prefix: &str) -> BTreeSet<String> {
+    let rows = table_rows(&read(PAGE)).into_iter();
+    let names = rows.flat_map(|row| first_code_spans(&row[0]));
+    names.filter(|name| name.starts_with(prefix)).collect()
+}
+
+fn first_code_spans(cell: &str) -> Vec<String> {
+    cell.split('`').skip(1).step_by(2).map(str::to_owned).collect()
+}
+
+/// Returns the string literals of a source file that begin with a prefix.
+fn literals(source: &str, prefix: &str) -> BTreeSet<String> {
+    let text = read(source);
+    let literals = text.split('"').skip(1).step_by(2).map(str::to_owned);
+    literals.filter(|literal| literal.starts_with(prefix)).collect()
+}
+
+#[test]
+fn every_type_of_a_callers_problem_is_on_the_page() {
+    let mut types = literals("src/entry/refusals.rs", "/problems/");
+    types.append(&mut literals("src/entry/caller_api.rs", "/problems/"));
+    assert!(types.len() > 10, "{types:?}");
+    assert_eq!(documented("/problems/"), types);
+}
+
+#[test]
+fn every_type_of_an_operators_problem_is_on_the_page() {
+    let source = read("src/entry/operator_api/problems.rs");
+    let calls = ["refused(\"", "problem(\""];
+    let types = calls.iter().flat_map(|call| source.split(call).skip(1));
+    let types: BTreeSet<&str> = types.filter_map(|rest| rest.split('"').next()).collect();
+    assert!(types.len() > 10, "{types:?}");
+    let listed = documented("");
+    for type_ in types {
+        assert!(listed.contains(type_), "{type_} is not on the page");
+    }
+}
+
+fn names(registry: &prometheus::Registry) -> BTreeSet<String> {
+    registry.gather().iter().map(|family| family.name().to_owned()).collect()
+}
+
+#[test]
+fn every_metric_is_on_the_page() {
+    let mut registered = literals("src/entry/metrics.rs", "bitternwall_");
+    registered.append(&mut literals("src/agent/metrics.rs", "bitternwall_"));
+    assert!(registered.len() > 10, "{registered:?}");
+    assert_eq!(documented("bitternwall_"), registered);
+}
+
+/// Reading the source for names must not miss one that is registered.
+#[test]
+fn the_sources_of_metrics_hold_every_registered_name() {
+    let registry = prometheus::Registry::new();
+    entry::metrics::EntryMetrics::register(&registry).unwrap();
+    let entry = literals("src/entry/metrics.rs", "bitternwall_");
+    assert!(names(&registry).is_subset(&entry));
+    let text = String::from_utf8(agent::metrics::Metrics::new().unwrap().text().unwrap()).unwrap();
+    let agent = literals("src/agent/metrics.rs", "bitternwall_");
+    let gathered = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let gathered = gathered.filter_map(|line| line.split(' ').next());
+    for name in gathered {
+        assert!(agent.contains(name), "{name}");
+    }
+}
