--- a/benches/support/core_cost.rs
+++ b/benches/support/core_cost.rs
@@ -117,7 +117,11 @@
         vec![Event::ConfigChanged(Arc::clone(view)), Event::MayServeUntil(Duration::MAX)];
     let near = near_targets(view);
     for target in &near {
-        events.push(Event::LinkUp { target: target.clone(), incarnation: 1 });
+        events.push(Event::LinkUp {
+            target: target.clone(),
+            incarnation: 1,
+            region: String::new(),
+        });
         events.push(heartbeat(target));
     }
     world.tick(Duration::from_secs(1), events, &mut Vec::new());
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -89,7 +89,12 @@
         clock,
         world: world::AgentWorld::new(options::core(settings, member.incarnation)),
         member,
-        target: target::TargetClient::new(&settings.target_url, probe_path, probe_timeout),
+        target: target::TargetClient::new(
+            &settings.target_url,
+            probe_path,
+            probe_timeout,
+            Duration::from_millis(links.stream_gap_ms),
+        ),
         store: store::Store::new(store::StoreOptions {
             endpoints: settings.store.clone(),
             call_timeout: Duration::from_millis(settings.claims.call_timeout_ms),
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -1,5 +1,6 @@
 //! The HTTP client of the target.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 const SETTLE: Duration = Duration::from_millis(50);
 /// Bytes at the end of an answer that are searched for its use of tokens.
 const TAIL_BYTES: usize = 1_024;
+/// The type of an answer that comes token by token.
+const EVENT_STREAM: &str = "text/event-stream";
 /// What stands before the count of tokens that an engine reports.
 const TOKENS_FIELD: &str = "\"total_tokens\":";
 /// Headers that concern one connection only.
@@ -59,17 +62,24 @@
     base_url: Rc<str>,
     probe_path: Option<Rc<str>>,
     probe_timeout: Duration,
+    stream_gap: Duration,
 }
 
 impl TargetClient {
     /// Returns a client of the target at a base address.
-    pub fn new(base_url: &str, probe_path: Option<&str>, probe_timeout: Duration) -> Self {
+    pub fn new(
+        base_url: &str,
+        probe_path: Option<&str>,
+        probe_timeout: Duration,
+        stream_gap: Duration,
+    ) -> Self {
         Self {
             pooled: client(),
             fresh: client(),
             base_url: Rc::from(base_url),
             probe_path: probe_path.map(Rc::from),
             probe_timeout,
+            stream_gap,
         }
     }
 
@@ -99,11 +109,17 @@
         };
         answer.begin(head(&response));
         on_head();
+        let patience = is_event_stream(&response).then_some(self.stream_gap);
         let mut tail = Tail::default();
-        while let Some(piece) = response.next().await {
+        let mut next = response.next().await;
+        while let Some(piece) = next {
             let Ok(piece) = piece else { return Outcome::Failed(events::Failure::Broken) };
             tail.push(&piece);
             answer.push(piece).await;
+            next = match within(patience, response.next()).await {
+                Some(next) => next,
+                None => return Outcome::Failed(events::Failure::Broken),
+            };
         }
         Outcome::Whole { bytes: answer.length(), tokens: tail.tokens() }
     }
@@ -163,6 +179,20 @@
     Lost,
 }
 
+/// Waits for a value; none where it takes longer than the limit. A stream's connection that has
+/// gone silent for good looks open, and only the tokens that fail to come show it.
+async fn within<T>(limit: Option<Duration>, value: impl Future<Output = T>) -> Option<T> {
+    match limit {
+        Some(limit) => time::timeout(limit, value).await.ok(),
+        None => Some(value.await),
+    }
+}
+
+fn is_event_stream<S>(response: &awc::ClientResponse<S>) -> bool {
+    let kind = response.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
 fn client() -> awc::Client {
     let connector = awc::Connector::new()
         .connector(strict_io::StrictConnector::new())
--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -315,9 +315,10 @@
         }
         events::log(events::LINK_UP, format_args!("process={process}"));
         let (role, name, incarnation) = (member.role(), member.name.clone(), member.incarnation);
+        let region = member.region.clone();
         let serial = self.links.up(Arc::clone(process), member, send);
         if role == wire::Role::Agent {
-            self.tick(vec![Event::LinkUp { target: name, incarnation }]);
+            self.tick(vec![Event::LinkUp { target: name, incarnation, region }]);
         }
         if let Some(heartbeat) = &hello.heartbeat {
             self.heartbeat(process, heartbeat, cx);
--- a/src/entry/core/admission.rs
+++ b/src/entry/core/admission.rs
@@ -28,9 +28,11 @@
     effects: &mut Vec<Effect>,
 ) {
     let id = request.id;
+    let key = known_key(&world.tables.view, &request);
     let admitted = match admit(world, now, request) {
         Ok(admitted) => admitted,
         Err(refusal) => {
+            let refusal = world.judge(now, key, refusal);
             effects.push(Effect::Refuse { request: id, refusal });
             return;
         }
@@ -45,7 +47,7 @@
 fn start_first(world: &mut EntryWorld, now: Duration, id: RequestId, effects: &mut Vec<Effect>) {
     match routing::start(world, now, id) {
         Some(start) => effects.push(Effect::Start(start)),
-        None => world.refuse(id, retry::no_target(), effects),
+        None => world.refuse(now, id, retry::no_target(), effects),
     }
 }
 
@@ -87,6 +89,14 @@
     })
 }
 
+/// Returns the claim key of a call, as far as the tables tell, whatever becomes of the call.
+fn known_key(view: &view::View, request: &NewRequest) -> Option<ClaimKey> {
+    request.idempotency_key.as_ref()?;
+    let (_, customer) = view.customer_by_key(&request.key_hash)?;
+    let (_, service) = find_service(view, &request.route)?;
+    claim_key(service, &customer.name, request).ok().flatten()
+}
+
 fn refuse_crashing(world: &EntryWorld, now: Duration, fingerprint: u64) -> Result<(), Refusal> {
     let count = crashes::crashes_of(&world.tables, fingerprint);
     if !world.options.refuse_crashing || count < crashes::MAX_CRASHES {
--- a/src/entry/core/deadlines.rs
+++ b/src/entry/core/deadlines.rs
@@ -49,6 +49,7 @@
         };
         world.cancel(attempt, effects);
         let reason = RefusalReason::Attempt(AttemptFailure::Deadline);
-        world.refuse(request, Refusal { reason, executed, retry_after: None }, effects);
+        let refusal = Refusal { reason, executed, retry_after: None };
+        world.refuse(now, request, refusal, effects);
     }
 }
--- a/src/entry/core/events.rs
+++ b/src/entry/core/events.rs
@@ -22,6 +22,8 @@
         target: String,
         /// The life of the agent.
         incarnation: u64,
+        /// The region that it stands in.
+        region: String,
     },
     /// The link to a target's agent is gone; its attempts get no more frames.
     LinkDown {
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod routing;
 pub mod tables;
 pub mod targets;
+pub mod uncertain;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
 pub struct Options {
     /// Where this entry stands; targets here are preferred.
     pub data_centre: String,
+    /// The region of the data centre; other regions' targets are used only without any in it.
+    pub region: String,
     /// Seeds the choice between targets.
     pub seed: u64,
     /// Retries allowed for each first try, as a share.
@@ -53,6 +56,7 @@
     fn default() -> Self {
         Self {
             data_centre: String::new(),
+            region: String::new(),
             seed: 1,
             retry_share: 0.1,
             retry_burst: 10.0,
@@ -92,6 +96,7 @@
             in_flight: Map::default(),
             crashes: Map::default(),
             next_attempt: 0,
+            uncertain: uncertain::Uncertain::default(),
         };
         Self {
             budget: retry::Budget::new(options.retry_share, options.retry_burst),
@@ -125,11 +130,11 @@
     fn handle(&mut self, now: Duration, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Submitted(request) => admission::submit(self, now, request, effects),
-            Event::CallerGone(request) => self.abandon(request, effects),
+            Event::CallerGone(request) => self.abandon(now, request, effects),
             Event::ConfigChanged(view) => targets::reconfigure(&mut self.tables, view),
             Event::MayServeUntil(until) => self.tables.serves_until = until,
-            Event::LinkUp { target, incarnation } => {
-                targets::link_up(&mut self.tables, now, &target, incarnation);
+            Event::LinkUp { target, incarnation, region } => {
+                targets::link_up(&mut self.tables, now, &target, incarnation, region);
             }
             Event::LinkDown { target } => targets::link_down(self, now, &target, effects),
             Event::Heartbeat { target, report } => {
@@ -158,14 +163,20 @@
         if let Some(target) = self.tables.targets.get_mut(&ended.target) {
             target.failures = 0;
         }
+        let key = self.tables.requests.get(&ended.request).and_then(|open| open.claim_key);
+        if let Some(key) = key {
+            self.tables.uncertain.settle(key);
+        }
         self.close(ended.request);
         effects.push(Effect::Finish { request: ended.request });
     }
 
-    fn abandon(&mut self, request: RequestId, effects: &mut Vec<Effect>) {
-        let Some(attempt) = self.tables.requests.get(&request).map(|open| open.attempt) else {
-            return;
-        };
+    fn abandon(&mut self, now: Duration, request: RequestId, effects: &mut Vec<Effect>) {
+        let Some(open) = self.tables.requests.get(&request) else { return };
+        let (attempt, may_have_run) = (open.attempt, open.may_have_run);
+        if let Some(key) = open.claim_key.filter(|_| may_have_run || attempt.is_some()) {
+            self.tables.uncertain.remember(now, key);
+        }
         self.cancel(attempt, effects);
         self.close(request);
         effects.push(Effect::Finish { request });
@@ -180,8 +191,17 @@
     }
 
     /// Gives a request its final answer.
-    fn refuse(&mut self, request: RequestId, refusal: events::Refusal, effects: &mut Vec<Effect>) {
-        let passed_on = self.tables.requests.get(&request).is_some_and(|open| open.passed_on);
+    fn refuse(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        refusal: events::Refusal,
+        effects: &mut Vec<Effect>,
+    ) {
+        let open = self.tables.requests.get(&request);
+        let passed_on = open.is_some_and(|open| open.passed_on);
+        let key = open.and_then(|open| open.claim_key);
+        let refusal = self.judge(now, key, refusal);
         self.close(request);
         effects.push(match passed_on {
             true => Effect::Break { request, refusal },
@@ -189,6 +209,19 @@
         });
     }
 
+    /// Keeps a refusal true for every call under the same idempotency key.
+    fn judge(
+        &mut self,
+        now: Duration,
+        key: Option<tables::ClaimKey>,
+        refusal: events::Refusal,
+    ) -> events::Refusal {
+        if !self.options.remember_runs {
+            return refusal;
+        }
+        self.tables.uncertain.judge(now, key, refusal)
+    }
+
     fn close(&mut self, request: RequestId) {
         let Some(closed) = self.tables.requests.remove(&request) else { return };
         self.deadlines.remove(closed.deadline, request);
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -95,7 +95,7 @@
     let next = again.then(|| routing::start(world, now, ended.request)).flatten();
     match next {
         Some(start) => effects.push(Effect::Start(start)),
-        None => give_up(world, ended.request, failure, effects),
+        None => give_up(world, now, ended.request, failure, effects),
     }
 }
 
@@ -156,7 +156,13 @@
     }
 }
 
-fn give_up(world: &mut EntryWorld, id: RequestId, failure: Failure, effects: &mut Vec<Effect>) {
+fn give_up(
+    world: &mut EntryWorld,
+    now: Duration,
+    id: RequestId,
+    failure: Failure,
+    effects: &mut Vec<Effect>,
+) {
     let Some(request) = world.tables.requests.get(&id) else { return };
     let executed = match (failure.executed, request.may_have_run) {
         (Executed::No, true) => Executed::Unknown,
@@ -167,5 +173,5 @@
     let retry_after =
         failure.retry_after.or_else(|| worth_another_try.then_some(DEFAULT_RETRY_AFTER));
     let reason = RefusalReason::Attempt(failure.cause);
-    world.refuse(id, Refusal { reason, executed, retry_after }, effects);
+    world.refuse(now, id, Refusal { reason, executed, retry_after }, effects);
 }
--- a/src/entry/core/routing.rs
+++ b/src/entry/core/routing.rs
@@ -1,8 +1,10 @@
 //! Chooses the target of an attempt; docs/DESIGN.md weighs the ways.
 //!
-//! An idempotent request goes to the target that likely caches its prefix, as long as that one is
-//! not much busier than the others, else to the less loaded of two drawn at random. A request that
-//! may not be repeated goes to the agent that keeps its claim.
+//! An idempotent request goes to the target of its region that likely caches its prefix, as long
+//! as that one is not much busier than the others, else to the less loaded of two drawn at random,
+//! near ones first. All entries of a region so begin with the same target for the same body, and a
+//! body that crashes targets is known before a second one gets it. A request that may not be
+//! repeated goes to the agent that keeps its claim.
 
 use std::time::Duration;
 
@@ -62,14 +64,15 @@
     if let Some(key) = request.claim_key {
         return claim_holder(&candidates, key, request.claim_shards);
     }
+    prefer_region(&mut candidates, &world.options.region);
     let affinity = request.submitted.affinity;
     if crashes::crashes_of(&world.tables, request.submitted.fingerprint) > 0 {
         return highest_weight(&candidates, affinity);
     }
-    prefer_data_centre(&mut candidates, &world.options.data_centre);
     if let Some(cached) = cached_target(&candidates, affinity) {
         return Some(cached);
     }
+    prefer_data_centre(&mut candidates, &world.options.data_centre);
     let (first, second) = (drawn(&candidates, draws.0)?, drawn(&candidates, draws.1)?);
     let less_loaded = if first.load <= second.load { first } else { second };
     Some(less_loaded.name.to_owned())
@@ -85,6 +88,7 @@
 struct Candidate<'a> {
     name: &'a str,
     data_centre: &'a str,
+    region: &'a str,
     /// Requests there for each slot, raised for a target that is coming back.
     load: f64,
     /// Requests there.
@@ -103,6 +107,7 @@
             takes_work(target, now).then(|| Candidate {
                 name: &declared.name,
                 data_centre: &declared.spec.data_centre,
+                region: &target.region,
                 load: load(target, now, world.options.slow_start),
                 requests: requests_at(target),
             })
@@ -129,6 +134,13 @@
     (requests_at(target) + 1.0) / (slots * share)
 }
 
+/// Keeps the candidates of the own region, where there are any.
+fn prefer_region(candidates: &mut Vec<Candidate<'_>>, region: &str) {
+    if candidates.iter().any(|near| near.region == region) {
+        candidates.retain(|near| near.region == region);
+    }
+}
+
 /// Keeps the candidates of the own data centre, where there are any with room.
 fn prefer_data_centre(candidates: &mut Vec<Candidate<'_>>, data_centre: &str) {
     let near_with_room =
--- a/src/entry/core/tables.rs
+++ b/src/entry/core/tables.rs
@@ -6,6 +6,7 @@
 use crate::collections::{Map, Set};
 use crate::config::view;
 use crate::entry::core::events::{NewRequest, TargetReport};
+use crate::entry::core::uncertain::Uncertain;
 
 /// RequestId is the entry's own number for a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -64,6 +65,8 @@
 pub struct Target {
     /// The life of the agent that the link leads to; none while the link is down.
     pub incarnation: Option<u64>,
+    /// The region that it stands in; empty before the first link.
+    pub region: String,
     /// The agent's last report.
     pub report: TargetReport,
     /// Attempts of this entry that are under way there.
@@ -104,6 +107,8 @@
     pub in_flight: Map<String, u32>,
     /// Bodies that were running when targets died, by fingerprint.
     pub crashes: Map<u64, Crashes>,
+    /// Idempotency keys whose operation may have run.
+    pub uncertain: Uncertain,
     /// The next attempt's number.
     pub next_attempt: u64,
 }
--- a/src/entry/core/targets.rs
+++ b/src/entry/core/targets.rs
@@ -30,8 +30,9 @@
 }
 
 /// Notes that the link to a target's agent is up.
-pub fn link_up(tables: &mut Tables, now: Duration, name: &str, incarnation: u64) {
+pub fn link_up(tables: &mut Tables, now: Duration, name: &str, incarnation: u64, region: String) {
     let target = tables.targets.entry(name.to_owned()).or_default();
+    target.region = region;
     target.incarnation = Some(incarnation);
     target.returned_at = now;
 }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -120,6 +120,7 @@
     let own = member(settings);
     let options = Options {
         data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
         seed: own.incarnation,
         ..Options::default()
     };
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -98,11 +98,19 @@
     pub freshness_ms: u64,
     /// Milliseconds that a health probe may take.
     pub probe_timeout_ms: u64,
+    /// Milliseconds between two pieces of a stream after which its connection counts as silent.
+    pub stream_gap_ms: u64,
 }
 
 impl Default for LinkSettings {
     fn default() -> Self {
-        Self { heartbeat_ms: 500, deadline_ms: 2_000, freshness_ms: 5_000, probe_timeout_ms: 1_000 }
+        Self {
+            heartbeat_ms: 500,
+            deadline_ms: 2_000,
+            freshness_ms: 5_000,
+            probe_timeout_ms: 1_000,
+            stream_gap_ms: 2_500,
+        }
     }
 }
 
@@ -150,6 +158,7 @@
         ("links.heartbeat_ms", links.heartbeat_ms),
         ("links.freshness_ms", links.freshness_ms),
         ("links.probe_timeout_ms", links.probe_timeout_ms),
+        ("links.stream_gap_ms", links.stream_gap_ms),
         ("claims.call_timeout_ms", claims.call_timeout_ms),
         ("claims.retention_s", claims.retention_s),
         ("claims.bucket_s", claims.bucket_s),
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -1,15 +1,22 @@
 //! One process of a test fleet, ended by its own id.
 
 use std::io::{BufRead as _, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use std::{env, fs, io, result, thread};
 
 /// The result of driving a process.
 pub type Result<T> = result::Result<T, ProcessError>;
 
+/// The first port that a fleet's processes listen on.
+const FIRST_PORT: u32 = 10_000;
+/// Ports from the first on, all below the system's range for outgoing connections.
+const PORTS: u32 = 20_000;
+/// Ports between the first ones of two processes that were started one after the other.
+const PORT_STRIDE: u32 = 211;
 /// How often an ending process is looked at.
 const WAIT_STEP: Duration = Duration::from_millis(10);
 /// What a stand-in prints before its address.
@@ -45,6 +52,14 @@
         /// How long it was waited for.
         waited: Duration,
     },
+    /// Too few ports are free.
+    #[error("Only {free} of the {wanted} ports that are wanted are free.")]
+    NoPort {
+        /// How many are wanted.
+        wanted: usize,
+        /// How many are free.
+        free: usize,
+    },
     /// The operating system refused.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -168,11 +183,27 @@
 
 /// Returns loopback addresses with ports that were free a moment ago.
 ///
+/// They lie below the range from which the system takes the ports of outgoing connections, so
+/// that no connection takes one before the process that is to listen there.
+///
 /// # Errors
 ///
-/// Returns an error where no port can be bound.
+/// Returns [`ProcessError::NoPort`] where none is free.
 pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect::<io::Result<_>>()?;
-    Ok(listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?)
+    let candidates = (0..PORTS).map(|_| next_candidate());
+    let free: Vec<SocketAddr> =
+        candidates.filter(|address| TcpListener::bind(address).is_ok()).take(count).collect();
+    if free.len() < count {
+        return Err(ProcessError::NoPort { wanted: count, free: free.len() });
+    }
+    Ok(free)
+}
+
+/// Each process begins elsewhere, so that tests that run at once rarely meet.
+fn next_candidate() -> SocketAddr {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORT_STRIDE);
+    let offset = start.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed)) % PORTS;
+    let port = u16::try_from(FIRST_PORT + offset).unwrap_or(u16::MAX);
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
--- a/tests/common/agent.rs
+++ b/tests/common/agent.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,7 +25,7 @@
 
 /// Returns a loopback address that was free just now.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    standins::fleet::process::free_addresses(1).unwrap()[0]
 }
 
 /// Starts a stand-in on a thread of its own and returns its address.
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -94,9 +94,21 @@
 
     /// Submits one request of the kind.
     pub fn submit(&mut self, kind: Kind, fate: &mut dyn FnMut(&StartAttempt) -> Fate) {
+        let key = self.submitted.to_string();
+        self.submit_under(&key, kind, fate);
+    }
+
+    /// Submits one request under an idempotency key.
+    pub fn submit_under(
+        &mut self,
+        key: &str,
+        kind: Kind,
+        fate: &mut dyn FnMut(&StartAttempt) -> Fate,
+    ) {
         let id = RequestId(self.submitted);
         self.submitted += 1;
-        self.tick(vec![Event::Submitted(request(id, kind))], fate);
+        let request = NewRequest { idempotency_key: Some(key.to_owned()), ..request(id, kind) };
+        self.tick(vec![Event::Submitted(request)], fate);
     }
 
     /// Lets time pass until every deadline is over.
@@ -211,7 +223,7 @@
     let report =
         TargetReport { running: 0, queued: 0, slots: 8, draining: false, takes_work: true };
     [
-        Event::LinkUp { target: target.to_owned(), incarnation: 1 },
+        Event::LinkUp { target: target.to_owned(), incarnation: 1, region: String::new() },
         Event::Heartbeat { target: target.to_owned(), report },
     ]
 }
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -88,6 +88,30 @@
     assert!(error.contains("ran, but"), "{error}");
 }
 
+/// A call runs and its answer is lost; another under the same key finds no target.
+fn second_refusal_of_a_key(options: Options) -> Executed {
+    let mut model = EntryModel::new(options, 1);
+    model.submit_under("hold-7", Kind::NotRepeatable, &mut |_| Fate::SilentButRuns);
+    model.drain(&mut |_| Fate::SilentButRuns);
+    let End::Refused(first) = model.ends[&RequestId(0)][0] else { panic!("not refused") };
+    assert_eq!(first.executed, Executed::Unknown);
+    model.tick(vec![Event::LinkDown { target: "desk-0".to_owned() }], &mut |_| Fate::Answered);
+    model.submit_under("hold-7", Kind::NotRepeatable, &mut |_| Fate::Answered);
+    let End::Refused(second) = model.ends[&RequestId(1)][0] else { panic!("not refused") };
+    second.executed
+}
+
+#[test]
+fn a_key_that_may_have_run_is_never_told_not_run() {
+    assert_eq!(second_refusal_of_a_key(Options::default()), Executed::Unknown);
+    let forgetful = Options { remember_runs: false, ..Options::default() };
+    assert_eq!(
+        second_refusal_of_a_key(forgetful),
+        Executed::No,
+        "the memory is what keeps it true"
+    );
+}
+
 #[test]
 fn a_passed_deadline_is_answered_at_once() {
     let mut model = EntryModel::new(Options::default(), 1);
