Test fleets listen below the range of outgoing connections

Cause: with several fleets at once a daemon now and then found its port taken by an outgoing connection and ended, so that a fleet did not come to serve (1 of 12 runs of crashing_requests.rs; the cause is inferred, the logs of that run were not kept). Change: ports from 10,000 on, each test process from another one. The fake agent of foreign_lives.rs says that it takes work, as agents now do.

--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -4,14 +4,21 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
-use std::{env, fs, io, result, thread};
+use std::{env, fs, io, process as std_process, result, thread};
 
 /// The result of driving a process.
 pub type Result<T> = result::Result<T, ProcessError>;
 
 /// How often an ending process is looked at.
 const WAIT_STEP: Duration = Duration::from_millis(10);
+/// The lowest port that a daemon of a test gets.
+const FIRST_PORT: u32 = 10_000;
+/// Ports from there on.
+const PORTS: u32 = 22_000;
+/// Ports between the first ones of two test processes that follow each other.
+const PORTS_OF_A_PROCESS: u32 = 331;
 /// What a stand-in prints before its address.
 const LISTENING: &str = "listening ";
 
@@ -168,11 +175,27 @@
 
 /// Returns loopback addresses with ports that were free a moment ago.
 ///
+/// They lie below the range that the system gives to outgoing connections, which would take some
+/// of them before their process listens.
+///
 /// # Errors
 ///
-/// Returns an error where no port can be bound.
+/// Returns an error where too few ports can be bound.
 pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect::<io::Result<_>>()?;
-    Ok(listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?)
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Tests of different processes begin at different ports.
+    let first = std_process::id().wrapping_mul(PORTS_OF_A_PROCESS);
+    let mut addresses = Vec::new();
+    for _ in 0..PORTS {
+        if addresses.len() == count {
+            return Ok(addresses);
+        }
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + offset).unwrap_or_default();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
+    }
+    Err(io::Error::from(io::ErrorKind::AddrInUse).into())
 }
--- a/tests/common/streams.rs
+++ b/tests/common/streams.rs
@@ -137,22 +137,6 @@
     Some(Streamed::open(entry, prompt, tokens).await?.finish().await)
 }
 
-/// Waits until every engine has answered, since agents come by the configuration one by one.
-pub async fn wait_for_every_engine(fleet: &Fleet) {
-    let mut number = 0;
-    for engine in engines(fleet) {
-        common::wait_for("work at every engine", async || {
-            for entry in &fleet.entries {
-                number += 1;
-                let prompt = format!("warm-up {number}");
-                common::chat(entry.process.address, &prompt, 1, false).await;
-            }
-            runs(engine.back_end.address).await.finished > 0
-        })
-        .await;
-    }
-}
-
 /// Returns the place of a target in its fleet.
 pub fn index_of(fleet: &Fleet, name: &str) -> usize {
     let found = fleet.targets.iter().position(|target| target.name == name);
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -31,7 +31,6 @@
     };
     let fleet = Fleet::start(&plan).expect("the fleet starts");
     common::declare_and_wait(&fleet).await;
-    streams::wait_for_every_engine(&fleet).await;
     fleet
 }
 
--- a/tests/foreign_lives.rs
+++ b/tests/foreign_lives.rs
@@ -23,7 +23,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(200);
 
 fn heartbeat() -> wire::Heartbeat {
-    let load = wire::Load { slots: 8, target_healthy: true, ..wire::Load::default() };
+    let load =
+        wire::Load { slots: 8, target_healthy: true, takes_work: true, ..wire::Load::default() };
     wire::Heartbeat { load: Some(load), ..wire::Heartbeat::default() }
 }
 
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -31,14 +31,12 @@
     settings["link_deadline_ms"] = json!(1_200);
 }
 
-fn start(plan: Plan) -> Fleet {
+async fn serving(entries: usize, engines: usize, services: usize) -> Fleet {
     let engine_arguments = vec!["--token-ms".to_owned(), "20".to_owned()];
-    let plan = Plan { engine_arguments, adjust_entry: quicken, ..plan };
-    Fleet::start(&plan).expect("the fleet starts")
-}
-
-async fn serving(plan: Plan) -> Fleet {
-    let fleet = start(plan);
+    let adjust_entry = quicken;
+    let plan =
+        Plan { entries, engines, services, engine_arguments, adjust_entry, ..Plan::default() };
+    let fleet = Fleet::start(&plan).expect("the fleet starts");
     common::declare_and_wait(&fleet).await;
     fleet
 }
@@ -82,7 +80,7 @@
 
 #[actix_rt::test]
 async fn an_agent_that_is_told_to_stop_takes_nothing_new_and_cuts_nothing() {
-    let mut fleet = serving(Plan { entries: 2, engines: 3, services: 0, ..Plan::default() }).await;
+    let mut fleet = serving(2, 3, 0).await;
     let (streamed, target) = long_stream(&fleet).await;
     fleet.targets[target].agent.signal("TERM").expect("the agent is told to stop");
     assert_leaves(&fleet, streamed, target, Instant::now()).await;
@@ -103,7 +101,7 @@
 
 #[actix_rt::test]
 async fn a_target_drained_by_the_operator_takes_nothing_new_and_cuts_nothing() {
-    let fleet = serving(Plan { entries: 2, engines: 3, services: 0, ..Plan::default() }).await;
+    let fleet = serving(2, 3, 0).await;
     let (streamed, target) = long_stream(&fleet).await;
     set_drain(&fleet, target, true).await;
     assert_leaves(&fleet, streamed, target, Instant::now()).await;
@@ -149,7 +147,7 @@
 
 #[actix_rt::test]
 async fn a_drained_target_s_agent_itself_refuses_a_stale_entry() {
-    let fleet = serving(Plan { services: 0, ..Plan::default() }).await;
+    let fleet = serving(1, 1, 0).await;
     let agent = fleet.targets[0].agent.address;
     assert_eq!(ask_agent(agent, 0).await, None, "it serves before");
     for (round, drain) in [(1, true), (2, false)] {
@@ -166,7 +164,7 @@
 
 #[actix_rt::test]
 async fn an_entry_that_is_told_to_stop_serves_on_and_finishes_its_streams() {
-    let mut fleet = serving(Plan { entries: 2, engines: 2, services: 0, ..Plan::default() }).await;
+    let mut fleet = serving(2, 2, 0).await;
     let keep = Call::get(fleet.entry(1), "/v1/addresses").send().await.expect("an answer");
     let keep = keep_of(&keep.json()["addresses"][0]);
     let (streamed, _) = long_stream(&fleet).await;
@@ -303,7 +301,7 @@
 #[actix_rt::test]
 async fn a_rolling_restart_of_every_agent_and_entry_loses_and_doubles_nothing() {
     const CALLERS: usize = 8;
-    let mut fleet = serving(Plan { entries: 3, engines: 2, services: 2, ..Plan::default() }).await;
+    let mut fleet = serving(3, 2, 2).await;
     let addresses: Vec<SocketAddr> = (0..3).map(|index| fleet.entry(index)).collect();
     let stop = std::cell::Cell::new(false);
     let call = async |caller: usize| {
