--- a/tests/common/streams.rs
+++ b/tests/common/streams.rs
@@ -14,6 +14,7 @@
 use serde_json::Value;
 use standins::engine::messages::Runs;
 use standins::fleet::{self, Fleet, Target};
+use standins::pipe::Pipe;
 
 use crate::common::{self, Call};
 
@@ -137,6 +138,17 @@
     Some(Streamed::open(entry, prompt, tokens).await?.finish().await)
 }
 
+/// Puts a pipe between the entries and each agent; the resources are declared afterwards.
+pub async fn pipe_links(fleet: &mut Fleet) -> Vec<Pipe> {
+    let mut pipes = Vec::new();
+    for target in &mut fleet.targets {
+        let pipe = Pipe::start(target.agent.address).await.expect("a port is free");
+        target.link = pipe.address;
+        pipes.push(pipe);
+    }
+    pipes
+}
+
 /// Returns the place of a target in its fleet.
 pub fn index_of(fleet: &Fleet, name: &str) -> usize {
     let found = fleet.targets.iter().position(|target| target.name == name);
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -33,12 +33,7 @@
 /// Starts a fleet with a pipe between the entry and each agent.
 async fn piped_links(engines: usize, services: usize) -> (Fleet, Vec<Pipe>) {
     let mut fleet = Fleet::start(&plan(engines, services)).expect("the fleet starts");
-    let mut pipes = Vec::new();
-    for target in &mut fleet.targets {
-        let pipe = Pipe::start(target.agent.address).await.expect("a port is free");
-        target.link = pipe.address;
-        pipes.push(pipe);
-    }
+    let pipes = streams::pipe_links(&mut fleet).await;
     common::declare_and_wait(&fleet).await;
     (fleet, pipes)
 }
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use awc::http::StatusCode;
 use common::streams::{self, Streamed};
 use futures_util::{StreamExt as _, future, stream};
@@ -13,6 +15,8 @@
 const TOKEN_MS: &str = "20";
 /// Tokens that are read before a fault.
 const BEFORE_FAULT: usize = 10;
+/// Well below the deadline of a link.
+const LINK_DELAY: Duration = Duration::from_millis(30);
 const TOKENS: usize = 60;
 /// Requests of one customer in flight at an entry, below what its policy allows.
 const CONCURRENT: usize = 60;
@@ -53,6 +57,19 @@
     streamed.finish().await.assert_whole("shift log", TOKENS);
 }
 
+#[actix_rt::test]
+async fn a_stream_goes_on_after_its_slow_link_is_cut() {
+    let engine_arguments = vec!["--token-ms".to_owned(), TOKEN_MS.to_owned()];
+    let plan = Plan { engines: 2, services: 0, engine_arguments, ..Plan::default() };
+    let mut fleet = Fleet::start(&plan).expect("the fleet starts");
+    let pipes = streams::pipe_links(&mut fleet).await;
+    common::declare_and_wait(&fleet).await;
+    pipes.iter().for_each(|pipe| pipe.set_delay(LINK_DELAY));
+    let (streamed, target) = under_way(&fleet, "shift log").await;
+    pipes[target].cut();
+    streamed.finish().await.assert_whole("shift log", TOKENS);
+}
+
 #[actix_rt::test]
 async fn a_stream_cut_again_and_again_is_whole_or_ends_with_an_error() {
     let fleet = start(4, "2").await;
