--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -8,6 +8,8 @@
 mod log_events;
 #[path = "documentation/problems.rs"]
 mod problems;
+#[path = "documentation/proofs.rs"]
+mod proofs;
 #[path = "documentation/settings.rs"]
 mod settings;
 
