--- a/src/agent/options.rs
+++ b/src/agent/options.rs
@@ -56,6 +56,7 @@
         suspect_patience: Duration::from_millis(queue.suspect_patience_ms),
         fingerprint_ttl: Duration::from_millis(queue.fingerprint_ttl_ms),
         kept_bytes: queue.kept_bytes,
+        drop_duplicates: true,
         order: world::QueueOrder::Fair,
         claims: claims(settings, incarnation),
     }
--- a/src/agent/world.rs
+++ b/src/agent/world.rs
@@ -43,6 +43,8 @@
     pub fingerprint_ttl: Duration,
     /// Bytes of answers that are kept for resends.
     pub kept_bytes: u64,
+    /// Off only in proofs: starts nothing for the second copy of an attempt.
+    pub drop_duplicates: bool,
     /// The order of the queue.
     pub order: QueueOrder,
     /// How claims are saved.
@@ -236,6 +238,9 @@
 
     /// Remembers what became of an attempt.
     pub(crate) fn remember(&mut self, id: wire::AttemptId, seen: tables::Seen) {
+        if !self.options.drop_duplicates {
+            return;
+        }
         self.seen.set(id, seen, SEEN_ATTEMPTS);
     }
 
--- a/tests/agent_core.rs
+++ b/tests/agent_core.rs
@@ -47,6 +47,7 @@
             suspect_patience: Duration::from_secs(1),
             fingerprint_ttl: Duration::from_secs(60),
             kept_bytes: 0,
+            drop_duplicates: true,
             order: world::QueueOrder::Fair,
             claims: world::ClaimOptions {
                 check: world::ClaimCheck::Saved,
--- a/tests/common/claims_model.rs
+++ b/tests/common/claims_model.rs
@@ -389,6 +389,7 @@
         suspect_patience: Duration::from_millis(50),
         fingerprint_ttl: Duration::from_secs(1),
         kept_bytes: 25,
+        drop_duplicates: true,
         order: world::QueueOrder::Fair,
         claims: world::ClaimOptions {
             check,
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -216,7 +216,8 @@
     ]
 }
 
-fn view(targets: usize) -> view::View {
+/// Returns a configuration with so many targets of each service.
+pub fn view(targets: usize) -> view::View {
     let hash = "07".repeat(32);
     let mut resources = vec![
         ("customer", "plant".to_owned(), json!({ "key_sha256": hash })),
--- /dev/null
+++ b/tests/common/matrix/agent.rs
@@ -0,0 +1,289 @@
+//! One agent: its core, and the answers that it passes on, as its actor handles them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, SystemTime};
+
+use bitternwall::agent::events::{Effect, Event, Failure, JobId, Probe, Subscriber};
+use bitternwall::agent::{config_view, shard, world};
+use bitternwall::resources::kinds;
+use bitternwall::wire;
+use bitternwall::wire::frame;
+use bitternwall::wire::server::LinkId;
+use bytes::Bytes;
+
+use super::Mechanisms;
+use super::target;
+use crate::claim_store_model::SERVICE;
+
+/// The revision that the model's configuration has.
+const REVISION: u64 = 9;
+const SHARDS: u32 = 2;
+const RETENTION_MS: u64 = 10_000_000;
+
+/// Out is what an agent did.
+#[derive(Debug)]
+pub enum Out {
+    Frame(LinkId, frame::Kind),
+    HandOn(JobId, Box<wire::StartAttempt>, Vec<wire::AttemptId>),
+    /// One more attempt waits for a job that was handed on.
+    Joined(wire::AttemptId),
+    Abort(JobId),
+    Call(Effect),
+    Probe,
+    Beat,
+}
+
+#[derive(Debug, Default)]
+struct Answer {
+    streamed: Option<bool>,
+    pieces: Vec<Bytes>,
+    complete: Option<bool>,
+    keep: bool,
+    forgotten: bool,
+}
+
+#[derive(Debug)]
+struct Follower {
+    job: JobId,
+    to: Subscriber,
+    head_sent: bool,
+    next: usize,
+}
+
+/// AgentSide is one life of an agent.
+pub struct AgentSide {
+    pub world: world::AgentWorld,
+    pub life: u64,
+    pub out: Vec<Out>,
+    /// When it was told to drain.
+    pub drains_since: Option<u64>,
+    /// When each attempt came first.
+    pub first_seen: BTreeMap<(u64, u64), u64>,
+    /// What happened since the last tick.
+    pub events: Vec<Event>,
+    answers: BTreeMap<JobId, Answer>,
+    followers: Vec<Follower>,
+    exchanges: BTreeSet<JobId>,
+}
+
+impl AgentSide {
+    /// Returns an agent that knows nothing yet.
+    pub fn new(life: u64, mechanisms: &Mechanisms) -> Self {
+        Self {
+            world: world::AgentWorld::new(options(life, mechanisms)),
+            life,
+            out: Vec::new(),
+            drains_since: None,
+            first_seen: BTreeMap::new(),
+            events: Vec::new(),
+            answers: BTreeMap::new(),
+            followers: Vec::new(),
+            exchanges: BTreeSet::new(),
+        }
+    }
+
+    /// Takes a frame of an entry.
+    pub fn frame(&mut self, now: u64, link: LinkId, kind: frame::Kind) {
+        match kind {
+            frame::Kind::StartAttempt(request) => {
+                let id = request.id.expect("entries number their attempts");
+                self.first_seen.entry((id.incarnation, id.counter)).or_insert(now);
+                self.events.push(Event::Start { link, request: Box::new(request) });
+            }
+            frame::Kind::CancelAttempt(wire::CancelAttempt { id: Some(id) }) => {
+                self.followers.retain(|follower| follower.to.id != id);
+                self.events.push(Event::Cancel(id));
+            }
+            frame::Kind::Heartbeat(heartbeat) if !heartbeat.fingerprints.is_empty() => {
+                self.events.push(Event::RefusedFingerprints(heartbeat.fingerprints));
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes what the target did with a job.
+    pub fn target(&mut self, job: JobId, event: target::Event) {
+        if !self.exchanges.contains(&job) {
+            return;
+        }
+        let Some(answer) = self.answers.get_mut(&job) else { return };
+        match event {
+            target::Event::Head { streamed } => {
+                answer.streamed = Some(streamed);
+                self.events.push(Event::Head(job));
+            }
+            target::Event::Piece(data) => answer.pieces.push(data),
+            target::Event::End => {
+                answer.complete.get_or_insert(true);
+                answer.forgotten = !answer.keep;
+                let bytes = answer.pieces.iter().map(Bytes::len).sum::<usize>();
+                let bytes = u64::try_from(bytes).expect("answers are short");
+                self.exchanges.remove(&job);
+                self.events.push(Event::Ended { job, bytes, tokens: None });
+            }
+            target::Event::Broken => self.failed(job, Failure::Broken),
+        }
+    }
+
+    /// Takes in that the target took no connection.
+    pub fn unreachable(&mut self, job: JobId) {
+        self.answers.remove(&job);
+        self.failed(job, Failure::Unreachable);
+    }
+
+    /// Takes the outcome of a probe.
+    pub fn probed(&mut self, probe: Probe) {
+        self.events.push(Event::Probed(probe));
+    }
+
+    /// Runs the core over what happened and passes answers on.
+    pub fn tick(&mut self, now: u64, wall: Duration) {
+        let clock = Duration::from_millis(now);
+        let mut events = vec![Event::Config(config_view::ConfigView {
+            revision: REVISION,
+            drain: false,
+            kind: Some(kinds::ServiceKind::Plain),
+            claim_shards: SHARDS,
+            heard_at: clock,
+        })];
+        events.append(&mut self.events);
+        let mut effects = Vec::new();
+        self.world.tick(clock, SystemTime::UNIX_EPOCH + wall, events, &mut effects);
+        effects.into_iter().for_each(|effect| self.perform(effect));
+        self.pass_on();
+    }
+
+    /// Returns the heartbeat that entries get.
+    pub fn heartbeat(&self) -> frame::Kind {
+        frame::Kind::Heartbeat(wire::Heartbeat {
+            draining: self.world.draining(),
+            load: Some(self.world.load()),
+            fingerprints: self.world.crash_reports(),
+            ..wire::Heartbeat::default()
+        })
+    }
+
+    fn failed(&mut self, job: JobId, failure: Failure) {
+        self.exchanges.remove(&job);
+        self.events.push(Event::Failed { job, failure });
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Refuse { to, reason, executed, retry_after } => {
+                self.followers.retain(|follower| follower.to.id != to.id);
+                let refusal = wire::Refusal {
+                    id: Some(to.id),
+                    reason: reason.into(),
+                    executed: executed.into(),
+                    retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+                };
+                self.out.push(Out::Frame(to.link, frame::Kind::Refusal(refusal)));
+            }
+            Effect::HandOn { job, request, subscribers, keep } => {
+                self.answers.insert(job, Answer { keep, ..Answer::default() });
+                self.exchanges.insert(job);
+                subscribers.iter().for_each(|to| self.follow(job, *to));
+                let waiting = subscribers.iter().map(|to| to.id).collect();
+                self.out.push(Out::HandOn(job, request, waiting));
+            }
+            Effect::Attach { job, to } => {
+                self.follow(job, to);
+                self.out.push(Out::Joined(to.id));
+            }
+            Effect::Abort(job) => {
+                self.exchanges.remove(&job);
+                self.answers.remove(&job);
+                self.followers.retain(|follower| follower.job != job);
+                self.out.push(Out::Abort(job));
+            }
+            Effect::EndIncomplete { job, .. } => {
+                if let Some(answer) = self.answers.get_mut(&job) {
+                    answer.complete = Some(false);
+                }
+                self.pass_on();
+                self.answers.remove(&job);
+            }
+            Effect::Forget(job) => {
+                if let Some(answer) = self.answers.get_mut(&job) {
+                    answer.forgotten = true;
+                }
+            }
+            Effect::ReadLayout { .. } | Effect::ReadShard { .. } | Effect::Commit { .. } => {
+                self.out.push(Out::Call(effect));
+            }
+            Effect::Probe => self.out.push(Out::Probe),
+            Effect::Beat => self.out.push(Out::Beat),
+            Effect::Drained => {}
+        }
+    }
+
+    fn follow(&mut self, job: JobId, to: Subscriber) {
+        self.followers.push(Follower { job, to, head_sent: false, next: 0 });
+    }
+
+    fn pass_on(&mut self) {
+        let (answers, out) = (&self.answers, &mut self.out);
+        self.followers.retain_mut(|follower| match answers.get(&follower.job) {
+            Some(answer) => follower.send(answer, out),
+            None => false,
+        });
+        let followed = |job: &JobId| self.followers.iter().any(|follower| follower.job == *job);
+        self.answers.retain(|job, answer| !answer.forgotten || followed(job));
+    }
+}
+
+impl Follower {
+    /// Sends what is there and returns true while more is to come.
+    fn send(&mut self, answer: &Answer, out: &mut Vec<Out>) -> bool {
+        let id = Some(self.to.id);
+        let mut emit = |kind| out.push(Out::Frame(self.to.link, kind));
+        if let Some(streamed) = answer.streamed.filter(|_| !self.head_sent) {
+            self.head_sent = true;
+            emit(frame::Kind::AnswerHead(wire::AnswerHead {
+                id,
+                status: 200,
+                headers: headers(streamed),
+            }));
+        }
+        while let Some(data) = answer.pieces.get(self.next).cloned() {
+            let index = u64::try_from(self.next).expect("pieces are few");
+            emit(frame::Kind::AnswerBody(wire::AnswerBody { id, index, data }));
+            self.next += 1;
+        }
+        let Some(complete) = answer.complete else { return true };
+        let pieces = u64::try_from(self.next).expect("pieces are few");
+        let length = answer.pieces.iter().map(Bytes::len).sum::<usize>();
+        let length = u64::try_from(length).expect("answers are short");
+        emit(frame::Kind::AnswerEnd(wire::AnswerEnd { id, pieces, length, complete }));
+        false
+    }
+}
+
+fn headers(streamed: bool) -> Vec<wire::Header> {
+    let value = if streamed { "text/event-stream" } else { "text/plain" };
+    vec![wire::Header { name: "content-type".to_owned(), value: value.to_owned() }]
+}
+
+fn options(life: u64, mechanisms: &Mechanisms) -> world::Options {
+    world::Options {
+        slots: 2,
+        max_queued: 64,
+        max_wait: Duration::from_secs(2),
+        freshness: Duration::from_secs(3),
+        retry_after: Duration::from_millis(10),
+        suspect_patience: Duration::from_millis(50),
+        fingerprint_ttl: Duration::from_secs(60),
+        kept_bytes: 1 << 20,
+        drop_duplicates: mechanisms.drop_duplicates,
+        order: world::QueueOrder::Fair,
+        claims: world::ClaimOptions {
+            check: mechanisms.claims,
+            service: SERVICE.to_owned(),
+            incarnation: life,
+            spacing: Duration::from_millis(20),
+            limits: shard::Limits { retention_ms: RETENTION_MS, bucket_ms: 1_000 },
+            max_ahead: 4,
+        },
+    }
+}
--- /dev/null
+++ b/tests/common/matrix/entry.rs
@@ -0,0 +1,249 @@
+//! One entry: its core, and the frames and pieces around it, as its actor handles them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitternwall::config::view;
+use bitternwall::entry::core::events::{Effect, Event, NewRequest, StartAttempt};
+use bitternwall::entry::core::tables::{AttemptNumber, RequestId};
+use bitternwall::entry::core::{EntryWorld, Options, crashes};
+use bitternwall::entry::outbound::{self, Outbound};
+use bitternwall::entry::{frames, relay};
+use bitternwall::wire;
+use bitternwall::wire::frame;
+use tokio::sync::mpsc;
+
+use super::Mechanisms;
+
+/// Retries that may be saved up.
+pub const RETRY_BURST: f64 = 4.0;
+/// Retries allowed for each first try.
+pub const RETRY_SHARE: f64 = 0.1;
+/// A burst that bounds nothing.
+const UNBOUNDED_BURST: f64 = 1_000.0;
+
+struct Open {
+    relay: relay::Relay,
+    outbound: Outbound,
+    pieces: mpsc::UnboundedReceiver<relay::Piece>,
+}
+
+/// Out is what an entry did.
+#[derive(Debug)]
+pub enum Out {
+    /// It sent a frame to the agent before a target.
+    Frame(String, frame::Kind),
+    /// It made an attempt.
+    Attempt(RequestId, wire::AttemptId),
+    /// Its caller got a piece of the answer.
+    Piece(RequestId, relay::Piece),
+}
+
+/// EntrySide is one life of an entry.
+pub struct EntrySide {
+    pub world: EntryWorld,
+    pub life: u64,
+    /// First tries.
+    pub submitted: u32,
+    /// All tries.
+    pub started: u32,
+    pub out: Vec<Out>,
+    now: Duration,
+    open: BTreeMap<RequestId, Open>,
+    waiting: BTreeMap<AttemptNumber, RequestId>,
+    piece_numbers: bool,
+    /// Pieces and bytes of each attempt in the order of their arrival.
+    arrived: BTreeMap<AttemptNumber, (u64, u64)>,
+}
+
+impl EntrySide {
+    /// Returns an entry with a configuration in force.
+    pub fn new(life: u64, now: Duration, view: Arc<view::View>, mechanisms: &Mechanisms) -> Self {
+        let burst = if mechanisms.retry_budget { RETRY_BURST } else { UNBOUNDED_BURST };
+        let options = Options {
+            data_centre: "kafr".to_owned(),
+            seed: life,
+            retry_share: RETRY_SHARE,
+            retry_burst: burst,
+            ejection: Duration::from_millis(100),
+            slow_start: Duration::from_millis(200),
+            remember_runs: mechanisms.remember_runs,
+            refuse_crashing: mechanisms.refuse_crashing,
+            ..Options::default()
+        };
+        let mut entry = Self {
+            world: EntryWorld::new(options),
+            life,
+            submitted: 0,
+            started: 0,
+            out: Vec::new(),
+            now,
+            open: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            piece_numbers: mechanisms.piece_numbers,
+            arrived: BTreeMap::new(),
+        };
+        entry.tick(now, vec![Event::ConfigChanged(view), Event::MayServeUntil(Duration::MAX)]);
+        entry
+    }
+
+    /// Takes a caller's request.
+    pub fn submit(&mut self, now: Duration, request: NewRequest, outbound: Outbound) {
+        let (tx, pieces) = mpsc::unbounded_channel();
+        let relay = relay::Relay::new(tx);
+        self.submitted += 1;
+        self.open.insert(request.id, Open { relay, outbound, pieces });
+        self.tick(now, vec![Event::Submitted(request)]);
+    }
+
+    /// Takes a frame of the agent before a target.
+    pub fn frame(&mut self, now: Duration, target: &str, kind: frame::Kind) {
+        self.now = now;
+        match kind {
+            frame::Kind::Heartbeat(heartbeat) => {
+                let report = frames::target_report(&heartbeat);
+                let heard = Event::CrashesHeard(frames::crash_reports(&heartbeat));
+                let target = target.to_owned();
+                self.tick(now, vec![heard, Event::Heartbeat { target, report }]);
+            }
+            frame::Kind::AnswerHead(head) => {
+                let status = u16::try_from(head.status).unwrap_or_default();
+                let headers = outbound::pairs(head.headers);
+                self.relay(head.id, |relay, id| relay.head(id, status, headers));
+            }
+            frame::Kind::AnswerBody(body) => {
+                let index = self.piece_index(&body);
+                self.relay(body.id, |relay, id| relay.body(id, index, body.data));
+            }
+            frame::Kind::AnswerEnd(end) => {
+                let (pieces, length) = self.counts(&end);
+                self.relay(end.id, |relay, id| relay.end(id, pieces, length, end.complete));
+            }
+            frame::Kind::Refusal(refusal) => {
+                if let Some(attempt) = self.own_attempt(refusal.id) {
+                    self.waiting.remove(&attempt);
+                    self.tick(now, frames::refused(&refusal).into_iter().collect());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Hands events to the core and does what it asks for.
+    pub fn tick(&mut self, now: Duration, events: Vec<Event>) {
+        self.now = now;
+        let mut effects = Vec::new();
+        self.world.tick(now, events, &mut effects);
+        effects.into_iter().for_each(|effect| self.carry_out(effect));
+        self.drain();
+    }
+
+    /// Returns what agents are told of crashing bodies.
+    pub fn heartbeat(&self, now: Duration) -> frame::Kind {
+        let reports = crashes::reports(&self.world.tables, now).into_iter();
+        let fingerprints = reports.map(|report| wire::Fingerprint {
+            hash: report.fingerprint,
+            ttl_ms: u64::try_from(report.ttl.as_millis()).unwrap_or(u64::MAX),
+            crash_ids: report.crash_ids,
+        });
+        frame::Kind::Heartbeat(wire::Heartbeat {
+            fingerprints: fingerprints.collect(),
+            ..wire::Heartbeat::default()
+        })
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Start(start) => self.start(&start),
+            Effect::Cancel { attempt, target } => {
+                self.waiting.remove(&attempt);
+                let cancel = wire::CancelAttempt { id: Some(self.id(attempt)) };
+                self.out.push(Out::Frame(target, frame::Kind::CancelAttempt(cancel)));
+            }
+            Effect::Refuse { request, refusal } | Effect::Break { request, refusal } => {
+                self.drain();
+                if let Some(mut open) = self.open.remove(&request) {
+                    open.relay.refuse(refusal);
+                    drain(&mut self.out, request, &mut open);
+                }
+            }
+            Effect::Finish { request } => {
+                self.drain();
+                self.open.remove(&request);
+            }
+        }
+    }
+
+    fn start(&mut self, start: &StartAttempt) {
+        let id = self.id(start.attempt);
+        let Some(open) = self.open.get_mut(&start.request) else { return };
+        self.started += 1;
+        self.waiting.insert(start.attempt, start.request);
+        open.relay.begin(start.attempt, &start.target);
+        let resume_from = start.resume.then(|| open.relay.tokens());
+        let frame = open.outbound.frame(start, self.life, resume_from);
+        self.out.push(Out::Attempt(start.request, id));
+        self.out.push(Out::Frame(start.target.clone(), frame::Kind::StartAttempt(frame)));
+    }
+
+    fn relay(
+        &mut self,
+        id: Option<wire::AttemptId>,
+        step: impl FnOnce(&mut relay::Relay, AttemptNumber) -> relay::Step,
+    ) {
+        let Some(attempt) = self.own_attempt(id) else { return };
+        let Some(open) = self.waiting.get(&attempt).and_then(|id| self.open.get_mut(id)) else {
+            return;
+        };
+        let event = match step(&mut open.relay, attempt) {
+            relay::Step::Nothing => {
+                self.drain();
+                return;
+            }
+            relay::Step::PassedOn => Event::PassedOn(attempt),
+            relay::Step::Answered => Event::Answered(attempt),
+            relay::Step::Broken => Event::AnswerBroken(attempt),
+        };
+        if !matches!(event, Event::PassedOn(_)) {
+            self.waiting.remove(&attempt);
+        }
+        self.tick(self.now, vec![event]);
+    }
+
+    fn id(&self, attempt: AttemptNumber) -> wire::AttemptId {
+        wire::AttemptId { incarnation: self.life, counter: attempt.0 }
+    }
+
+    fn own_attempt(&self, id: Option<wire::AttemptId>) -> Option<AttemptNumber> {
+        let id = id.filter(|id| id.incarnation == self.life)?;
+        Some(AttemptNumber(id.counter))
+    }
+
+    fn piece_index(&mut self, body: &wire::AnswerBody) -> u64 {
+        let Some(attempt) = self.own_attempt(body.id) else { return body.index };
+        let (pieces, bytes) = self.arrived.entry(attempt).or_default();
+        let index = if self.piece_numbers { body.index } else { *pieces };
+        *pieces += 1;
+        *bytes += u64::try_from(body.data.len()).unwrap_or(u64::MAX);
+        index
+    }
+
+    fn counts(&self, end: &wire::AnswerEnd) -> (u64, u64) {
+        let arrived = self.own_attempt(end.id).and_then(|attempt| self.arrived.get(&attempt));
+        let believed = (end.pieces, end.length);
+        if self.piece_numbers { believed } else { arrived.copied().unwrap_or(believed) }
+    }
+
+    fn drain(&mut self) {
+        for (request, open) in &mut self.open {
+            drain(&mut self.out, *request, open);
+        }
+    }
+}
+
+fn drain(out: &mut Vec<Out>, request: RequestId, open: &mut Open) {
+    while let Ok(piece) = open.pieces.try_recv() {
+        out.push(Out::Piece(request, piece));
+    }
+}
--- a/tests/common/queue_model.rs
+++ b/tests/common/queue_model.rs
@@ -165,6 +165,7 @@
         suspect_patience: Duration::from_secs(1),
         fingerprint_ttl: Duration::from_secs(60),
         kept_bytes: 0,
+        drop_duplicates: true,
         order,
         claims: world::ClaimOptions {
             check: world::ClaimCheck::Saved,
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -160,7 +160,8 @@
 async fn an_entry_that_is_told_to_stop_serves_on_and_finishes_its_streams() {
     let mut fleet = serving(Plan { entries: 2, engines: 2, services: 0, ..Plan::default() }).await;
     let keep = Call::get(fleet.entry(1), "/v1/addresses").send().await.expect("an answer");
-    let keep = Duration::from_millis(keep.json()["addresses"][0]["keep_ms"].as_u64().expect("a time"));
+    let keep =
+        Duration::from_millis(keep.json()["addresses"][0]["keep_ms"].as_u64().expect("a time"));
     let (streamed, _) = long_stream(&fleet).await;
     let told = Instant::now();
     fleet.entries[0].process.signal("TERM").expect("the entry is told to stop");
@@ -197,7 +198,8 @@
             let listed = document["addresses"].as_array().cloned().unwrap_or_default();
             let parse = |entry: &Value| entry["address"].as_str()?.parse().ok();
             self.addresses = listed.iter().filter_map(parse).collect();
-            let keep = document["addresses"][0]["addresses"][0]["keep_ms"].as_u64().expect("a time");
+            let keep =
+                document["addresses"][0]["addresses"][0]["keep_ms"].as_u64().expect("a time");
             self.until = Instant::now() + Duration::from_millis(keep);
             return;
         }
