--- a/tests/common/matrix/callers.rs
+++ b/tests/common/matrix/callers.rs
@@ -11,6 +11,8 @@
 
 /// Milliseconds after which a caller sends again.
 const RESEND_MS: u64 = 150;
+/// All requests begin alike, so that they queue before the same target.
+const AFFINITY: u64 = 7;
 /// Times that a caller sends a request that may not be repeated.
 const MAX_SENDS: usize = 6;
 
@@ -186,7 +188,7 @@
         idempotency_key: Some(number.to_string()),
         timeout: Some(TIMEOUT),
         estimated_tokens: 1,
-        affinity: number,
+        affinity: AFFINITY,
         fingerprint: number,
         resumable: kind == Kind::Streamed,
     };
--- a/tests/common/matrix/entry.rs
+++ b/tests/common/matrix/entry.rs
@@ -17,7 +17,7 @@
 use super::Mechanisms;
 
 /// Retries that may be saved up.
-pub const RETRY_BURST: f64 = 4.0;
+pub const RETRY_BURST: f64 = 2.0;
 /// Retries allowed for each first try.
 pub const RETRY_SHARE: f64 = 0.1;
 /// A burst that bounds nothing.
--- a/tests/common/matrix/lives.rs
+++ b/tests/common/matrix/lives.rs
@@ -84,7 +84,8 @@
     /// Notes that an agent saves the claim of the row's request.
     pub fn note_call(&mut self, agent: usize, effect: &Effect) {
         let queued = self.plan.reached.contains_key(&Step::Queued);
-        if queued && agent == self.plan.victim && matches!(effect, Effect::Commit { .. }) {
+        let waits = queued && !self.plan.reached.contains_key(&Step::HandedOn);
+        if waits && agent == self.plan.victim && matches!(effect, Effect::Commit { .. }) {
             self.reach(Step::Claimed);
         }
     }
@@ -95,7 +96,6 @@
         if !self.callers.is_of(call, self.main) {
             return;
         }
-        self.reach(Step::Answering);
         if !self.callers.submissions[call].ends.is_empty() {
             self.reach(Step::Answered);
         }
--- a/tests/common/matrix/rows.rs
+++ b/tests/common/matrix/rows.rs
@@ -74,7 +74,7 @@
     Running,
     /// The first part of the answer is out.
     Answering,
-    /// The answer is whole.
+    /// The end of the answer is about to arrive.
     Answered,
 }
 
--- a/tests/common/matrix/site.rs
+++ b/tests/common/matrix/site.rs
@@ -24,6 +24,8 @@
 const START_MS: u64 = 10_000;
 /// When the row's request is sent; every link is up by then.
 const REQUEST_MS: u64 = START_MS + 300;
+/// The entries of requests that are sent just before the row's.
+const BESIDE: [usize; 3] = [1, 0, 1];
 /// Milliseconds after the faults within which all is well again.
 const RECOVERY_MS: u64 = 1_000;
 /// Milliseconds after the faults after which nobody sends any more.
@@ -89,8 +91,9 @@
     /// Returns a site that is about to meet a row's faults.
     pub fn new(row: &Row, plan: &Plan, view: &Arc<view::View>, mechanisms: Mechanisms) -> Self {
         let mut callers = Callers::default();
-        callers.add(row.kind, 1, REQUEST_MS - TICK_MS, true);
-        callers.add(row.kind, 0, REQUEST_MS - TICK_MS, true);
+        for entry in BESIDE {
+            callers.add(row.kind, entry, REQUEST_MS - TICK_MS, true);
+        }
         let main = callers.add(row.kind, 0, REQUEST_MS, true);
         let faults = Faults::new(&row.faults, plan);
         let mut site = Self {
@@ -158,7 +161,8 @@
         if !self.callers.at_rest() {
             return Err("a call never ended".to_owned());
         }
-        self.callers.check_ends((self.ledger.crashes > 0).then_some(self.main))
+        let crashes = self.ledger.crashes + self.ledger.hidden_crashes;
+        self.callers.check_ends((crashes > 0).then_some(self.main))
     }
 
     fn tick(&mut self) -> Result<(), String> {
@@ -207,6 +211,11 @@
         }
     }
 
+    /// Returns true while an agent can tell what became of its target.
+    pub fn can_tell(&self, agent: usize) -> bool {
+        self.agents[agent].is_some() && !self.is_paused(agent)
+    }
+
     fn is_paused(&self, agent: usize) -> bool {
         self.paused_until[agent] > self.now
     }
@@ -310,6 +319,9 @@
         faults::crash(self, self.main);
         for index in 0..AGENTS {
             for ((life, job), event) in self.targets[index].tick(self.now) {
+                if self.targets[index].has_answered(self.main) {
+                    self.reach(Step::Answering);
+                }
                 if let Some(agent) = self.agents[index].as_mut().filter(|agent| agent.life == life)
                 {
                     agent.target(job, event);
--- a/tests/common/matrix/target.rs
+++ b/tests/common/matrix/target.rs
@@ -90,6 +90,11 @@
         self.runs.values().any(|run| run.number == number && run.started + CRASH_MS <= now)
     }
 
+    /// Returns true where a part of a request's answer is out.
+    pub fn has_answered(&self, number: u64) -> bool {
+        self.runs.values().any(|run| run.number == number && run.sent > 0)
+    }
+
     /// Returns what is due of the answers.
     pub fn tick(&mut self, now: u64) -> Vec<(Exchange, Event)> {
         let mut events = Vec::new();
--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -34,8 +34,11 @@
 
 /// Asserts that some row sees that a mechanism is off.
 fn assert_seen(mechanisms: &Mechanisms, sign: &str) {
-    let broken = |kind| violations(kind, &rows::singles(kind), mechanisms);
-    let seen = KINDS.into_iter().any(|kind| broken(kind).iter().any(|what| what.contains(sign)));
+    let reports = |kind: Kind, rows: Vec<Row>| {
+        violations(kind, &rows, mechanisms).iter().any(|what| what.contains(sign))
+    };
+    let seen = KINDS.into_iter().any(|kind| reports(kind, rows::singles(kind)))
+        || KINDS.into_iter().any(|kind| reports(kind, rows::pairs(kind)));
     assert!(seen, "no row reports `{sign}` with {mechanisms:?}");
 }
 
@@ -120,9 +123,13 @@
         for row in rows::singles(kind) {
             let mut site = Site::new(&row, &plan, &view, Mechanisms::default());
             let r = site.run();
-            let main = &site.callers.rows[2];
-            let s: Vec<String> = site.callers.of(main).map(|s| format!("{}:{:?}", s.attempts.len(), s.ends)).collect();
-            println!("{:?} {r:?} runs={} {}", row.faults, site.ledger.runs_of(2), s.join(" | "));
+            let main = &site.callers.rows[3];
+            let s: Vec<String> = site
+                .callers
+                .of(main)
+                .map(|s| format!("{}:{:?}", s.attempts.len(), s.ends))
+                .collect();
+            println!("{:?} {r:?} runs={} {}", row.faults, site.ledger.runs_of(3), s.join(" | "));
         }
     }
 }
