Fault matrix: red rows of its own, and a test that every fault is felt

Cause: the first model let entries tell agents of crashes, which the actors do not do (crashes::reports has no caller), and it counted every death alike.

--- a/tests/common/matrix/rows.rs
+++ b/tests/common/matrix/rows.rs
@@ -96,6 +96,27 @@
     pub faults: Vec<(Fault, Step)>,
 }
 
+/// Deaths after which a body is refused.
+pub const MAX_CRASHES: u64 = 2;
+
+impl Row {
+    /// Returns how many targets a crashing body may take down. A death that the request's entry
+    /// does not hear of, since the agent is gone or cut off, does not count against the body.
+    pub fn max_crashes(&self) -> u64 {
+        let unheard = self.faults.iter().any(|(fault, _)| {
+            matches!(
+                fault,
+                Fault::PauseAgent
+                    | Fault::KillAgent
+                    | Fault::HostGone
+                    | Fault::BlackHole
+                    | Fault::CutLink
+            )
+        });
+        MAX_CRASHES + u64::from(unheard)
+    }
+}
+
 /// Returns every fault at every step.
 pub fn singles(kind: Kind) -> Vec<Row> {
     let row = |fault, step| Row { kind, faults: vec![(fault, step)] };
@@ -116,6 +137,17 @@
     rows
 }
 
+/// Returns a link that is lost while a body crashes targets, at every pair of steps.
+pub fn unheard_crashes(kind: Kind) -> Vec<Row> {
+    let links = [Fault::BlackHole, Fault::CutLink];
+    let steps = STEPS.iter().flat_map(|lost| STEPS.iter().map(move |crash| (*lost, *crash)));
+    let row = |link, (lost, crash)| {
+        let faults = vec![(link, lost), (Fault::CrashingBody, crash)];
+        Row { kind, faults }
+    };
+    steps.flat_map(|steps| links.map(|link| row(link, steps))).collect()
+}
+
 /// Pairs of steps drawn for each pair of faults.
 const PAIR_DRAWS: u64 = 2;
 
