--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -15,7 +15,7 @@
 use crate::entry::accepted::Accepted;
 use crate::entry::core::events::{self as core_events, Effect, Event, NewRequest};
 use crate::entry::core::tables::{AttemptNumber, RequestId};
-use crate::entry::core::{EntryWorld, Options};
+use crate::entry::core::{EntryWorld, Options, crashes};
 use crate::entry::links::{self, Links, SendFrame};
 use crate::entry::membership::Membership;
 use crate::entry::{frames, metrics, outbound, relay};
@@ -123,6 +123,7 @@
                 }
             }
             Effect::Finish { request } => drop(self.requests.remove(&request)),
+            Effect::TellCrashes => self.beat(),
         }
     }
 
@@ -209,6 +210,9 @@
         let Some(member) = self.links.member(process).cloned() else { return };
         let now = self.now();
         let moved = self.parts.membership.hear(&member, heartbeat, &self.links, now);
+        if !heartbeat.fingerprints.is_empty() {
+            self.tick(vec![Event::CrashesHeard(frames::crash_reports(heartbeat))]);
+        }
         if member.role() == wire::Role::Agent {
             self.agent_reported(member.name, heartbeat);
         }
@@ -216,15 +220,10 @@
     }
 
     fn agent_reported(&mut self, target: String, heartbeat: &wire::Heartbeat) {
-        let mut events = Vec::new();
-        if !heartbeat.fingerprints.is_empty() {
-            events.push(Event::CrashesHeard(frames::crash_reports(heartbeat)));
-        }
         if heartbeat.load.is_some() {
             let report = frames::target_report(heartbeat);
-            events.push(Event::Heartbeat { target, report });
+            self.tick(vec![Event::Heartbeat { target, report }]);
         }
-        self.tick(events);
     }
 
     fn refusal(&mut self, refusal: &wire::Refusal) {
@@ -380,7 +379,8 @@
     fn beat(&mut self) {
         let now = self.now();
         let load = u32::try_from(self.world.open_requests()).unwrap_or(u32::MAX);
-        self.parts.membership.beat(load, &self.links, now);
+        let crashes = crashes::reports(&self.world.tables, now);
+        self.parts.membership.beat(load, &crashes, &self.links, now);
     }
 
     fn publish(&self, now: Duration) {
--- a/src/entry/core/events.rs
+++ b/src/entry/core/events.rs
@@ -224,6 +224,8 @@
         /// Which request.
         request: RequestId,
     },
+    /// Tells all other processes at once of the crashes that are known here.
+    TellCrashes,
 }
 
 /// StartAttempt is one try of a request at one target.
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -147,7 +147,9 @@
                 let failure = retry::Failure { cause, executed, retry_after };
                 retry::failed(self, now, attempt, failure, effects);
             }
-            Event::CrashesHeard(reports) => crashes::hear(&mut self.tables, now, &reports),
+            Event::CrashesHeard(reports) => {
+                crashes::hear(&mut self.tables, now, &reports, effects);
+            }
         }
     }
 
@@ -167,10 +169,19 @@
         if let Some(key) = key {
             self.tables.uncertain.settle(key);
         }
+        if ended.alone {
+            self.acquit(ended.request);
+        }
         self.close(ended.request);
         effects.push(Effect::Finish { request: ended.request });
     }
 
+    fn acquit(&mut self, request: RequestId) {
+        let Some(open) = self.tables.requests.get(&request) else { return };
+        let fingerprint = open.submitted.fingerprint;
+        crashes::acquit(&mut self.tables, fingerprint);
+    }
+
     fn abandon(&mut self, now: Duration, request: RequestId, effects: &mut Vec<Effect>) {
         let Some(open) = self.tables.requests.get(&request) else { return };
         let (attempt, may_have_run) = (open.attempt, open.may_have_run);
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use crate::entry::core::events::{AttemptFailure, Effect, Executed, Refusal, RefusalReason};
+use crate::entry::core::events::{
+    AttemptFailure, CrashReport, Effect, Executed, Refusal, RefusalReason,
+};
 use crate::entry::core::tables::{AttemptNumber, Request, RequestId};
 use crate::entry::core::{EntryWorld, crashes, routing, targets};
 
@@ -89,6 +91,7 @@
     if failure.executed != Executed::No && world.options.remember_runs {
         request.may_have_run = true;
     }
+    request.crashed |= failure.cause == AttemptFailure::TargetCrashed;
     note_avoided(request, &ended.target, failure);
     let resumes = request.passed_on;
     let again = may_try_again(world, ended.request, failure) && world.budget.spend(resumes);
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -143,7 +143,7 @@
                 self.meet(&start, fate);
                 self.starts.push(start);
             }
-            Effect::Cancel { .. } => {}
+            Effect::Cancel { .. } | Effect::TellCrashes => {}
             Effect::Refuse { request, refusal } => self.end(request, End::Refused(refusal)),
             Effect::Break { request, refusal } => self.end(request, End::Broken(refusal)),
             Effect::Finish { request } => self.end(request, End::Finished),
@@ -196,7 +196,8 @@
 
 pub const KINDS: [Kind; 3] = [Kind::Idempotent, Kind::NotRepeatable, Kind::Streamed];
 
-fn request(id: RequestId, kind: Kind) -> NewRequest {
+/// Returns a request of the kind, with a body of its own.
+pub fn request(id: RequestId, kind: Kind) -> NewRequest {
     let route = match kind {
         Kind::Streamed => Route::Model { model: "m".to_owned() },
         Kind::Idempotent | Kind::NotRepeatable => Route::Plain {
@@ -228,7 +229,8 @@
     ]
 }
 
-fn view(targets: usize) -> view::View {
+/// Returns a configuration with so many targets of each service.
+pub fn view(targets: usize) -> view::View {
     let hash = "07".repeat(32);
     let mut resources = vec![
         ("customer", "plant".to_owned(), json!({ "key_sha256": hash })),
