--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -6,9 +6,7 @@
 
 use std::time::Duration;
 
-use crate::entry::core::events::{
-    AttemptFailure, CrashReport, Effect, Executed, Refusal, RefusalReason,
-};
+use crate::entry::core::events::{AttemptFailure, Effect, Executed, Refusal, RefusalReason};
 use crate::entry::core::tables::{AttemptNumber, Request, RequestId};
 use crate::entry::core::{EntryWorld, crashes, routing, targets};
 
