A stalled engine's streams are not taken for crashing requests

Cause: the agent counts it as a death where several connections break at once, and gives a stream up after stream_gap_ms without a piece; an engine that stalls could so have its callers' bodies refused as crashing.

--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -5,6 +5,7 @@
 
 mod common;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -141,3 +142,35 @@
     pipes[streams::index_of(&fleet, &streamed.target)].swallow();
     streamed.finish().await.assert_whole(PROMPT, TOKENS);
 }
+
+#[actix_rt::test]
+async fn streams_of_an_engine_that_stalls_are_not_taken_for_crashing_requests() {
+    const STREAMS: usize = 6;
+    const STALLED_TOKENS: usize = 60;
+    let fleet = Fleet::start(&plan(2, 0)).expect("the fleet starts");
+    common::declare_and_wait(&fleet).await;
+    let entry = fleet.entry(0);
+    let stalled = Cell::new(0);
+    for round in 0..3 {
+        let prompts = (0..STREAMS).map(|index| format!("{PROMPT} {index}"));
+        let started = Cell::new(0);
+        let ask = async |prompt: String| {
+            let mut streamed =
+                Streamed::open(entry, &prompt, STALLED_TOKENS).await.expect("an answer");
+            // A body that is taken for the cause of two deaths is refused.
+            assert_eq!(streamed.status, StatusCode::OK, "{prompt} in round {round}");
+            streamed.read_tokens(BEFORE_FAULT).await;
+            started.set(started.get() + 1);
+            let is_stalled = streamed.target == fleet.targets[0].name;
+            stalled.set(stalled.get() + u32::from(is_stalled));
+            streamed.finish().await.assert_whole(&prompt, STALLED_TOKENS);
+        };
+        let stall = async {
+            common::wait_for("every stream", async || started.get() == STREAMS).await;
+            let engine = fleet.targets[0].back_end.address;
+            streams::behave(engine, &json!({ "stall_ms": 4_000 })).await;
+        };
+        futures_util::future::join(futures_util::future::join_all(prompts.map(ask)), stall).await;
+    }
+    assert!(stalled.get() > 3, "several streams stall at once, not {}", stalled.get());
+}
