--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -1,5 +1,6 @@
 //! The HTTP client of the target.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use awc::http::{self, header};
 use bytes::Bytes;
 use futures_util::StreamExt;
-use tokio::net;
+use tokio::{net, time};
 
 use crate::agent::{events, relay, strict_io};
 use crate::wire;
@@ -16,8 +17,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long an idle connection is kept.
 const IDLE: Duration = Duration::from_secs(2);
+/// How long the connection of a probe must stay open to show that the target lives.
+const SETTLE: Duration = Duration::from_millis(50);
 /// Bytes at the end of an answer that are searched for its use of tokens.
 const TAIL_BYTES: usize = 1_024;
+/// The type of an answer that comes token by token.
+const EVENT_STREAM: &str = "text/event-stream";
 /// What stands before the count of tokens that an engine reports.
 const TOKENS_FIELD: &str = "\"total_tokens\":";
 /// Headers that concern one connection only.
@@ -57,17 +62,24 @@
     base_url: Rc<str>,
     probe_path: Option<Rc<str>>,
     probe_timeout: Duration,
+    stream_gap: Duration,
 }
 
 impl TargetClient {
     /// Returns a client of the target at a base address.
-    pub fn new(base_url: &str, probe_path: Option<&str>, probe_timeout: Duration) -> Self {
+    pub fn new(
+        base_url: &str,
+        probe_path: Option<&str>,
+        probe_timeout: Duration,
+        stream_gap: Duration,
+    ) -> Self {
         Self {
             pooled: client(),
             fresh: client(),
             base_url: Rc::from(base_url),
             probe_path: probe_path.map(Rc::from),
             probe_timeout,
+            stream_gap,
         }
     }
 
@@ -97,29 +109,36 @@
         };
         answer.begin(head(&response));
         on_head();
+        let patience = is_event_stream(&response).then_some(self.stream_gap);
         let mut tail = Tail::default();
-        while let Some(piece) = response.next().await {
+        let mut next = response.next().await;
+        while let Some(piece) = next {
             let Ok(piece) = piece else { return Outcome::Failed(events::Failure::Broken) };
             tail.push(&piece);
             answer.push(piece).await;
+            next = match within(patience, response.next()).await {
+                Some(next) => next,
+                None => return Outcome::Failed(events::Failure::Broken),
+            };
         }
         Outcome::Whole { bytes: answer.length(), tokens: tail.tokens() }
     }
 
     /// Asks the target whether it lives.
     pub async fn probe(&self) -> events::Probe {
-        let asked = tokio::time::timeout(self.probe_timeout, self.ask()).await;
+        let asked = time::timeout(self.probe_timeout, self.ask()).await;
         asked.unwrap_or(events::Probe::Silent)
     }
 
     async fn ask(&self) -> events::Probe {
-        let authority = self.base_url.trim_start_matches("http://");
-        match net::TcpStream::connect(authority).await {
-            Ok(_) => {}
-            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return events::Probe::Refused;
-            }
-            Err(_) => return events::Probe::Silent,
+        let mut reached = self.reach().await;
+        if reached == Reached::Lost {
+            reached = self.reach().await;
+        }
+        match reached {
+            Reached::Refused => return events::Probe::Refused,
+            Reached::Lost => return events::Probe::Silent,
+            Reached::Open => {}
         }
         let Some(path) = &self.probe_path else { return events::Probe::Healthy };
         match self.pooled.get(format!("{}{path}", self.base_url)).send().await {
@@ -127,6 +146,51 @@
             _ => events::Probe::Silent,
         }
     }
+
+    /// Connects and sees whether the connection stays open. A process that dies closes its
+    /// connections before its listener, which still takes one that is made between the two.
+    async fn reach(&self) -> Reached {
+        let authority = self.base_url.trim_start_matches("http://");
+        let stream = match net::TcpStream::connect(authority).await {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Reached::Refused;
+            }
+            Err(_) => {
+                time::sleep(SETTLE).await;
+                return Reached::Lost;
+            }
+        };
+        match time::timeout(SETTLE, stream.peek(&mut [0])).await {
+            Ok(Ok(0) | Err(_)) => Reached::Lost,
+            Ok(Ok(_)) | Err(_) => Reached::Open,
+        }
+    }
+}
+
+/// Reached is what came of a connection to the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reached {
+    /// It stays open.
+    Open,
+    /// The target's host refused it.
+    Refused,
+    /// It did not come about, or was closed at once.
+    Lost,
+}
+
+/// Waits for a value; none where it takes longer than the limit. A stream's connection that has
+/// gone silent for good looks open, and only the tokens that fail to come show it.
+async fn within<T>(limit: Option<Duration>, value: impl Future<Output = T>) -> Option<T> {
+    match limit {
+        Some(limit) => time::timeout(limit, value).await.ok(),
+        None => Some(value.await),
+    }
+}
+
+fn is_event_stream<S>(response: &awc::ClientResponse<S>) -> bool {
+    let kind = response.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
 }
 
 fn client() -> awc::Client {
--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -15,7 +15,7 @@
 use crate::entry::accepted::Accepted;
 use crate::entry::core::events::{self as core_events, Effect, Event, NewRequest};
 use crate::entry::core::tables::{AttemptNumber, RequestId};
-use crate::entry::core::{EntryWorld, Options};
+use crate::entry::core::{EntryWorld, Options, crashes};
 use crate::entry::links::{self, Links, SendFrame};
 use crate::entry::membership::Membership;
 use crate::entry::{frames, metrics, outbound, relay};
@@ -126,6 +126,7 @@
                 }
             }
             Effect::Finish { request } => drop(self.requests.remove(&request)),
+            Effect::TellCrashes => self.beat(),
         }
     }
 
@@ -212,6 +213,9 @@
         let Some(member) = self.links.member(process).cloned() else { return };
         let now = self.now();
         let moved = self.parts.membership.hear(&member, heartbeat, &self.links, now);
+        if !heartbeat.fingerprints.is_empty() {
+            self.tick(vec![Event::CrashesHeard(frames::crash_reports(heartbeat))]);
+        }
         if member.role() == wire::Role::Agent {
             self.agent_reported(member.name, heartbeat);
         }
@@ -219,15 +223,10 @@
     }
 
     fn agent_reported(&mut self, target: String, heartbeat: &wire::Heartbeat) {
-        let mut events = Vec::new();
-        if !heartbeat.fingerprints.is_empty() {
-            events.push(Event::CrashesHeard(frames::crash_reports(heartbeat)));
-        }
         if heartbeat.load.is_some() {
             let report = frames::target_report(heartbeat);
-            events.push(Event::Heartbeat { target, report });
+            self.tick(vec![Event::Heartbeat { target, report }]);
         }
-        self.tick(events);
     }
 
     fn refusal(&mut self, refusal: &wire::Refusal) {
@@ -318,9 +317,10 @@
         }
         events::log(events::LINK_UP, format_args!("process={process}"));
         let (role, name, incarnation) = (member.role(), member.name.clone(), member.incarnation);
+        let region = member.region.clone();
         let serial = self.links.up(Arc::clone(process), member, send);
         if role == wire::Role::Agent {
-            self.tick(vec![Event::LinkUp { target: name, incarnation }]);
+            self.tick(vec![Event::LinkUp { target: name, incarnation, region }]);
         }
         if let Some(heartbeat) = &hello.heartbeat {
             self.heartbeat(process, heartbeat, cx);
@@ -395,7 +395,15 @@
     fn beat(&mut self) {
         let now = self.now();
         let load = u32::try_from(self.world.open_requests()).unwrap_or(u32::MAX);
-        self.parts.membership.beat(load, &self.links, now);
+        let crashes = crashes::reports(&self.world.tables, now);
+        self.parts.membership.beat(load, &crashes, &self.links, now);
+    }
+
+    fn publish(&self, now: Duration) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let metrics = &self.parts.metrics;
+        metrics.targets_taking_work.set(gauge(self.world.targets_taking_work(now)));
+        metrics.open_requests.set(gauge(self.world.open_requests()));
     }
 
     fn tick_membership(&mut self, cx: &mut Context<Self>) {
@@ -406,6 +414,7 @@
         }
         let moved = self.parts.membership.tick(&self.links, now);
         self.after_config(moved, cx);
+        self.publish(now);
     }
 }
 
--- a/src/entry/core/crashes.rs
+++ b/src/entry/core/crashes.rs
@@ -7,23 +7,33 @@
 
 use std::time::Duration;
 
-use crate::entry::core::events::CrashReport;
-use crate::entry::core::tables::{Crashes, Tables};
+use crate::entry::core::events::{CrashReport, Effect};
+use crate::entry::core::tables::{Crashes, Request, Tables};
 
 /// Deaths of targets after which a body is refused everywhere.
 pub const MAX_CRASHES: usize = 2;
 
-/// Takes in what another process knows.
-pub fn hear(tables: &mut Tables, now: Duration, reports: &[CrashReport]) {
+/// Takes in what another process knows, and passes on what was not known here: an entry whose link
+/// to the agent is lost would not hear of the death otherwise.
+pub fn hear(
+    tables: &mut Tables,
+    now: Duration,
+    reports: &[CrashReport],
+    effects: &mut Vec<Effect>,
+) {
+    let mut news = false;
     for report in reports {
         let known = tables.crashes.entry(report.fingerprint).or_default();
         known.until = known.until.max(now + report.ttl);
         for id in &report.crash_ids {
             if !known.acquitted.contains(id) {
-                known.suspected.insert(*id);
+                news |= known.suspected.insert(*id);
             }
         }
     }
+    if news {
+        effects.push(Effect::TellCrashes);
+    }
 }
 
 /// Returns how many deaths of targets a body is suspected of.
@@ -31,6 +41,11 @@
     tables.crashes.get(&fingerprint).map_or(0, |known| known.suspected.len())
 }
 
+/// Returns true where a target died while it ran the request or its body.
+pub fn is_suspect(tables: &Tables, request: &Request) -> bool {
+    request.crashed || crashes_of(tables, request.submitted.fingerprint) > 0
+}
+
 /// Clears a body that ran alone and was answered.
 pub fn acquit(tables: &mut Tables, fingerprint: u64) {
     if let Some(known) = tables.crashes.get_mut(&fingerprint) {
--- a/src/entry/core/tables.rs
+++ b/src/entry/core/tables.rs
@@ -6,6 +6,7 @@
 use crate::collections::{Map, Set};
 use crate::config::view;
 use crate::entry::core::events::{NewRequest, TargetReport};
+use crate::entry::core::uncertain::Uncertain;
 
 /// RequestId is the entry's own number for a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -48,6 +49,8 @@
     pub passed_on: bool,
     /// True where an attempt was made of which it is not known that it did not run.
     pub may_have_run: bool,
+    /// True where a target died while it ran an attempt, whether or not that death was reported.
+    pub crashed: bool,
 }
 
 /// Attempt is one try of a request at one target.
@@ -57,6 +60,8 @@
     pub request: RequestId,
     /// Where.
     pub target: String,
+    /// True where it runs alone, so that an answer clears its body.
+    pub alone: bool,
 }
 
 /// Target is what the entry knows of one back end.
@@ -64,6 +69,8 @@
 pub struct Target {
     /// The life of the agent that the link leads to; none while the link is down.
     pub incarnation: Option<u64>,
+    /// The region that it stands in; empty before the first link.
+    pub region: String,
     /// The agent's last report.
     pub report: TargetReport,
     /// Attempts of this entry that are under way there.
@@ -104,6 +111,8 @@
     pub in_flight: Map<String, u32>,
     /// Bodies that were running when targets died, by fingerprint.
     pub crashes: Map<u64, Crashes>,
+    /// Idempotency keys whose operation may have run.
+    pub uncertain: Uncertain,
     /// The next attempt's number.
     pub next_attempt: u64,
 }
--- a/src/entry/frames.rs
+++ b/src/entry/frames.rs
@@ -28,6 +28,16 @@
     heartbeat.fingerprints.iter().map(report).collect()
 }
 
+/// Returns what the own heartbeat says of crashing requests.
+pub fn fingerprints(reports: &[CrashReport]) -> Vec<wire::Fingerprint> {
+    let fingerprint = |report: &CrashReport| wire::Fingerprint {
+        hash: report.fingerprint,
+        ttl_ms: u64::try_from(report.ttl.as_millis()).unwrap_or(u64::MAX),
+        crash_ids: report.crash_ids.clone(),
+    };
+    reports.iter().map(fingerprint).collect()
+}
+
 /// Returns the core's event for an agent's refusal; none where it names no attempt.
 pub fn refused(refusal: &wire::Refusal) -> Option<Event> {
     let attempt = AttemptNumber(refusal.id.as_ref()?.counter);
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -9,8 +9,9 @@
 
 use crate::config::{codec, progress, replica, state};
 use crate::entry::config_source::ConfigSource;
-use crate::entry::force;
+use crate::entry::core::events::CrashReport;
 use crate::entry::links::Links;
+use crate::entry::{force, frames};
 use crate::members::addresses::{self, Address, Own};
 use crate::members::leaving::Leaving;
 use crate::members::table::{self, Listed, Role, Table};
@@ -155,7 +156,8 @@
     }
 
     /// Sends a heartbeat on every link.
-    pub fn beat(&mut self, load: u32, links: &Links, now: Duration) {
+    pub fn beat(&mut self, load: u32, crashes: &[CrashReport], links: &Links, now: Duration) {
+        let fingerprints = frames::fingerprints(crashes);
         self.load = load;
         let beat = self.replica.beat(now);
         let regions = self.progress.summaries(&self.replica, now);
@@ -164,6 +166,7 @@
             let mut heartbeat = wire::Heartbeat {
                 draining: self.leaving.is_some(),
                 load: to_entry.then(|| wire::Load { running: load, ..wire::Load::default() }),
+                fingerprints: fingerprints.clone(),
                 regions: if to_entry { regions.clone() } else { Vec::new() },
                 ..wire::Heartbeat::default()
             };
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -94,9 +94,21 @@
 
     /// Submits one request of the kind.
     pub fn submit(&mut self, kind: Kind, fate: &mut dyn FnMut(&StartAttempt) -> Fate) {
+        let key = self.submitted.to_string();
+        self.submit_under(&key, kind, fate);
+    }
+
+    /// Submits one request under an idempotency key.
+    pub fn submit_under(
+        &mut self,
+        key: &str,
+        kind: Kind,
+        fate: &mut dyn FnMut(&StartAttempt) -> Fate,
+    ) {
         let id = RequestId(self.submitted);
         self.submitted += 1;
-        self.tick(vec![Event::Submitted(request(id, kind))], fate);
+        let request = NewRequest { idempotency_key: Some(key.to_owned()), ..request(id, kind) };
+        self.tick(vec![Event::Submitted(request)], fate);
     }
 
     /// Lets time pass until every deadline is over.
@@ -131,7 +143,7 @@
                 self.meet(&start, fate);
                 self.starts.push(start);
             }
-            Effect::Cancel { .. } => {}
+            Effect::Cancel { .. } | Effect::TellCrashes => {}
             Effect::Refuse { request, refusal } => self.end(request, End::Refused(refusal)),
             Effect::Break { request, refusal } => self.end(request, End::Broken(refusal)),
             Effect::Finish { request } => self.end(request, End::Finished),
@@ -184,7 +196,8 @@
 
 pub const KINDS: [Kind; 3] = [Kind::Idempotent, Kind::NotRepeatable, Kind::Streamed];
 
-fn request(id: RequestId, kind: Kind) -> NewRequest {
+/// Returns a request of the kind, with a body of its own.
+pub fn request(id: RequestId, kind: Kind) -> NewRequest {
     let route = match kind {
         Kind::Streamed => Route::Model { model: "m".to_owned() },
         Kind::Idempotent | Kind::NotRepeatable => Route::Plain {
@@ -211,12 +224,13 @@
     let report =
         TargetReport { running: 0, queued: 0, slots: 8, draining: false, takes_work: true };
     [
-        Event::LinkUp { target: target.to_owned(), incarnation: 1 },
+        Event::LinkUp { target: target.to_owned(), incarnation: 1, region: String::new() },
         Event::Heartbeat { target: target.to_owned(), report },
     ]
 }
 
-fn view(targets: usize) -> view::View {
+/// Returns a configuration with so many targets of each service.
+pub fn view(targets: usize) -> view::View {
     let hash = "07".repeat(32);
     let mut resources = vec![
         ("customer", "plant".to_owned(), json!({ "key_sha256": hash })),
