explain target: why a target gets work or not, as each entry sees it

Cause: an operator could see whether a target is declared and drained, but not why an entry gives it nothing: link, report, ejection, slow start and the preference of the own data centre are known only inside each entry.

Ruled out: an explanation with rules of its own, which would drift from the routing; it calls the routing's own functions for candidates, the preferred data centre, the bound for cached prefixes and the slow start. An answer of one entry for all, since each decides by what it has heard: the command asks every entry.

Change: core::explain over the entry's tables; GET /v1/explain/target/{name} for operators; `bitternwall explain target NAME` as table or JSON. The share is the expected part of the next idempotent requests with different prefixes. EnvelopeError tells its key, by which a skipped declaration is found.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -8,12 +8,13 @@
 use actix_web::http::{Method, StatusCode, header};
 use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::time;
 
 use crate::cli::error::{CliError, Result};
 use crate::cli::options::Connection;
+use crate::entry::explain_api::TargetDocument;
 use crate::resources::documents::{AuditDocument, ChangeDocument, Document, ListDocument};
 use crate::resources::kinds::Kind;
 
@@ -38,6 +39,19 @@
     connection: Connection,
 }
 
+/// EntryView is how one entry sees a target.
+#[derive(Debug, Serialize)]
+pub struct EntryView {
+    /// The address that was asked.
+    pub address: String,
+    /// What it answered.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub explained: Option<TargetDocument>,
+    /// Why it gave no answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub failure: Option<String>,
+}
+
 /// Call is one call, which may be sent several times.
 struct Call {
     method: Method,
@@ -155,6 +169,37 @@
         self.call(&Call::change(Method::DELETE, path, None, Some(version))).await
     }
 
+    /// Asks every entry once why a target gets work or not.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of an entry, or a [`CliError`] where no entry answers.
+    pub async fn explain_target(&self, name: &str) -> Result<Vec<EntryView>> {
+        let call = Call::get(format!("/v1/explain/target/{name}"));
+        let (mut views, mut failure) = (Vec::new(), None);
+        for entry in &self.connection.entries {
+            let failed = match self.exchange(entry, &call).await {
+                Ok(reply) if reply.status.is_success() => {
+                    let (address, explained) = (reply.entry.clone(), Some(decode(&reply)?));
+                    views.push(EntryView { address, explained, failure: None });
+                    continue;
+                }
+                Ok(reply) if !is_temporary(reply.status) => {
+                    return Err(refusal(reply.status, &reply.body));
+                }
+                Ok(reply) => Failure::temporary(reply),
+                Err(failed) => failed,
+            };
+            let (address, reason) = (failed.entry.clone(), failed.reason.clone());
+            views.push(EntryView { address, explained: None, failure: Some(reason) });
+            failure = Some(failed);
+        }
+        if views.iter().any(|view| view.explained.is_some()) {
+            return Ok(views);
+        }
+        Err(failure.map_or_else(no_entry, |failure| failure.into_error(&call)))
+    }
+
     /// Opens a watch at the first entry that takes it.
     ///
     /// # Errors
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -20,6 +20,7 @@
         .subcommand(audit())
         .subcommand(change())
         .subcommand(drain())
+        .subcommand(explain())
         .subcommand(check())
         .subcommand(hash_key())
 }
@@ -125,6 +126,21 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about(
+            "Tells why a target gets work or not and what would change it, as each entry sees it",
+        )
+        .arg(
+            Arg::new("subject")
+                .value_name("KIND")
+                .value_parser(["target"])
+                .required(true)
+                .help("Kind of what is explained"),
+        )
+        .arg(Arg::new("name").value_name("NAME").required(true).help("Name of the target"))
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Checks a settings file without starting anything")
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod command;
 pub mod error;
+mod explain;
 pub mod options;
 mod show;
 mod watch;
@@ -46,6 +47,7 @@
             show::change(&change, output, out)
         }
         Action::Drain { target, drain } => set_drain(&client, &target, drain, output, out).await,
+        Action::ExplainTarget { name } => explain::target(&client, &name, output, out).await,
         Action::HashKey | Action::Check { .. } => Ok(()),
     }
 }
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -83,6 +83,11 @@
         /// False to put it back into service.
         drain: bool,
     },
+    /// `explain target`
+    ExplainTarget {
+        /// The target's name.
+        name: String,
+    },
     /// `check`
     Check {
         /// The daemon that the file is for.
@@ -135,6 +140,7 @@
         "drain" => {
             Action::Drain { target: text(matches, "target")?, drain: !matches.get_flag("undo") }
         }
+        "explain" => Action::ExplainTarget { name: text(matches, "name")? },
         "check" => Action::Check { role: role(matches)?, file: path(matches, "file")? },
         _ => Action::HashKey,
     })
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -96,7 +96,7 @@
     ]
 }
 
-fn table(head: &[&str], rows: Vec<Vec<String>>, out: &mut impl Write) -> Result<()> {
+pub(super) fn table(head: &[&str], rows: Vec<Vec<String>>, out: &mut impl Write) -> Result<()> {
     let head: Vec<_> = head.iter().copied().map(String::from).collect();
     let rows: Vec<_> = std::iter::once(head).chain(rows).collect();
     for row in &rows {
--- a/src/config/envelope.rs
+++ b/src/config/envelope.rs
@@ -69,6 +69,20 @@
     },
 }
 
+impl EnvelopeError {
+    /// Returns the key of the resource that is wrong.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::UnknownKey { key }
+            | Self::Malformed { key, .. }
+            | Self::OtherName { key, .. }
+            | Self::BadKeyHash { key, .. }
+            | Self::Dangling { key, .. }
+            | Self::Duplicate { key, .. } => key,
+        }
+    }
+}
+
 /// Envelope is a stored resource of one kind.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Envelope<S> {
--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -96,7 +96,13 @@
         }
     }
 
-    fn now(&self) -> Duration {
+    /// Returns the core, for those who explain what it does.
+    pub(super) fn world(&self) -> &EntryWorld {
+        &self.world
+    }
+
+    /// Returns the time by which the core decides.
+    pub(super) fn now(&self) -> Duration {
         self.parts.clock.monotonic()
     }
 
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 pub mod deadlines;
 pub mod events;
+pub mod explain;
 pub mod retry;
 pub mod routing;
 pub mod tables;
--- a/src/entry/core/routing.rs
+++ b/src/entry/core/routing.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3;
 
 use crate::entry::core::events::StartAttempt;
-use crate::entry::core::tables::{Attempt, AttemptNumber, ClaimKey, Request, RequestId, Target};
+use crate::entry::core::tables::{Attempt, AttemptNumber, ClaimKey, RequestId, Target};
 use crate::entry::core::{EntryWorld, crashes};
 
 /// How much busier than the mean a target may be and still get a request for its cached prefix.
@@ -55,7 +55,7 @@
 fn choose(world: &mut EntryWorld, now: Duration, id: RequestId) -> Option<String> {
     let draws: (u64, u64) = (world.rng.random(), world.rng.random());
     let request = world.tables.requests.get(&id)?;
-    let mut candidates = candidates(world, now, request);
+    let mut candidates = candidates(world, now, &request.service, &request.avoided);
     if candidates.is_empty() {
         return None;
     }
@@ -82,22 +82,29 @@
 }
 
 /// Candidate is a target that takes new work.
-struct Candidate<'a> {
-    name: &'a str,
+pub(super) struct Candidate<'a> {
+    /// Its name.
+    pub(super) name: &'a str,
     data_centre: &'a str,
     /// Requests there for each slot, raised for a target that is coming back.
-    load: f64,
+    pub(super) load: f64,
     /// Requests there.
-    requests: f64,
+    pub(super) requests: f64,
 }
 
-fn candidates<'a>(world: &'a EntryWorld, now: Duration, request: &Request) -> Vec<Candidate<'a>> {
+/// Returns the targets of a service that take new work, but for those to be avoided.
+pub(super) fn candidates<'a>(
+    world: &'a EntryWorld,
+    now: Duration,
+    service: &str,
+    avoided: &[String],
+) -> Vec<Candidate<'a>> {
     let view = &world.tables.view;
-    let Some((service, _)) = view.service_by_name(&request.service) else { return Vec::new() };
+    let Some((service, _)) = view.service_by_name(service) else { return Vec::new() };
     let declared = view.targets_of(service).map(|(_, declared)| declared);
     declared
         .filter(|declared| !declared.spec.drain)
-        .filter(|declared| !request.avoided.contains(&declared.name))
+        .filter(|declared| !avoided.contains(&declared.name))
         .filter_map(|declared| {
             let target = world.tables.targets.get(&declared.name)?;
             takes_work(target, now).then(|| Candidate {
@@ -124,13 +131,17 @@
 
 fn load(target: &Target, now: Duration, slow_start: Duration) -> f64 {
     let slots = f64::from(target.report.slots.max(1));
+    (requests_at(target) + 1.0) / (slots * slow_start_share(target, now, slow_start))
+}
+
+/// Returns the share of its slots that a target counts with while it is coming back.
+pub(super) fn slow_start_share(target: &Target, now: Duration, slow_start: Duration) -> f64 {
     let back_for = now.saturating_sub(target.returned_at).as_secs_f64();
-    let share = (back_for / slow_start.as_secs_f64()).clamp(SLOW_START_FLOOR, 1.0);
-    (requests_at(target) + 1.0) / (slots * share)
+    (back_for / slow_start.as_secs_f64()).clamp(SLOW_START_FLOOR, 1.0)
 }
 
 /// Keeps the candidates of the own data centre, where there are any with room.
-fn prefer_data_centre(candidates: &mut Vec<Candidate<'_>>, data_centre: &str) {
+pub(super) fn prefer_data_centre(candidates: &mut Vec<Candidate<'_>>, data_centre: &str) {
     let near_with_room =
         candidates.iter().any(|near| near.data_centre == data_centre && near.load <= 1.0);
     if near_with_room {
@@ -138,10 +149,15 @@
     }
 }
 
-fn cached_target(candidates: &[Candidate<'_>], affinity: u64) -> Option<String> {
+/// Returns how many requests a target may have and still get those whose prefix it likely caches.
+pub(super) fn prefix_bound(candidates: &[Candidate<'_>]) -> f64 {
     let count = u32::try_from(candidates.len()).map(f64::from).unwrap_or(f64::MAX);
     let mean = candidates.iter().map(|candidate| candidate.requests).sum::<f64>() / count;
-    let bound = mean * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_SLACK;
+    mean * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_SLACK
+}
+
+fn cached_target(candidates: &[Candidate<'_>], affinity: u64) -> Option<String> {
+    let bound = prefix_bound(candidates);
     let weight = |candidate: &&Candidate<'_>| rendezvous(candidate.name, affinity);
     let cached = candidates.iter().max_by_key(weight)?;
     (cached.requests <= bound).then(|| cached.name.to_owned())
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -22,7 +22,9 @@
 use crate::daemon::signals;
 use crate::entry::core::Options;
 use crate::entry::membership::{self, Membership};
-use crate::entry::{actor, addresses, caller_api, config_source, force, metrics, operator_api};
+use crate::entry::{
+    actor, addresses, caller_api, config_source, explain_api, force, metrics, operator_api,
+};
 use crate::members::table;
 use crate::platform::store;
 use crate::settings::entry::EntrySettings;
@@ -224,6 +226,7 @@
             .app_data(web::Data::new(api.clone()))
             .configure(caller_api::configure)
             .configure(addresses::configure)
+            .configure(explain_api::configure)
             .configure(|cfg| operator_api::configure(cfg, &operators))
     };
     let server = HttpServer::new(app)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 pub mod config_source;
 pub mod core;
 pub mod daemon;
+pub mod explain_api;
 pub mod force;
 pub mod frames;
 pub mod links;
--- a/src/entry/operator_api.rs
+++ b/src/entry/operator_api.rs
@@ -3,7 +3,7 @@
 //! The store's client stays on one arbiter, so each worker of the HTTP server makes its own
 //! [`Api`] in the application factory, by [`configure`].
 
-mod auth;
+pub(crate) mod auth;
 mod bodies;
 mod problems;
 mod watch;
--- a/src/entry/operator_api/auth.rs
+++ b/src/entry/operator_api/auth.rs
@@ -14,7 +14,7 @@
 const SCHEME: &str = "Bearer ";
 
 /// Authenticated is the operator who makes a call.
-pub(super) struct Authenticated {
+pub(crate) struct Authenticated {
     /// The name that the audit trail records.
     pub(super) name: String,
 }
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -245,7 +245,8 @@
     view
 }
 
-fn stored(kind: &str, name: &str, spec: &Value) -> store::KeyValue {
+/// Returns a resource as it lies in the key-value service.
+pub fn stored(kind: &str, name: &str, spec: &Value) -> store::KeyValue {
     let envelope = json!({
         "kind": kind, "name": name, "generation": 1, "change_id": "c", "actor": "amal",
         "spec": spec,
