Fault matrix: a probe may be faster than the break that it follows

Change: an agent sees the connections of a dead target break 40 ms late, and probes every 30 ms, so that both orders occur.

--- a/tests/common/matrix/lives.rs
+++ b/tests/common/matrix/lives.rs
@@ -13,6 +13,10 @@
 use super::rows::Step;
 use super::site::Site;
 
+/// Milliseconds after which an agent sees that a connection to its target broke; a probe may be
+/// faster.
+const BREAK_MS: u64 = 40;
+
 impl Site {
     /// Ends an agent's process; its target's exchanges with it end too.
     pub fn kill_agent(&mut self, index: usize) {
@@ -34,11 +38,9 @@
     /// Ends a target's process; its agent sees the connections break.
     pub fn kill_target(&mut self, index: usize) {
         self.targets_down[index] += 1;
-        for ((life, job), event) in self.targets[index].kill() {
-            if let Some(agent) = self.agents[index].as_mut().filter(|agent| agent.life == life) {
-                agent.target(job, event);
-            }
-        }
+        let at = self.now + BREAK_MS;
+        let broken = self.targets[index].kill();
+        self.broken.extend(broken.into_iter().map(|exchange| (at, index, exchange)));
     }
 
     /// Starts a target's process where nothing else holds it down.
--- a/tests/common/matrix/site.rs
+++ b/tests/common/matrix/site.rs
@@ -16,7 +16,7 @@
 use super::links::{End, Links, Pair};
 use super::rows::{Kind, Row, Step};
 use super::store::Store;
-use super::target::Target;
+use super::target::{self, Exchange, Target};
 use super::{AGENTS, ENTRIES, Mechanisms, TICK_MS};
 
 const START_MS: u64 = 10_000;
@@ -67,6 +67,8 @@
     pub(super) agents_down: [u32; AGENTS],
     pub(super) targets_down: [u32; AGENTS],
     was_paused: [bool; AGENTS],
+    /// When an agent sees each broken connection to its target.
+    pub(super) broken: Vec<(u64, usize, Exchange)>,
     /// When each probe ends, of which agent's life.
     pub(super) probes: Vec<(u64, usize, u64)>,
 }
@@ -120,6 +122,7 @@
             agents_down: [1; AGENTS],
             targets_down: [0; AGENTS],
             was_paused: [false; AGENTS],
+            broken: Vec::new(),
             probes: Vec::new(),
         };
         (0..ENTRIES).for_each(|index| site.revive_entry(index));
@@ -227,6 +230,13 @@
 
     fn move_targets(&mut self) {
         faults::crash(self, self.main);
+        let now = self.now;
+        let due: Vec<_> = self.broken.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, index, (life, job)) in due {
+            if let Some(agent) = self.agents[index].as_mut().filter(|agent| agent.life == life) {
+                agent.target(job, target::Event::Broken);
+            }
+        }
         for index in 0..AGENTS {
             for ((life, job), event) in self.targets[index].tick(self.now) {
                 if self.targets[index].has_answered(self.main) {
--- a/tests/common/matrix/target.rs
+++ b/tests/common/matrix/target.rs
@@ -79,10 +79,9 @@
     }
 
     /// Ends the process and returns the exchanges that break.
-    pub fn kill(&mut self) -> Vec<(Exchange, Event)> {
+    pub fn kill(&mut self) -> Vec<Exchange> {
         self.alive = false;
-        let runs = std::mem::take(&mut self.runs);
-        runs.into_keys().map(|exchange| (exchange, Event::Broken)).collect()
+        std::mem::take(&mut self.runs).into_keys().collect()
     }
 
     /// Returns true where a request has run long enough to kill the process.
--- a/tests/common/matrix/traffic.rs
+++ b/tests/common/matrix/traffic.rs
@@ -10,6 +10,8 @@
 use super::site::{Site, clock};
 use super::{AGENTS, BEAT_MS, ENTRIES};
 
+/// Milliseconds between two health probes of a target.
+const PROBE_BEAT_MS: u64 = 30;
 /// Milliseconds that a health probe takes.
 const PROBE_MS: u64 = 10;
 /// Milliseconds after which a probe that nobody answers is given up.
@@ -35,6 +37,10 @@
         if self.now.is_multiple_of(BEAT_MS) {
             self.beat();
         }
+        if self.now.is_multiple_of(PROBE_BEAT_MS) {
+            let acting: Vec<_> = (0..AGENTS).filter(|agent| !self.is_paused(*agent)).collect();
+            acting.into_iter().for_each(|agent| self.probe(agent));
+        }
     }
 
     fn deliver(&mut self, parcel: Parcel) {
@@ -87,7 +93,6 @@
         for agent in 0..AGENTS {
             if !self.is_paused(agent) {
                 self.beat_agent(agent);
-                self.probe(agent);
             }
         }
         for entry in 0..ENTRIES {
