--- a/tests/documentation/proofs.rs
+++ b/tests/documentation/proofs.rs
@@ -1,4 +1,4 @@
-//! docs/PROOFS.md names only tests that exist.
+//! docs/PROOFS.md names only tests that exist, and links on all pages lead to files.
 
 use std::collections::BTreeSet;
 use std::fs;
@@ -51,3 +51,29 @@
         assert!(repository_file(file).is_file(), "there is no {file}");
     }
 }
+
+/// Returns the targets of a page's links to files.
+fn links(page: &str) -> Vec<&str> {
+    let targets = page.split("](").skip(1).filter_map(|rest| rest.split(')').next());
+    let files = targets.filter(|target| !target.contains("://") && !target.starts_with('#'));
+    files.filter_map(|target| target.split('#').next()).collect()
+}
+
+fn assert_links_lead_to_files(page: &str) {
+    let file = repository_file(page);
+    let directory = file.parent().unwrap();
+    for link in links(&read(page)) {
+        assert!(directory.join(link).is_file(), "{page} links to {link}");
+    }
+}
+
+#[test]
+fn links_lead_to_files() {
+    assert_links_lead_to_files("README.md");
+    for entry in fs::read_dir(repository_file("docs")).unwrap() {
+        let name = entry.unwrap().file_name().into_string().unwrap();
+        if name.ends_with(".md") {
+            assert_links_lead_to_files(&format!("docs/{name}"));
+        }
+    }
+}
