explain group: how the ranks stand, and what given loads would change

Groups do not run in the daemons yet, so no entry or agent knows a group's map.

Change: GET /v1/explain/group/{name} and `bitternwall explain group NAME` show the targets of the ranks as explain target does, and name each rank that gets no work. `--loads FILE` plans with the daemons' own planner, from the declared group and given loads; fields that do not fit the group are refused by path.

A wrong expectation of mine failed first: where moving costs far more than it saves, the planner says that nothing that pays is better, not that a better map costs more.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -14,7 +14,7 @@
 
 use crate::cli::error::{CliError, Result};
 use crate::cli::options::Connection;
-use crate::entry::explain_api::TargetDocument;
+use crate::entry::explain_api::Explained;
 use crate::resources::documents::{AuditDocument, ChangeDocument, Document, ListDocument};
 use crate::resources::kinds::Kind;
 
@@ -39,14 +39,14 @@
     connection: Connection,
 }
 
-/// EntryView is how one entry sees a target.
+/// EntryView is how one entry sees a target or a group.
 #[derive(Debug, Serialize)]
-pub struct EntryView {
+pub struct EntryView<T> {
     /// The address that was asked.
     pub address: String,
     /// What it answered.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub explained: Option<TargetDocument>,
+    pub explained: Option<Explained<T>>,
     /// Why it gave no answer.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub failure: Option<String>,
@@ -169,13 +169,17 @@
         self.call(&Call::change(Method::DELETE, path, None, Some(version))).await
     }
 
-    /// Asks every entry once why a target gets work or not.
+    /// Asks every entry once how it sees a target or a group.
     ///
     /// # Errors
     ///
     /// Returns the refusal of an entry, or a [`CliError`] where no entry answers.
-    pub async fn explain_target(&self, name: &str) -> Result<Vec<EntryView>> {
-        let call = Call::get(format!("/v1/explain/target/{name}"));
+    pub async fn explain<T: DeserializeOwned>(
+        &self,
+        kind: Kind,
+        name: &str,
+    ) -> Result<Vec<EntryView<T>>> {
+        let call = Call::get(format!("/v1/explain/{kind}/{name}"));
         let (mut views, mut failure) = (Vec::new(), None);
         for entry in &self.connection.entries {
             let failed = match self.exchange(entry, &call).await {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -128,17 +128,22 @@
 
 fn explain() -> Command {
     Command::new("explain")
-        .about(
-            "Tells why a target gets work or not and what would change it, as each entry sees it",
-        )
+        .about("Tells why a target gets work or a group has its map, and what would change it")
         .arg(
             Arg::new("subject")
                 .value_name("KIND")
-                .value_parser(["target"])
+                .value_parser(["target", "group"])
                 .required(true)
                 .help("Kind of what is explained"),
         )
-        .arg(Arg::new("name").value_name("NAME").required(true).help("Name of the target"))
+        .arg(Arg::new("name").value_name("NAME").required(true).help("Name of the target or group"))
+        .arg(
+            Arg::new("loads")
+                .long("loads")
+                .value_name("FILE")
+                .value_parser(value_parser!(std::path::PathBuf))
+                .help("JSON file with a group's expert loads, to tell what they would change"),
+        )
 }
 
 fn check() -> Command {
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -51,6 +51,22 @@
         /// What the parser says.
         reason: String,
     },
+    /// A file holds no expert loads that fit the group.
+    #[error("The file {file} holds no loads of the group at `{field}`: {reason}.")]
+    Loads {
+        /// The file.
+        file: PathBuf,
+        /// The path of the field.
+        field: String,
+        /// What does not fit.
+        reason: String,
+    },
+    /// No entry knows the group that loads are given for.
+    #[error("No entry that answered has a group {name:?} to which the loads could be applied.")]
+    NoGroup {
+        /// The group's name.
+        name: String,
+    },
     /// The input cannot be read.
     #[error("The input cannot be read.")]
     Input {
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -1,61 +1,114 @@
-//! Tells why a target gets work or not, entry by entry, since each entry decides by itself.
+//! Tells why a target gets work or a group has its map, entry by entry, since each entry decides by
+//! itself.
 
 use std::io::Write;
+use std::path::Path;
 
 use serde::Serialize;
 
 use crate::cli::client::{Client, EntryView};
-use crate::cli::error::Result;
+use crate::cli::error::{CliError, Result};
 use crate::cli::options::Output;
-use crate::cli::show;
-use crate::entry::core::explain::Finding;
+use crate::cli::{loads, show};
+use crate::entry::core::explain::group::GroupExplanation;
+use crate::entry::core::explain::{Finding, TargetExplanation};
+use crate::expert_map::planner::Explanation;
+use crate::resources::kinds::Kind;
 
 #[derive(Serialize)]
-struct Views {
-    items: Vec<EntryView>,
+struct Views<T> {
+    items: Vec<EntryView<T>>,
+    /// What the planner would do under the loads that were given.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    plan: Option<Explanation>,
 }
 
+/// Shows how each entry sees a target.
 pub(super) async fn target(
     client: &Client,
     name: &str,
     output: Output,
     out: &mut impl Write,
 ) -> Result<()> {
-    let items = client.explain_target(name).await?;
+    let items = client.explain::<TargetExplanation>(Kind::Target, name).await?;
     if output == Output::Json {
-        return show::json(&Views { items }, out);
+        return show::json(&Views { items, plan: None }, out);
     }
     let head = ["ENTRY", "WORK", "SHARE", "IN-FLIGHT", "RUNNING", "QUEUED", "SLOTS", "REVISION"];
-    show::table(&head, items.iter().map(row).collect(), out)?;
-    for (entry, finding) in items.iter().flat_map(findings) {
-        writeln!(out, "{entry}: {} {}", finding.message, finding.remedy)
-            .map_err(show::output_error)?;
+    let rows = items.iter().map(|view| match &view.explained {
+        Some(explained) => {
+            let revision = explained.explanation.config_revision.to_string();
+            row(vec![explained.entry.clone()], &explained.explanation, Some(revision))
+        }
+        None => no_answer(view),
+    });
+    show::table(&head, rows.collect(), out)?;
+    items.iter().try_for_each(|view| findings(view, |target| &target.findings, out))
+}
+
+/// Shows how each entry sees a group, and what its planner would do under the loads in a file.
+pub(super) async fn group(
+    client: &Client,
+    name: &str,
+    file: Option<&Path>,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<()> {
+    let items = client.explain::<GroupExplanation>(Kind::Group, name).await?;
+    let plan = file.map(|file| plan(name, file, &items)).transpose()?;
+    if output == Output::Json {
+        return show::json(&Views { items, plan }, out);
+    }
+    let head =
+        ["ENTRY", "RANK", "TARGET", "WORK", "SHARE", "IN-FLIGHT", "RUNNING", "QUEUED", "SLOTS"];
+    show::table(&head, items.iter().flat_map(group_rows).collect(), out)?;
+    items.iter().try_for_each(|view| findings(view, |group| &group.findings, out))?;
+    match plan {
+        Some(plan) => writeln!(out, "{plan}").map_err(show::output_error),
+        None => Ok(()),
     }
-    Ok(())
-}
-
-fn row(view: &EntryView) -> Vec<String> {
-    let Some(document) = &view.explained else {
-        let reason = view.failure.clone().unwrap_or_default();
-        return vec![view.address.clone(), format!("no answer: {reason}")];
-    };
-    let explanation = &document.explanation;
-    let load = &explanation.load;
-    vec![
-        document.entry.clone(),
-        String::from(if explanation.takes_work { "yes" } else { "no" }),
-        format!("{:.1}%", 100.0 * explanation.share),
-        load.in_flight.to_string(),
-        load.running.to_string(),
-        load.queued.to_string(),
-        load.slots.to_string(),
-        explanation.config_revision.to_string(),
-    ]
-}
-
-fn findings(view: &EntryView) -> impl Iterator<Item = (&str, &Finding)> {
-    let documents = view.explained.iter();
-    documents.flat_map(|document| {
-        document.explanation.findings.iter().map(|finding| (document.entry.as_str(), finding))
+}
+
+fn plan(name: &str, file: &Path, items: &[EntryView<GroupExplanation>]) -> Result<Explanation> {
+    let explained = items.iter().filter_map(|view| view.explained.as_ref());
+    let spec = explained.filter_map(|explained| explained.explanation.spec.as_ref()).next();
+    loads::plan(file, spec.ok_or_else(|| CliError::NoGroup { name: name.to_owned() })?)
+}
+
+fn group_rows(view: &EntryView<GroupExplanation>) -> Vec<Vec<String>> {
+    let Some(explained) = &view.explained else { return vec![no_answer(view)] };
+    let ranks = explained.explanation.ranks.iter().enumerate();
+    ranks
+        .map(|(rank, target)| {
+            let first = vec![explained.entry.clone(), rank.to_string(), target.target.clone()];
+            row(first, target, None)
+        })
+        .collect()
+}
+
+fn row(mut cells: Vec<String>, target: &TargetExplanation, last: Option<String>) -> Vec<String> {
+    let load = &target.load;
+    cells.push(String::from(if target.takes_work { "yes" } else { "no" }));
+    cells.push(format!("{:.1}%", 100.0 * target.share));
+    let counts = [load.in_flight, load.running, load.queued, load.slots];
+    cells.extend(counts.iter().map(ToString::to_string));
+    cells.extend(last);
+    cells
+}
+
+fn no_answer<T>(view: &EntryView<T>) -> Vec<String> {
+    let reason = view.failure.clone().unwrap_or_default();
+    vec![view.address.clone(), format!("no answer: {reason}")]
+}
+
+fn findings<T>(
+    view: &EntryView<T>,
+    findings: impl Fn(&T) -> &[Finding],
+    out: &mut impl Write,
+) -> Result<()> {
+    let Some(explained) = &view.explained else { return Ok(()) };
+    findings(&explained.explanation).iter().try_for_each(|finding| {
+        let Finding { message, remedy, .. } = finding;
+        writeln!(out, "{}: {message} {remedy}", explained.entry).map_err(show::output_error)
     })
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod error;
 mod explain;
+mod loads;
 pub mod options;
 mod show;
 mod watch;
@@ -48,6 +49,9 @@
         }
         Action::Drain { target, drain } => set_drain(&client, &target, drain, output, out).await,
         Action::ExplainTarget { name } => explain::target(&client, &name, output, out).await,
+        Action::ExplainGroup { name, loads } => {
+            explain::group(&client, &name, loads.as_deref(), output, out).await
+        }
         Action::HashKey | Action::Check { .. } => Ok(()),
     }
 }
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -88,6 +88,13 @@
         /// The target's name.
         name: String,
     },
+    /// `explain group`
+    ExplainGroup {
+        /// The group's name.
+        name: String,
+        /// The file with expert loads to plan with.
+        loads: Option<PathBuf>,
+    },
     /// `check`
     Check {
         /// The daemon that the file is for.
@@ -140,7 +147,7 @@
         "drain" => {
             Action::Drain { target: text(matches, "target")?, drain: !matches.get_flag("undo") }
         }
-        "explain" => Action::ExplainTarget { name: text(matches, "name")? },
+        "explain" => explain(matches)?,
         "check" => Action::Check { role: role(matches)?, file: path(matches, "file")? },
         _ => Action::HashKey,
     })
@@ -153,6 +160,19 @@
     Ok(ApplyOptions { files, wait: matches.get_flag("wait"), timeout })
 }
 
+fn explain(matches: &ArgMatches) -> Result<Action> {
+    let name = text(matches, "name")?;
+    let loads = matches.get_one::<PathBuf>("loads").cloned();
+    if text(matches, "subject")? == "group" {
+        return Ok(Action::ExplainGroup { name, loads });
+    }
+    if let Some(file) = loads {
+        let (argument, value) = ("--loads", file.display().to_string());
+        return Err(CliError::Argument { argument, value, allowed: "nothing but for a group" });
+    }
+    Ok(Action::ExplainTarget { name })
+}
+
 fn connection(matches: &ArgMatches) -> Result<Connection> {
     let given = matches.get_many::<String>("entry").into_iter().flatten();
     let mut entries: Vec<_> = given.map(|url| String::from(url.trim_end_matches('/'))).collect();
--- a/src/entry/core/explain.rs
+++ b/src/entry/core/explain.rs
@@ -1,6 +1,8 @@
 //! Tells why a target gets work or not, from the same tables and by the same functions as the
 //! routing, so that the two cannot drift apart.
 
+pub mod group;
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -17,9 +19,9 @@
 pub enum Reason {
     /// The entry takes no new work at all.
     EntryNotServing,
-    /// No such target is declared.
+    /// Nothing is declared under that name.
     NotDeclared,
-    /// The target is declared, but the declaration cannot be used.
+    /// It is declared, but the declaration cannot be used.
     DeclarationSkipped,
     /// Operators declared that it drains.
     DrainDeclared,
@@ -41,6 +43,8 @@
     OtherDataCentre,
     /// It has many more requests than the other targets.
     Busy,
+    /// A rank of the group gets no work.
+    RankWithoutWork,
     /// A reason that a newer entry gives.
     #[serde(other)]
     Unknown,
@@ -102,7 +106,7 @@
         findings.push(entry_not_serving());
     }
     match declared {
-        None => findings.push(not_declared(view, name)),
+        None => findings.push(not_declared(view, Kind::Target, name)),
         Some(declared) => findings.extend(blocks_of_target(world, declared, &known, now)),
     }
     let takes_work = findings.is_empty();
@@ -143,14 +147,14 @@
     blocks(Reason::EntryNotServing, message.to_owned(), remedy.to_owned())
 }
 
-fn not_declared(view: &view::View, name: &str) -> Finding {
-    let key = format!("{}{}/{name}", envelope::PREFIX, Kind::Target);
+fn not_declared(view: &view::View, kind: Kind, name: &str) -> Finding {
+    let key = format!("{}{}/{name}", envelope::PREFIX, kind);
     if let Some(error) = view.skipped().iter().find(|error| error.key() == key) {
-        let remedy = format!("Declare the target {name:?} again with what is wrong put right.");
+        let remedy = format!("Declare the {kind} {name:?} again with what is wrong put right.");
         return blocks(Reason::DeclarationSkipped, error.to_string(), remedy);
     }
     let revision = view.revision();
-    let message = format!("No target {name:?} is declared at revision {revision}.");
+    let message = format!("No {kind} {name:?} is declared at revision {revision}.");
     let remedy = "Declare it by `bitternwall apply`, or wait until its declaration is in force.";
     blocks(Reason::NotDeclared, message, remedy.to_owned())
 }
--- /dev/null
+++ b/src/entry/core/explain/group.rs
@@ -0,0 +1,57 @@
+//! Tells how the ranks of a group stand. They advance in lock-step, so one that gets no work, or
+//! less than the others, matters to all.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Finding, Reason, TargetExplanation};
+use crate::entry::core::EntryWorld;
+use crate::resources::kinds::{GroupSpec, Kind};
+
+/// GroupExplanation is how one entry sees a group.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct GroupExplanation {
+    /// The group's name.
+    pub group: String,
+    /// The revision of the configuration that the entry goes by.
+    pub config_revision: u64,
+    /// What the operators declared, where it is in force here.
+    pub spec: Option<GroupSpec>,
+    /// The targets of the ranks, in order.
+    pub ranks: Vec<TargetExplanation>,
+    /// What is amiss with the group; empty where nothing is.
+    pub findings: Vec<Finding>,
+}
+
+/// Tells how the ranks of a group stand.
+pub fn group(world: &EntryWorld, now: Duration, name: &str) -> GroupExplanation {
+    let view = &world.tables.view;
+    let declared = view.groups().iter().find(|group| group.name == name);
+    let targets = declared.into_iter().flat_map(|group| &group.ranks);
+    let names = targets.map(|&target| &view.target(target).name);
+    let ranks: Vec<TargetExplanation> = names.map(|name| super::target(world, now, name)).collect();
+    let findings = match declared {
+        None => vec![super::not_declared(view, Kind::Group, name)],
+        Some(_) => ranks.iter().enumerate().filter_map(without_work).collect(),
+    };
+    GroupExplanation {
+        group: name.to_owned(),
+        config_revision: view.revision(),
+        spec: declared.map(|group| group.spec.clone()),
+        ranks,
+        findings,
+    }
+}
+
+fn without_work((rank, target): (usize, &TargetExplanation)) -> Option<Finding> {
+    if target.takes_work {
+        return None;
+    }
+    let blocks = target.findings.iter().filter(|finding| finding.blocks);
+    let (messages, remedies): (Vec<&str>, Vec<&str>) =
+        blocks.map(|finding| (finding.message.as_str(), finding.remedy.as_str())).unzip();
+    let (name, why) = (&target.target, messages.join(" "));
+    let message = format!("Rank {rank}, target {name:?}, gets no work from here: {why}");
+    Some(super::lessens(Reason::RankWithoutWork, message, remedies.join(" ")))
+}
--- a/src/entry/explain_api.rs
+++ b/src/entry/explain_api.rs
@@ -2,11 +2,13 @@
 
 use std::result;
 
-use actix::{Handler, Message};
+use actix::dev::ToEnvelope;
+use actix::{Handler, Message, MessageResult};
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, web};
 use serde::{Deserialize, Serialize};
 
+use crate::entry::core::explain::group::GroupExplanation;
 use crate::entry::core::explain::{self, TargetExplanation};
 use crate::entry::operator_api::auth;
 use crate::entry::{actor, caller_api};
@@ -16,14 +18,14 @@
 /// The result of a call of an operator.
 type Result<T> = result::Result<T, Problem>;
 
-/// TargetDocument is how one entry sees a target.
+/// Explained is how one entry sees a target or a group.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TargetDocument {
+pub struct Explained<T> {
     /// The entry's name.
     pub entry: String,
     /// What it sees.
     #[serde(flatten)]
-    pub explanation: TargetExplanation,
+    pub explanation: T,
 }
 
 /// ExplainTarget asks the entry's actor why a target gets work or not.
@@ -32,17 +34,31 @@
 pub struct ExplainTarget(pub String);
 
 impl Handler<ExplainTarget> for actor::EntryActor {
-    type Result = actix::MessageResult<ExplainTarget>;
+    type Result = MessageResult<ExplainTarget>;
 
     fn handle(&mut self, message: ExplainTarget, _: &mut Self::Context) -> Self::Result {
-        actix::MessageResult(explain::target(self.world(), self.now(), &message.0))
+        MessageResult(explain::target(self.world(), self.now(), &message.0))
+    }
+}
+
+/// ExplainGroup asks the entry's actor how the ranks of a group stand.
+#[derive(Message)]
+#[rtype(result = "GroupExplanation")]
+pub struct ExplainGroup(pub String);
+
+impl Handler<ExplainGroup> for actor::EntryActor {
+    type Result = MessageResult<ExplainGroup>;
+
+    fn handle(&mut self, message: ExplainGroup, _: &mut Self::Context) -> Self::Result {
+        MessageResult(explain::group::group(self.world(), self.now(), &message.0))
     }
 }
 
 /// Adds the routes that explain; operators authenticate as at the resource API, whose state must be
 /// in the same application.
 pub fn configure(cfg: &mut web::ServiceConfig) {
-    cfg.route("/v1/explain/target/{name}", web::get().to(target));
+    cfg.route("/v1/explain/target/{name}", web::get().to(target))
+        .route("/v1/explain/group/{name}", web::get().to(group));
 }
 
 async fn target(
@@ -50,16 +66,37 @@
     api: web::Data<caller_api::CallerApi>,
     path: web::Path<String>,
 ) -> Result<HttpResponse> {
-    let name = path.into_inner();
-    names::check_name(&name).map_err(|error| {
+    explain(&api, &path, ExplainTarget).await
+}
+
+async fn group(
+    _operator: auth::Authenticated,
+    api: web::Data<caller_api::CallerApi>,
+    path: web::Path<String>,
+) -> Result<HttpResponse> {
+    explain(&api, &path, ExplainGroup).await
+}
+
+async fn explain<M>(
+    api: &caller_api::CallerApi,
+    name: &str,
+    question: fn(String) -> M,
+) -> Result<HttpResponse>
+where
+    M: Message + Send + 'static,
+    M::Result: Serialize + Send,
+    actor::EntryActor: Handler<M>,
+    actix::Context<actor::EntryActor>: ToEnvelope<actor::EntryActor, M>,
+{
+    names::check_name(name).map_err(|error| {
         let status = StatusCode::UNPROCESSABLE_ENTITY;
         Problem::new("invalid", "Not allowed", status, error.to_string()).executed(Executed::No)
     })?;
-    let explained = api.actor.send(ExplainTarget(name)).await;
+    let explained = api.actor.send(question(name.to_owned())).await;
     let explanation = explained.map_err(|error| {
         let detail = format!("The entry {:?} cannot explain anything now: {error}.", api.entry);
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Problem::new("not-serving", "Not serving", status, detail).executed(Executed::No)
     })?;
-    Ok(HttpResponse::Ok().json(TargetDocument { entry: api.entry.clone(), explanation }))
+    Ok(HttpResponse::Ok().json(Explained { entry: api.entry.clone(), explanation }))
 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -1,9 +1,11 @@
-//! Why a target gets work or not: the reasons one by one, the share as measured, and the command
-//! line before a real fleet.
+//! Why a target gets work or not, and how a group stands: the reasons one by one, the share as
+//! measured, and the command line before a real fleet.
 
 mod common;
 #[path = "common/entry_model.rs"]
 mod entry_model;
+#[path = "explain/group.rs"]
+mod group;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -166,6 +168,10 @@
 }
 
 async fn command(fleet: &Fleet, arguments: &[&str]) -> String {
+    run(fleet, arguments).await.expect("the command runs")
+}
+
+async fn run(fleet: &Fleet, arguments: &[&str]) -> cli::error::Result<String> {
     let token = fleet.dir.join("token");
     fs::write(&token, fleet::OPERATOR_TOKEN).expect("the directory is there");
     let mut words = vec!["bitternwall".to_owned(), "--token-file".to_owned()];
@@ -175,10 +181,9 @@
     }
     words.extend(arguments.iter().map(|&word| word.to_owned()));
     let matches = cli::command::command().get_matches_from(words);
-    let options = cli::options::Options::from_matches(&matches).expect("the words are right");
     let mut out = Vec::new();
-    cli::run(options, &mut out).await.expect("the command runs");
-    String::from_utf8(out).expect("the output is text")
+    cli::run(cli::options::Options::from_matches(&matches)?, &mut out).await?;
+    Ok(String::from_utf8(out).expect("the output is text"))
 }
 
 /// Returns, for each entry, its name, whether the target takes work, and its reasons.
