--- a/tests/explain/group.rs
+++ b/tests/explain/group.rs
@@ -25,6 +25,14 @@
     })
 }
 
+/// Returns the loads that docs/OPERATING.md shows.
+fn documented_loads() -> Value {
+    let page = include_str!("../../docs/OPERATING.md");
+    let mut blocks = page.split("```text\n").filter_map(|block| block.split("```").next());
+    let block = blocks.find(|block| block.starts_with("{\n  \"window_seconds\""));
+    serde_json::from_str(block.expect("the page shows loads")).expect("the page shows JSON")
+}
+
 async fn explain_with(fleet: &Fleet, loads: &Value) -> Result<String, CliError> {
     let file = fleet.dir.join("loads.json");
     fs::write(&file, loads.to_string()).expect("the directory is there");
@@ -70,6 +78,9 @@
     let costs = plan(&fleet, &loads(10.0)).await;
     assert!(costs.starts_with("The map stays: its expected skew is 1.778"), "{costs}");
 
+    let documented = plan(&fleet, &documented_loads()).await;
+    assert!(documented.starts_with("The map changes: "), "{documented}");
+
     let shares = refusal(&fleet, "capacity_share", json!(2.0)).await;
     assert_eq!(shares, "capacity_share: 2 is not from 0 to 1");
     let layers = refusal(&fleet, "windows", json!([{ "tokens": [] }])).await;
