--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -15,7 +15,7 @@
 use crate::entry::accepted::Accepted;
 use crate::entry::core::events::{self as core_events, Effect, Event, NewRequest};
 use crate::entry::core::tables::{AttemptNumber, RequestId};
-use crate::entry::core::{EntryWorld, Options};
+use crate::entry::core::{EntryWorld, Options, crashes};
 use crate::entry::links::{self, Links, SendFrame};
 use crate::entry::membership::Membership;
 use crate::entry::{frames, metrics, outbound, relay};
@@ -26,7 +26,7 @@
 use crate::wire::frame::Kind;
 use crate::wire::{client, server};
 
-/// How often deadlines are looked at while nothing else happens.
+/// How often deadlines are looked at while requests are open and nothing else happens.
 const BEAT: Duration = Duration::from_millis(20);
 /// How often members and the configuration's age are looked at.
 const MEMBERSHIP_BEAT: Duration = Duration::from_millis(100);
@@ -79,6 +79,8 @@
     /// Serials of the links that this entry dialled.
     serials: Map<Arc<str>, u64>,
     dials: Map<Arc<str>, Dial>,
+    /// True while a look at the deadlines is due.
+    deadlines_watched: bool,
 }
 
 impl EntryActor {
@@ -93,10 +95,17 @@
             accepted: Accepted::default(),
             serials: Map::default(),
             dials: Map::default(),
+            deadlines_watched: false,
         }
     }
 
-    fn now(&self) -> Duration {
+    /// Returns the core, for those who explain what it does.
+    pub(super) fn world(&self) -> &EntryWorld {
+        &self.world
+    }
+
+    /// Returns the time by which the core decides.
+    pub(super) fn now(&self) -> Duration {
         self.parts.clock.monotonic()
     }
 
@@ -123,6 +132,7 @@
                 }
             }
             Effect::Finish { request } => drop(self.requests.remove(&request)),
+            Effect::TellCrashes => self.beat(),
         }
     }
 
@@ -209,6 +219,9 @@
         let Some(member) = self.links.member(process).cloned() else { return };
         let now = self.now();
         let moved = self.parts.membership.hear(&member, heartbeat, &self.links, now);
+        if !heartbeat.fingerprints.is_empty() {
+            self.tick(vec![Event::CrashesHeard(frames::crash_reports(heartbeat))]);
+        }
         if member.role() == wire::Role::Agent {
             self.agent_reported(member.name, heartbeat);
         }
@@ -216,15 +229,10 @@
     }
 
     fn agent_reported(&mut self, target: String, heartbeat: &wire::Heartbeat) {
-        let mut events = Vec::new();
-        if !heartbeat.fingerprints.is_empty() {
-            events.push(Event::CrashesHeard(frames::crash_reports(heartbeat)));
-        }
         if heartbeat.load.is_some() {
             let report = frames::target_report(heartbeat);
-            events.push(Event::Heartbeat { target, report });
+            self.tick(vec![Event::Heartbeat { target, report }]);
         }
-        self.tick(events);
     }
 
     fn refusal(&mut self, refusal: &wire::Refusal) {
@@ -315,9 +323,10 @@
         }
         events::log(events::LINK_UP, format_args!("process={process}"));
         let (role, name, incarnation) = (member.role(), member.name.clone(), member.incarnation);
+        let region = member.region.clone();
         let serial = self.links.up(Arc::clone(process), member, send);
         if role == wire::Role::Agent {
-            self.tick(vec![Event::LinkUp { target: name, incarnation }]);
+            self.tick(vec![Event::LinkUp { target: name, incarnation, region }]);
         }
         if let Some(heartbeat) = &hello.heartbeat {
             self.heartbeat(process, heartbeat, cx);
@@ -376,10 +385,24 @@
         }
     }
 
+    /// Looks at deadlines again and again for as long as requests are open.
+    fn watch_deadlines(&mut self, cx: &mut Context<Self>) {
+        if self.deadlines_watched || self.world.open_requests() == 0 {
+            return;
+        }
+        self.deadlines_watched = true;
+        cx.run_later(BEAT, |actor, cx| {
+            actor.deadlines_watched = false;
+            actor.tick(Vec::new());
+            actor.watch_deadlines(cx);
+        });
+    }
+
     fn beat(&mut self) {
         let now = self.now();
         let load = u32::try_from(self.world.open_requests()).unwrap_or(u32::MAX);
-        self.parts.membership.beat(load, &self.links, now);
+        let crashes = crashes::reports(&self.world.tables, now);
+        self.parts.membership.beat(load, &crashes, &self.links, now);
     }
 
     fn publish(&self, now: Duration) {
@@ -410,7 +433,6 @@
     type Context = Context<Self>;
 
     fn started(&mut self, cx: &mut Self::Context) {
-        cx.run_interval(BEAT, |actor, _| actor.tick(Vec::new()));
         cx.run_interval(MEMBERSHIP_BEAT, |actor, cx| actor.tick_membership(cx));
         cx.run_interval(self.parts.heartbeat, |actor, _| actor.beat());
         self.dial_peers(cx);
@@ -432,12 +454,13 @@
 impl Handler<Submit> for EntryActor {
     type Result = ();
 
-    fn handle(&mut self, message: Submit, _: &mut Self::Context) {
+    fn handle(&mut self, message: Submit, cx: &mut Self::Context) {
         let Submit { request, outbound, tx } = message;
         self.parts.metrics.requests.inc();
         let open = Open { relay: relay::Relay::new(tx), outbound };
         self.requests.insert(request.id, open);
         self.tick(vec![Event::Submitted(request)]);
+        self.watch_deadlines(cx);
     }
 }
 
--- a/src/entry/core/crashes.rs
+++ b/src/entry/core/crashes.rs
@@ -7,23 +7,33 @@
 
 use std::time::Duration;
 
-use crate::entry::core::events::CrashReport;
+use crate::entry::core::events::{CrashReport, Effect};
 use crate::entry::core::tables::{Crashes, Request, Tables};
 
 /// Deaths of targets after which a body is refused everywhere.
 pub const MAX_CRASHES: usize = 2;
 
-/// Takes in what another process knows.
-pub fn hear(tables: &mut Tables, now: Duration, reports: &[CrashReport]) {
+/// Takes in what another process knows, and passes on what was not known here: an entry whose link
+/// to the agent is lost would not hear of the death otherwise.
+pub fn hear(
+    tables: &mut Tables,
+    now: Duration,
+    reports: &[CrashReport],
+    effects: &mut Vec<Effect>,
+) {
+    let mut news = false;
     for report in reports {
         let known = tables.crashes.entry(report.fingerprint).or_default();
         known.until = known.until.max(now + report.ttl);
         for id in &report.crash_ids {
             if !known.acquitted.contains(id) {
-                known.suspected.insert(*id);
+                news |= known.suspected.insert(*id);
             }
         }
     }
+    if news {
+        effects.push(Effect::TellCrashes);
+    }
 }
 
 /// Returns how many deaths of targets a body is suspected of.
--- a/src/entry/core/events.rs
+++ b/src/entry/core/events.rs
@@ -22,6 +22,8 @@
         target: String,
         /// The life of the agent.
         incarnation: u64,
+        /// The region that it stands in.
+        region: String,
     },
     /// The link to a target's agent is gone; its attempts get no more frames.
     LinkDown {
@@ -222,6 +224,8 @@
         /// Which request.
         request: RequestId,
     },
+    /// Tells all other processes at once of the crashes that are known here.
+    TellCrashes,
 }
 
 /// StartAttempt is one try of a request at one target.
--- a/tests/common/matrix/entry.rs
+++ b/tests/common/matrix/entry.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bitternwall::config::view;
-use bitternwall::entry::core::events::{Effect, Event, NewRequest, StartAttempt};
+use bitternwall::entry::core::events::{CrashReport, Effect, Event, NewRequest, StartAttempt};
 use bitternwall::entry::core::tables::{AttemptNumber, RequestId};
-use bitternwall::entry::core::{EntryWorld, Options};
+use bitternwall::entry::core::{EntryWorld, Options, crashes};
 use bitternwall::entry::outbound::{self, Outbound};
 use bitternwall::entry::{frames, relay};
 use bitternwall::wire;
@@ -38,6 +38,8 @@
     Attempt(RequestId, wire::AttemptId),
     /// Its caller got a piece of the answer.
     Piece(RequestId, relay::Piece),
+    /// It told the other entries of crashes.
+    Crashes(Vec<CrashReport>),
 }
 
 /// EntrySide is one life of an entry.
@@ -158,6 +160,10 @@
                 self.drain();
                 self.open.remove(&request);
             }
+            Effect::TellCrashes => {
+                let reports = crashes::reports(&self.world.tables, self.now);
+                self.out.push(Out::Crashes(reports));
+            }
         }
     }
 
--- a/tests/common/matrix/site.rs
+++ b/tests/common/matrix/site.rs
@@ -6,6 +6,7 @@
 
 use bitternwall::agent::events::{Event, JobId};
 use bitternwall::config::view;
+use bitternwall::entry::core::events::{CrashReport, Event as EntryEvent};
 use bitternwall::wire;
 
 use super::agent::{self, AgentSide};
@@ -285,6 +286,17 @@
                 self.callers.take(self.now, id, piece);
                 self.note_piece(id);
             }
+            entry::Out::Crashes(reports) => self.tell_crashes(entry, &reports),
+        }
+    }
+
+    /// Brings what an entry knows of crashes to the others, by their links to each other.
+    fn tell_crashes(&mut self, from: usize, reports: &[CrashReport]) {
+        let now = clock(self.now);
+        for index in (0..ENTRIES).filter(|index| *index != from) {
+            if let Some(entry) = &mut self.entries[index] {
+                entry.tick(now, vec![EntryEvent::CrashesHeard(reports.to_vec())]);
+            }
         }
     }
 
--- a/tests/common/matrix/traffic.rs
+++ b/tests/common/matrix/traffic.rs
@@ -70,7 +70,11 @@
                 let Some(agent) = &self.agents[pair.agent] else { return };
                 let (incarnation, hello) = (agent.life, agent.heartbeat());
                 if let Some(entry) = &mut self.entries[pair.entry] {
-                    let up = EntryEvent::LinkUp { target: target.clone(), incarnation };
+                    let up = EntryEvent::LinkUp {
+                        target: target.clone(),
+                        incarnation,
+                        region: String::new(),
+                    };
                     entry.tick(now, vec![up]);
                     entry.frame(now, &target, hello);
                 }
--- a/tests/common/streams.rs
+++ b/tests/common/streams.rs
@@ -14,6 +14,7 @@
 use serde_json::Value;
 use standins::engine::messages::Runs;
 use standins::fleet::{self, Fleet, Target};
+use standins::pipe::Pipe;
 
 use crate::common::{self, Call};
 
@@ -137,20 +138,15 @@
     Some(Streamed::open(entry, prompt, tokens).await?.finish().await)
 }
 
-/// Waits until every engine has answered, since agents come by the configuration one by one.
-pub async fn wait_for_every_engine(fleet: &Fleet) {
-    let mut number = 0;
-    for engine in engines(fleet) {
-        common::wait_for("work at every engine", async || {
-            for entry in &fleet.entries {
-                number += 1;
-                let prompt = format!("warm-up {number}");
-                common::chat(entry.process.address, &prompt, 1, false).await;
-            }
-            runs(engine.back_end.address).await.finished > 0
-        })
-        .await;
+/// Puts a pipe between the entries and each agent; the resources are declared afterwards.
+pub async fn pipe_links(fleet: &mut Fleet) -> Vec<Pipe> {
+    let mut pipes = Vec::new();
+    for target in &mut fleet.targets {
+        let pipe = Pipe::start(target.agent.address).await.expect("a port is free");
+        target.link = pipe.address;
+        pipes.push(pipe);
     }
+    pipes
 }
 
 /// Returns the place of a target in its fleet.
