--- a/tests/common/matrix/rows.rs
+++ b/tests/common/matrix/rows.rs
@@ -100,19 +100,11 @@
 pub const MAX_CRASHES: u64 = 2;
 
 impl Row {
-    /// Returns how many targets a crashing body may take down. A death that the request's entry
-    /// does not hear of, since the agent is gone or cut off, does not count against the body.
+    /// Returns how many targets a crashing body may take down. A death that nobody hears of, since
+    /// the agent is paused or gone, does not count against the body.
     pub fn max_crashes(&self) -> u64 {
-        let unheard = self.faults.iter().any(|(fault, _)| {
-            matches!(
-                fault,
-                Fault::PauseAgent
-                    | Fault::KillAgent
-                    | Fault::HostGone
-                    | Fault::BlackHole
-                    | Fault::CutLink
-            )
-        });
+        let hides = [Fault::PauseAgent, Fault::KillAgent, Fault::HostGone];
+        let unheard = self.faults.iter().any(|(fault, _)| hides.contains(fault));
         MAX_CRASHES + u64::from(unheard)
     }
 }
@@ -137,6 +129,19 @@
     rows
 }
 
+/// Returns rows that broke a promise before its fault was mended.
+pub fn mended(kind: Kind) -> Vec<Row> {
+    let crash = |fault, at, crash| vec![(fault, at), (Fault::CrashingBody, crash)];
+    let rows = [
+        crash(Fault::Reorder, Step::Routed, Step::Routed),
+        crash(Fault::KillEntry, Step::Answering, Step::Accepted),
+        crash(Fault::KillEntry, Step::Answering, Step::Running),
+        crash(Fault::KillEntry, Step::Answered, Step::Running),
+        crash(Fault::KillEntry, Step::HandedOn, Step::Running),
+    ];
+    rows.into_iter().map(|faults| Row { kind, faults }).collect()
+}
+
 /// Returns a link that is lost while a body crashes targets, at every pair of steps.
 pub fn unheard_crashes(kind: Kind) -> Vec<Row> {
     let links = [Fault::BlackHole, Fault::CutLink];
