A target's death is known before its refusals; doubled heads are copies

Change: jobs without a connection wait for the probe's verdict, and the report goes out before their refusals. Cause, doubled frames: a second copy of an answer's head broke its attempt. Change: it is passed over; pieces and the end are counted all the same.

--- a/src/agent/systems/retry.rs
+++ b/src/agent/systems/retry.rs
@@ -68,6 +68,7 @@
             end(world, id, wire::RefusalReason::TargetFailed, effects);
         }
     }
+    refuse_unreached(world, effects);
     if !healthy {
         refuse_waiting(world, effects);
     }
@@ -149,13 +150,16 @@
 ) {
     effects.push(events::Effect::Probe);
     world.jobs.set_state(id, tables::JobState::Ready);
-    admission::refuse_all(
-        world,
-        id,
-        wire::RefusalReason::TargetUnreachable,
-        wire::Executed::No,
-        effects,
-    );
+    world.suspects.unreached.push(id);
+}
+
+/// Refuses the jobs that the target took no connection for. They wait for the probe, so that the
+/// entry learns of a death before it tries the same body elsewhere.
+fn refuse_unreached(world: &mut world::AgentWorld, effects: &mut Vec<events::Effect>) {
+    for id in std::mem::take(&mut world.suspects.unreached) {
+        let reason = wire::RefusalReason::TargetUnreachable;
+        admission::refuse_all(world, id, reason, wire::Executed::No, effects);
+    }
 }
 
 /// Returns true where the target answers again, but every one of several connections broke: it
--- a/src/agent/tables.rs
+++ b/src/agent/tables.rs
@@ -242,6 +242,8 @@
     pub(crate) left: VecDeque<Left>,
     /// The id of the death that the target has not come back from.
     pub(crate) death: Option<u64>,
+    /// Jobs that the target took no connection for, until the probe tells why.
+    pub(crate) unreached: Vec<events::JobId>,
 }
 
 /// Left is a job that was given up while it ran.
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -232,6 +232,7 @@
     };
     let server = HttpServer::new(app)
         .workers(settings.http_workers)
+        .tcp_nodelay(true)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN_SECONDS)
         .bind(settings.listen);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -128,8 +128,9 @@
         if attempt != self.attempt {
             return Step::Nothing;
         }
+        // A second head is a copy: pieces and the end are counted, so nothing hides behind it.
         if !matches!(self.form, Form::AwaitingHead) {
-            return Step::Broken;
+            return Step::Nothing;
         }
         let streamed = is_event_stream(&headers);
         let head = Head { status, headers, target: self.target.clone() };
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -49,6 +49,7 @@
     let bind_error = |source| StartError::Bind { listen, source };
     let server = HttpServer::new(move || App::new().configure(configure.clone()))
         .workers(1)
+        .tcp_nodelay(true)
         .disable_signals()
         .h1_allow_half_closed(false)
         .keep_alive(KEEP_ALIVE)
