An idempotency key sent again with another body is refused

Cause: such a call joined the first one's run and got its answer. Change: the agent compares the bodies' hashes; the refusal is not run and final.

--- a/src/agent/systems/admission.rs
+++ b/src/agent/systems/admission.rs
@@ -115,6 +115,10 @@
         return;
     };
     let known = key.and_then(|key| world.keys.get(&key).copied());
+    if known.is_some_and(|id| answers::is_key_reused(world, id, request.fingerprint)) {
+        world.refuse(to, wire::RefusalReason::KeyReused, wire::Executed::No, effects);
+        return;
+    }
     if let Some(id) = known
         && answers::join(world, id, to, effects)
     {
--- a/src/agent/systems/answers.rs
+++ b/src/agent/systems/answers.rs
@@ -34,7 +34,8 @@
         world.suspects.crashes.remove(&job.request.fingerprint);
     }
     if let Some(key) = job.key {
-        keep(world, id, key, tables::Kept::Answer { bytes }, effects);
+        let fingerprint = job.request.fingerprint;
+        keep(world, id, key, tables::Kept::Answer { bytes, fingerprint }, effects);
     }
 }
 
@@ -56,6 +57,14 @@
     }
 }
 
+/// Tells whether a claim key is held by a request with another body.
+pub fn is_key_reused(world: &world::AgentWorld, id: events::JobId, fingerprint: u64) -> bool {
+    if let Some((_, tables::Kept::Answer { fingerprint: kept, .. })) = world.kept.rows.get(&id) {
+        return *kept != fingerprint;
+    }
+    world.jobs.get(id).is_some_and(|job| job.request.fingerprint != fingerprint)
+}
+
 /// Joins an attempt to the job that already holds its claim key, and returns whether there is
 /// one whose answer it gets.
 pub fn join(
@@ -206,7 +215,7 @@
 
 fn length(kept: tables::Kept) -> u64 {
     match kept {
-        tables::Kept::Answer { bytes } => bytes,
+        tables::Kept::Answer { bytes, .. } => bytes,
         tables::Kept::NeverHandedOn => 0,
     }
 }
--- a/src/agent/tables.rs
+++ b/src/agent/tables.rs
@@ -196,6 +196,8 @@
     Answer {
         /// Its length in bytes.
         bytes: u64,
+        /// Hash of the request's body, by which another request under the same key is told.
+        fingerprint: u64,
     },
     /// The claim is saved, but the request was never handed on.
     NeverHandedOn,
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -74,6 +74,21 @@
     let answer = Call { headers: &headers, ..call }.send().await.expect("an answer");
     assert_eq!(answer.status, StatusCode::OK, "{}", String::from_utf8_lossy(&answer.body));
     assert_eq!(common::runs_with_key(fleet, "hold-1").await, 1);
+    keys_are_held(fleet, &answer).await;
+}
+
+/// The same call under the same key gets the first answer; another one is refused.
+async fn keys_are_held(fleet: &Fleet, first: &common::Answer) {
+    let headers = [("idempotency-key", "hold-1")];
+    let path = "/v1/services/dispatch-api/holds";
+    let call = Call::post(fleet.entry(0), path, &json!({ "valve": 7 }));
+    let answer = Call { headers: &headers, ..call }.send().await.expect("an answer");
+    assert_eq!((answer.status, &answer.body), (StatusCode::OK, &first.body));
+    let call = Call::post(fleet.entry(0), path, &json!({ "valve": 8 }));
+    let answer = Call { headers: &headers, ..call }.send().await.expect("an answer");
+    let type_ = "/problems/idempotency-key-reused";
+    assert_problem(&answer, StatusCode::UNPROCESSABLE_ENTITY, type_, "no");
+    assert_eq!(common::runs_with_key(fleet, "hold-1").await, 1);
 }
 
 async fn callers_errors_are_problems(fleet: &Fleet) {
