--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -5,26 +5,29 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Message, MessageResult};
-use tokio::sync::mpsc;
+use actix::{Actor, Addr, AsyncContext as _, Context};
 use tokio::task::JoinHandle;
 
+pub use messages::{
+    AskAddresses, CallerGone, ConfigEvent, Dialled, HostListRead, Leave, OnLink, Submit,
+};
+
+mod linking;
+mod messages;
+
 use crate::clock::Clock;
 use crate::collections::Map;
 use crate::config::{codec, replica, view};
 use crate::entry::accepted::Accepted;
-use crate::entry::core::events::{self as core_events, Effect, Event, NewRequest};
+use crate::entry::core::events::{self as core_events, Effect, Event};
 use crate::entry::core::tables::{AttemptNumber, RequestId};
 use crate::entry::core::{EntryWorld, Options, crashes};
-use crate::entry::links::{self, Links, SendFrame};
+use crate::entry::links::{self, Links};
 use crate::entry::membership::Membership;
 use crate::entry::{frames, metrics, outbound, relay};
-use crate::members::addresses::Address;
-use crate::settings::entry::Peer;
 use crate::telemetry::events;
 use crate::wire;
 use crate::wire::frame::Kind;
-use crate::wire::{client, server};
 
 /// How often deadlines are looked at while requests are open and nothing else happens.
 const BEAT: Duration = Duration::from_millis(20);
@@ -272,119 +275,6 @@
         self.beat();
     }
 
-    fn dial_peers(&mut self, cx: &mut Context<Self>) {
-        let membership = &self.parts.membership;
-        let own = membership.own();
-        let peers = links::dialled_peers(&own.name, &own.data_centre, membership.peers());
-        let name = |peer: &Peer| codec::process_name(wire::Role::Entry, &peer.name);
-        let peers = peers.into_iter().map(|peer| (name(peer), peer.link)).collect();
-        self.dial_only(&peers, wire::Role::Entry, cx);
-    }
-
-    /// Keeps links to these processes of a role, and to no others of it.
-    fn dial_only(
-        &mut self,
-        wanted: &Map<Arc<str>, SocketAddr>,
-        role: wire::Role,
-        cx: &mut Context<Self>,
-    ) {
-        let prefix = codec::process_name(role, "");
-        let is_dropped = |(process, dial): &(&Arc<str>, &Dial)| {
-            process.starts_with(&*prefix) && wanted.get(*process) != Some(&dial.address)
-        };
-        let dropped: Vec<Arc<str>> =
-            self.dials.iter().filter(is_dropped).map(|(process, _)| Arc::clone(process)).collect();
-        for process in dropped {
-            if let Some(dial) = self.dials.remove(&process) {
-                dial.task.abort();
-            }
-            self.lose_dialled(&process, "the configuration no longer names it");
-        }
-        for (process, address) in wanted {
-            if !self.dials.contains_key(process) {
-                let task = (self.parts.dialler)(process, *address, cx.address());
-                self.dials.insert(Arc::clone(process), Dial { address: *address, task });
-            }
-        }
-    }
-
-    fn link_up(
-        &mut self,
-        process: &Arc<str>,
-        hello: &wire::Hello,
-        send: SendFrame,
-        cx: &mut Context<Self>,
-    ) -> Option<u64> {
-        let member = hello.member.clone().unwrap_or_default();
-        if codec::name_of(&member) != *process {
-            let details = format_args!("expected={process} found={}", codec::name_of(&member));
-            events::log(events::LINK_MISMATCH, details);
-            return None;
-        }
-        events::log(events::LINK_UP, format_args!("process={process}"));
-        let (role, name, incarnation) = (member.role(), member.name.clone(), member.incarnation);
-        let region = member.region.clone();
-        let serial = self.links.up(Arc::clone(process), member, send);
-        if role == wire::Role::Agent {
-            self.tick(vec![Event::LinkUp { target: name, incarnation, region }]);
-        }
-        if let Some(heartbeat) = &hello.heartbeat {
-            self.heartbeat(process, heartbeat, cx);
-        }
-        self.beat();
-        Some(serial)
-    }
-
-    fn link_down(&mut self, process: &Arc<str>, serial: u64, cause: &str) {
-        let Some(member) = self.links.member(process).cloned() else { return };
-        if !self.links.down(process, serial) {
-            return;
-        }
-        events::log(events::LINK_DOWN, format_args!("process={process} cause={cause}"));
-        match member.role() {
-            wire::Role::Agent => self.tick(vec![Event::LinkDown { target: member.name }]),
-            wire::Role::Entry => self.parts.membership.disconnected(&member.name),
-            wire::Role::Unspecified => {}
-        }
-    }
-
-    fn lose_dialled(&mut self, process: &Arc<str>, cause: &str) {
-        if let Some(serial) = self.serials.remove(process) {
-            self.link_down(process, serial, cause);
-        }
-    }
-
-    fn accepted(&mut self, event: server::LinkEvent, cx: &mut Context<Self>) {
-        let now = self.now();
-        match event {
-            server::LinkEvent::Opened { link, sender } => {
-                let member = Some(self.parts.membership.own().clone());
-                let hello = wire::Hello { member, heartbeat: None };
-                self.accepted.open(link, sender, now, hello);
-            }
-            server::LinkEvent::Frame { link, kind } => match *kind {
-                Kind::Hello(hello) => {
-                    let process = codec::name_of(&hello.member.clone().unwrap_or_default());
-                    let Some(send) = self.accepted.send_on(link) else { return };
-                    let serial = self.link_up(&process, &hello, send, cx);
-                    self.accepted.name(link, process, serial);
-                }
-                kind => {
-                    if let Some(process) = self.accepted.heard(link, now) {
-                        self.frame(&process, kind, cx);
-                    }
-                }
-            },
-            server::LinkEvent::Closed(link) => self.drop_accepted(link, "closed"),
-        }
-    }
-
-    fn drop_accepted(&mut self, link: server::LinkId, cause: &str) {
-        if let Some((process, serial)) = self.accepted.close(link) {
-            self.link_down(&process, serial, cause);
-        }
-    }
-
     /// Looks at deadlines again and again for as long as requests are open.
     fn watch_deadlines(&mut self, cx: &mut Context<Self>) {
         if self.deadlines_watched || self.world.open_requests() == 0 {
@@ -438,127 +328,3 @@
         self.dial_peers(cx);
     }
 }
-
-/// Submit hands a caller's request to the core.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Submit {
-    /// What decisions need.
-    pub request: NewRequest,
-    /// What the target gets.
-    pub outbound: outbound::Outbound,
-    /// Takes the answer.
-    pub tx: mpsc::UnboundedSender<relay::Piece>,
-}
-
-impl Handler<Submit> for EntryActor {
-    type Result = ();
-
-    fn handle(&mut self, message: Submit, cx: &mut Self::Context) {
-        let Submit { request, outbound, tx } = message;
-        self.parts.metrics.requests.inc();
-        let open = Open { relay: relay::Relay::new(tx), outbound };
-        self.requests.insert(request.id, open);
-        self.tick(vec![Event::Submitted(request)]);
-        self.watch_deadlines(cx);
-    }
-}
-
-/// CallerGone says that nobody waits for an answer any more.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CallerGone(pub RequestId);
-
-impl Handler<CallerGone> for EntryActor {
-    type Result = ();
-
-    fn handle(&mut self, message: CallerGone, _: &mut Self::Context) {
-        self.tick(vec![Event::CallerGone(message.0)]);
-    }
-}
-
-/// Dialled is something that happened on a link that this entry dialled.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Dialled {
-    /// The process that was dialled.
-    pub process: Arc<str>,
-    /// What happened.
-    pub event: client::LinkEvent,
-}
-
-impl Handler<Dialled> for EntryActor {
-    type Result = ();
-
-    fn handle(&mut self, message: Dialled, cx: &mut Self::Context) {
-        let Dialled { process, event } = message;
-        match event {
-            client::LinkEvent::Up { hello, tx } => {
-                let send: SendFrame = Box::new(move |kind| client::send(&tx, kind));
-                if let Some(serial) = self.link_up(&process, &hello, send, cx) {
-                    self.serials.insert(process, serial);
-                }
-            }
-            client::LinkEvent::Frame(kind) => self.frame(&process, kind, cx),
-            client::LinkEvent::Down(error) => self.lose_dialled(&process, &error.to_string()),
-        }
-    }
-}
-
-/// OnLink is something that happened on a link that this entry accepted.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct OnLink(pub server::LinkEvent);
-
-impl Handler<OnLink> for EntryActor {
-    type Result = ();
-
-    fn handle(&mut self, message: OnLink, cx: &mut Self::Context) {
-        self.accepted(message.0, cx);
-    }
-}
-
-/// ConfigEvent is what the key-value service answered.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct ConfigEvent(pub replica::Event);
-
-impl Handler<ConfigEvent> for EntryActor {
-    type Result = ();
-
-    fn handle(&mut self, message: ConfigEvent, cx: &mut Self::Context) {
-        self.config_event(message.0, cx);
-    }
-}
-
-/// AskAddresses asks which entries a caller should use.
-#[derive(Message)]
-#[rtype(result = "Vec<Address>")]
-pub struct AskAddresses {
-    /// The caller's hash.
-    pub caller: u64,
-}
-
-impl Handler<AskAddresses> for EntryActor {
-    type Result = Vec<Address>;
-
-    fn handle(&mut self, message: AskAddresses, _: &mut Self::Context) -> Vec<Address> {
-        self.parts.membership.addresses(message.caller, self.parts.address_keep, self.now())
-    }
-}
-
-/// Leave begins a planned stop; the answer is how long callers may still come.
-#[derive(Message)]
-#[rtype(result = "Duration")]
-pub struct Leave;
-
-impl Handler<Leave> for EntryActor {
-    type Result = MessageResult<Leave>;
-
-    fn handle(&mut self, _: Leave, _: &mut Self::Context) -> Self::Result {
-        let (keep, now) = (self.parts.address_keep, self.now());
-        let left = self.parts.membership.leave(keep, now);
-        self.beat();
-        MessageResult(left)
-    }
-}
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -26,7 +26,8 @@
     actor, addresses, caller_api, config_source, explain_api, force, metrics, operator_api,
 };
 use crate::members::table;
-use crate::platform::store;
+use crate::platform::{host_list, store};
+use crate::settings::common;
 use crate::settings::entry::EntrySettings;
 use crate::telemetry::{admin, events, logs};
 use crate::wire;
@@ -38,6 +39,9 @@
 /// How long requests in progress may take to end once the server stops; longer than any deadline.
 const SHUTDOWN_SECONDS: u64 = 3_600;
 
+/// How long a read of the host list may take, at the least.
+const HOST_LIST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// EntryError is why an entry cannot run.
 #[derive(Debug, thiserror::Error)]
 pub enum EntryError {
@@ -81,6 +85,8 @@
     let metrics = metrics::EntryMetrics::register(&registry)?;
     let actor = start_actor(&settings, &clock, &board, metrics, &ready);
     let links = serve_links(&settings, &actor).await?;
+    let host_list = settings.host_list.clone();
+    let host_list = host_list.map(|list| actix_rt::spawn(read_host_list(list, actor.clone())));
     let (stopping, stop_seen) = watch::channel(false);
     let operators = operator_options(&settings, &clock, board, stop_seen);
     let callers = serve_callers(&settings, &actor, operators)?;
@@ -100,6 +106,7 @@
     callers_handle.stop(true).await;
     admin_handle.stop(false).await;
     links.abort();
+    host_list.iter().for_each(JoinHandle::abort);
     finish(callers).await?;
     finish(admin).await?;
     events::log(events::STOP_FINISHED, format_args!("entry={}", settings.name));
@@ -189,6 +196,18 @@
     }))
 }
 
+/// Reads the host list again and again; one that gives no answer changes nothing.
+async fn read_host_list(settings: common::HostListSettings, actor: Addr<actor::EntryActor>) {
+    let poll = Duration::from_millis(settings.poll_ms);
+    let list = host_list::HostList::new(&settings.url, poll.max(HOST_LIST_TIMEOUT));
+    loop {
+        if let Ok(hosts) = list.read().await {
+            actor.do_send(actor::HostListRead(hosts));
+        }
+        time::sleep(poll).await;
+    }
+}
+
 fn operator_options(
     settings: &EntrySettings,
     clock: &Clock,
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::collections::Set;
 use crate::config::{codec, progress, replica, state};
 use crate::entry::config_source::ConfigSource;
 use crate::entry::core::events::CrashReport;
@@ -15,6 +16,7 @@
 use crate::members::addresses::{self, Address, Own};
 use crate::members::leaving::Leaving;
 use crate::members::table::{self, Listed, Role, Table};
+use crate::platform::host_list::{Host, HostRole};
 use crate::settings::entry::Peer;
 use crate::wire;
 use crate::wire::frame::Kind;
@@ -28,6 +30,9 @@
     source: ConfigSource,
     board: force::Board,
     leaving: Option<Leaving>,
+    /// Entries that the settings name.
+    settings_peers: Vec<Peer>,
+    /// Entries that the settings or the host list name, without this one.
     peers: Vec<Peer>,
     /// Requests in flight here.
     load: u32,
@@ -59,7 +64,8 @@
         let far = peers.iter().map(|peer| peer.data_centre.as_str());
         progress.expect_data_centres(far.filter(|name| *name != own.data_centre));
         let (leaving, load) = (None, 0);
-        Self { own, replica, progress, table, source, board, leaving, peers, load }
+        let settings_peers = peers.clone();
+        Self { own, replica, progress, table, source, board, leaving, settings_peers, peers, load }
     }
 
     /// Returns the state in force here.
@@ -72,7 +78,20 @@
         &self.own
     }
 
-    /// Returns the entries that the settings name.
+    /// Takes the host list, which adds entries to those of the settings and ends nobody.
+    pub fn set_host_list(&mut self, hosts: &[Host]) {
+        let listed_peers: Vec<Peer> = hosts.iter().filter_map(listed_peer).collect();
+        self.table.set_host_list(&listed(&listed_peers));
+        let is_own = |peer: &Peer| peer.name == self.own.name;
+        let settings = self.settings_peers.iter();
+        let known: Set<&str> = settings.clone().map(|peer| peer.name.as_str()).collect();
+        let added = listed_peers.iter().filter(|peer| !known.contains(peer.name.as_str()));
+        self.peers = settings.chain(added).filter(|peer| !is_own(peer)).cloned().collect();
+        let far = self.peers.iter().map(|peer| peer.data_centre.as_str());
+        self.progress.expect_data_centres(far.filter(|name| *name != self.own.data_centre));
+    }
+
+    /// Returns the entries that the settings or the host list name.
     pub fn peers(&self) -> &[Peer] {
         &self.peers
     }
@@ -217,6 +236,14 @@
     }
 }
 
+/// Returns an entry that the host list names. Its address is where other entries connect; where
+/// callers connect it says itself.
+fn listed_peer(host: &Host) -> Option<Peer> {
+    let link = host.address.parse().ok().filter(|_| host.role == HostRole::Entry)?;
+    let (name, data_centre) = (host.name.clone(), host.data_centre.clone());
+    Some(Peer { name, data_centre, address: link, link })
+}
+
 /// A listed address reaches no caller: only a heartbeat makes a member live.
 fn listed<'a>(peers: &'a [Peer]) -> Vec<Listed<'a>> {
     let line = |Peer { name, data_centre, .. }: &'a Peer| -> Listed<'a> {
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -2,16 +2,12 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 
 use serde::Deserialize;
 
 use crate::settings;
 use crate::settings::common;
 
-/// How often the host list may be read.
-const POLL_MS: RangeInclusive<u64> = 100..=600_000;
-
 /// AgentSettings is an agent's settings file.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -187,10 +183,7 @@
     let list = settings.host_list.as_ref();
     common::check_url("target_url", &settings.target_url)
         .or_else(|| stores.flatten().next())
-        .or_else(|| list.and_then(|list| common::check_url("host_list.url", &list.url)))
-        .or_else(|| {
-            list.and_then(|list| common::check_range("host_list.poll_ms", list.poll_ms, POLL_MS))
-        })
+        .or_else(|| list.and_then(common::check_host_list))
 }
 
 fn check_relations(settings: &AgentSettings) -> Option<settings::Problem> {
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -69,6 +69,8 @@
 
 const DEFAULT_CALL_TIMEOUT_MS: u64 = 1_000;
 const DEFAULT_POLL_MS: u64 = 1_000;
+/// Milliseconds between two reads of the host list.
+const POLL_MS: RangeInclusive<u64> = 100..=600_000;
 const MAX_NAME_LENGTH: usize = 63;
 const SHA256_HEX_LENGTH: usize = 64;
 
@@ -123,6 +125,12 @@
     (!good).then(|| problem(field, &format!("{value:?}"), allowed))
 }
 
+/// Checks the settings of the host list.
+pub fn check_host_list(settings: &HostListSettings) -> Option<Problem> {
+    check_url("host_list.url", &settings.url)
+        .or_else(|| check_range("host_list.poll_ms", settings.poll_ms, POLL_MS))
+}
+
 /// Checks the settings of the key-value service.
 pub fn check_store(settings: &StoreSettings) -> Option<Problem> {
     if settings.endpoints.is_empty() {
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -122,6 +122,7 @@
         .or_else(|| common::check_name("data_centre", &settings.data_centre))
         .or_else(|| common::check_name("region", &settings.region))
         .or_else(|| common::check_store(&settings.store))
+        .or_else(|| settings.host_list.as_ref().and_then(common::check_host_list))
         .or_else(|| check_operator_api(&settings.operator_api))
         .or_else(|| check_times(settings))
         .or_else(|| check_sizes(settings))
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -36,6 +36,8 @@
     pub engines: usize,
     /// Targets of the plain service, each with an agent.
     pub services: usize,
+    /// True where entries know each other only by the host list.
+    pub host_list: bool,
     /// Further arguments of the engines.
     pub engine_arguments: Vec<String>,
     /// Changes an entry's settings before they are written.
@@ -50,6 +52,7 @@
             entries: 1,
             engines: 1,
             services: 1,
+            host_list: false,
             engine_arguments: Vec::new(),
             adjust_entry: |_| {},
             adjust_agent: |_| {},
@@ -105,6 +108,8 @@
 pub struct Entry {
     /// The process.
     pub process: Process,
+    /// Where other entries connect.
+    pub link: SocketAddr,
     /// Where its metrics are read.
     pub admin: SocketAddr,
     settings: PathBuf,
@@ -134,6 +139,8 @@
     pub targets: Vec<Target>,
     /// The platform's key-value service.
     pub store: Process,
+    /// The platform's host list, where the plan has one.
+    pub hosts: Option<Process>,
     /// Where settings and logs are.
     pub dir: PathBuf,
 }
@@ -160,8 +167,9 @@
             let back_end = Process::stand_in(&name, &["service", "--name", &name])?;
             targets.push(target(plan, &dir, &store, index, PLAIN_SERVICE, back_end)?);
         }
-        let entries = entries(plan, &dir, &store)?;
-        Ok(Self { entries, targets, store, dir })
+        let hosts = plan.host_list.then(|| Process::stand_in("hosts", &["hosts"])).transpose()?;
+        let entries = entries(plan, &dir, &store, hosts.as_ref())?;
+        Ok(Self { entries, targets, store, hosts, dir })
     }
 
     /// Returns the address of an entry.
@@ -245,7 +253,12 @@
     Ok(Target { name, service, data_centre, back_end, agent, link, settings: file })
 }
 
-fn entries(plan: &Plan, dir: &Path, store: &Process) -> Result<Vec<Entry>> {
+fn entries(
+    plan: &Plan,
+    dir: &Path,
+    store: &Process,
+    hosts: Option<&Process>,
+) -> Result<Vec<Entry>> {
     let addresses = process::free_addresses(3 * plan.entries)?;
     let name = |index| format!("entry-{index}");
     let peer = |index: usize| {
@@ -274,10 +287,16 @@
             },
             "address_keep_ms": 1_000,
         });
+        if let Some(hosts) = hosts {
+            let url = format!("http://{}", hosts.address);
+            settings["host_list"] = json!({ "url": url, "poll_ms": 100 });
+            settings["peers"] = json!([]);
+        }
         (plan.adjust_entry)(&mut settings);
         let file = write_settings(dir, &name(index), &settings)?;
         let process = Process::daemon(&name(index), ENTRY, &file, addresses[3 * index])?;
-        entries.push(Entry { process, admin: addresses[3 * index + 2], settings: file });
+        let (link, admin) = (addresses[3 * index + 1], addresses[3 * index + 2]);
+        entries.push(Entry { process, link, admin, settings: file });
     }
     Ok(entries)
 }
