A host list that loses a live entry does not end it

Cause: entries that the list no longer named were no longer dialled, and so counted as suspect (seen by the test: two addresses in place of three). Change: an entry stays known while it is heard.

--- a/src/entry/actor/messages.rs
+++ b/src/entry/actor/messages.rs
@@ -149,7 +149,8 @@
     type Result = ();
 
     fn handle(&mut self, message: HostListRead, cx: &mut Context<Self>) {
-        self.parts.membership.set_host_list(&message.0);
+        let now = self.now();
+        self.parts.membership.set_host_list(&message.0, now);
         self.dial_peers(cx);
     }
 }
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -15,7 +15,7 @@
 use crate::entry::{force, frames};
 use crate::members::addresses::{self, Address, Own};
 use crate::members::leaving::Leaving;
-use crate::members::table::{self, Listed, Role, Table};
+use crate::members::table::{self, Listed, Role, Status, Table};
 use crate::platform::host_list::{Host, HostRole};
 use crate::settings::entry::Peer;
 use crate::wire;
@@ -78,19 +78,25 @@
         &self.own
     }
 
-    /// Takes the host list, which adds entries to those of the settings and ends nobody.
-    pub fn set_host_list(&mut self, hosts: &[Host]) {
+    /// Takes the host list, which adds entries to those of the settings and ends nobody: an entry
+    /// that it no longer names is kept for as long as it is heard.
+    pub fn set_host_list(&mut self, hosts: &[Host], now: Duration) {
         let listed_peers: Vec<Peer> = hosts.iter().filter_map(listed_peer).collect();
         self.table.set_host_list(&listed(&listed_peers));
-        let is_own = |peer: &Peer| peer.name == self.own.name;
-        let settings = self.settings_peers.iter();
-        let known: Set<&str> = settings.clone().map(|peer| peer.name.as_str()).collect();
-        let added = listed_peers.iter().filter(|peer| !known.contains(peer.name.as_str()));
-        self.peers = settings.chain(added).filter(|peer| !is_own(peer)).cloned().collect();
+        let heard = self.peers.iter().filter(|peer| self.is_heard(&peer.name, now));
+        let mut names: Set<String> = Set::default();
+        names.insert(self.own.name.clone());
+        let candidates = self.settings_peers.iter().chain(&listed_peers).chain(heard);
+        self.peers = candidates.filter(|peer| names.insert(peer.name.clone())).cloned().collect();
         let far = self.peers.iter().map(|peer| peer.data_centre.as_str());
         self.progress.expect_data_centres(far.filter(|name| *name != self.own.data_centre));
     }
 
+    fn is_heard(&self, entry: &str, now: Duration) -> bool {
+        let status = self.table.status(entry, now);
+        matches!(status, Some(Status::Live | Status::Leaving | Status::Suspect))
+    }
+
     /// Returns the entries that the settings or the host list name.
     pub fn peers(&self) -> &[Peer] {
         &self.peers
