Data centres that were once named stay expected

Change: the set of expected data centres only grows in one life of an entry. Conclusion: covered by in_force and host_list as far as they go; a cut-off data centre that the list drops is not tested with real processes.

--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -34,6 +34,8 @@
     settings_peers: Vec<Peer>,
     /// Entries that the settings or the host list name, without this one.
     peers: Vec<Peer>,
+    /// Other data centres that were ever named.
+    data_centres: Set<String>,
     /// Requests in flight here.
     load: u32,
 }
@@ -60,12 +62,21 @@
         let Parts { own, replica, timing, source, board, peers } = parts;
         let mut table = Table::new(timing);
         table.set_settings(&listed(&peers));
-        let mut progress = progress::Progress::default();
-        let far = peers.iter().map(|peer| peer.data_centre.as_str());
-        progress.expect_data_centres(far.filter(|name| *name != own.data_centre));
-        let (leaving, load) = (None, 0);
-        let settings_peers = peers.clone();
-        Self { own, replica, progress, table, source, board, leaving, settings_peers, peers, load }
+        let mut membership = Self {
+            own,
+            replica,
+            progress: progress::Progress::default(),
+            table,
+            source,
+            board,
+            leaving: None,
+            settings_peers: peers.clone(),
+            peers,
+            data_centres: Set::default(),
+            load: 0,
+        };
+        membership.expect_data_centres();
+        membership
     }
 
     /// Returns the state in force here.
@@ -88,8 +99,14 @@
         names.insert(self.own.name.clone());
         let candidates = self.settings_peers.iter().chain(&listed_peers).chain(heard);
         self.peers = candidates.filter(|peer| names.insert(peer.name.clone())).cloned().collect();
-        let far = self.peers.iter().map(|peer| peer.data_centre.as_str());
-        self.progress.expect_data_centres(far.filter(|name| *name != self.own.data_centre));
+        self.expect_data_centres();
+    }
+
+    /// A data centre that was once named may serve on while it is cut off, so none is forgotten.
+    fn expect_data_centres(&mut self) {
+        let named = self.peers.iter().map(|peer| peer.data_centre.clone());
+        self.data_centres.extend(named.filter(|name| *name != self.own.data_centre));
+        self.progress.expect_data_centres(self.data_centres.iter().map(String::as_str));
     }
 
     fn is_heard(&self, entry: &str, now: Duration) -> bool {
