--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -25,6 +25,8 @@
 pub const PLAIN_SERVICE: &str = "dispatch-api";
 /// The data centres that processes are spread over.
 pub const DATA_CENTRES: [&str; 3] = ["kafr", "damietta", "tanta"];
+/// Milliseconds between two reads of the host list.
+const HOST_LIST_POLL_MS: u64 = 100;
 const REGION: &str = "delta-north";
 
 /// Plan is how large a fleet is, and how it differs from the usual.
@@ -153,22 +155,23 @@
     /// Returns an error where one does not start.
     pub fn start(plan: &Plan) -> Result<Self> {
         let dir = fresh_dir()?;
-        let store = Process::stand_in("store", &["kv"])?;
+        let hosts = plan.host_list.then(|| Process::stand_in("hosts", &["hosts"])).transpose()?;
+        let platform = Platform { store: Process::stand_in("store", &["kv"])?, hosts };
         let mut targets = Vec::new();
         for index in 0..plan.engines {
             let name = format!("engine-{index}");
             let mut arguments = vec!["engine", "--name", &name];
             arguments.extend(plan.engine_arguments.iter().map(String::as_str));
             let back_end = Process::stand_in(&name, &arguments)?;
-            targets.push(target(plan, &dir, &store, index, MODEL_SERVICE, back_end)?);
+            targets.push(target(plan, &dir, &platform, index, MODEL_SERVICE, back_end)?);
         }
         for index in 0..plan.services {
             let name = format!("service-{index}");
             let back_end = Process::stand_in(&name, &["service", "--name", &name])?;
-            targets.push(target(plan, &dir, &store, index, PLAIN_SERVICE, back_end)?);
+            targets.push(target(plan, &dir, &platform, index, PLAIN_SERVICE, back_end)?);
         }
-        let hosts = plan.host_list.then(|| Process::stand_in("hosts", &["hosts"])).transpose()?;
-        let entries = entries(plan, &dir, &store, hosts.as_ref())?;
+        let entries = entries(plan, &dir, &platform)?;
+        let Platform { store, hosts } = platform;
         Ok(Self { entries, targets, store, hosts, dir })
     }
 
@@ -222,14 +225,29 @@
     DATA_CENTRES[index % DATA_CENTRES.len()]
 }
 
-fn store_url(store: &Process) -> String {
-    format!("http://{}", store.address)
+/// Platform is the stand-ins that every daemon's settings name.
+struct Platform {
+    store: Process,
+    hosts: Option<Process>,
+}
+
+impl Platform {
+    fn store_url(&self) -> String {
+        format!("http://{}", self.store.address)
+    }
+
+    fn add_host_list(&self, settings: &mut Value) {
+        if let Some(hosts) = &self.hosts {
+            let url = format!("http://{}", hosts.address);
+            settings["host_list"] = json!({ "url": url, "poll_ms": HOST_LIST_POLL_MS });
+        }
+    }
 }
 
 fn target(
     plan: &Plan,
     dir: &Path,
-    store: &Process,
+    platform: &Platform,
     index: usize,
     service: &'static str,
     back_end: Process,
@@ -243,8 +261,9 @@
         "listen": addresses[0],
         "admin_listen": addresses[1],
         "target_url": format!("http://{}", back_end.address),
-        "store": [store_url(store)],
+        "store": [platform.store_url()],
     });
+    platform.add_host_list(&mut settings);
     (plan.adjust_agent)(&mut settings);
     let file = write_settings(dir, &format!("agent-{}", back_end.name), &settings)?;
     let agent = Process::daemon(&back_end.name, AGENT, &file, addresses[0])?;
@@ -253,12 +272,7 @@
     Ok(Target { name, service, data_centre, back_end, agent, link, settings: file })
 }
 
-fn entries(
-    plan: &Plan,
-    dir: &Path,
-    store: &Process,
-    hosts: Option<&Process>,
-) -> Result<Vec<Entry>> {
+fn entries(plan: &Plan, dir: &Path, platform: &Platform) -> Result<Vec<Entry>> {
     let addresses = process::free_addresses(3 * plan.entries)?;
     let name = |index| format!("entry-{index}");
     let peer = |index: usize| {
@@ -280,18 +294,14 @@
             "listen": addresses[3 * index],
             "link_listen": addresses[3 * index + 1],
             "admin_listen": addresses[3 * index + 2],
-            "store": { "endpoints": [store_url(store)] },
-            "peers": peers,
+            "store": { "endpoints": [platform.store_url()] },
+            "peers": if plan.host_list { Vec::new() } else { peers },
             "operator_api": {
                 "operators": [{ "name": "amal", "token_sha256": OPERATOR_TOKEN_SHA256 }],
             },
             "address_keep_ms": 1_000,
         });
-        if let Some(hosts) = hosts {
-            let url = format!("http://{}", hosts.address);
-            settings["host_list"] = json!({ "url": url, "poll_ms": 100 });
-            settings["peers"] = json!([]);
-        }
+        platform.add_host_list(&mut settings);
         (plan.adjust_entry)(&mut settings);
         let file = write_settings(dir, &name(index), &settings)?;
         let process = Process::daemon(&name(index), ENTRY, &file, addresses[3 * index])?;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -188,3 +188,23 @@
     }
     runs
 }
+
+/// Sets the platform's host list, which shows it after a lag.
+pub async fn publish_hosts(fleet: &Fleet, hosts: &[Value], lag_ms: u64) {
+    let list = fleet.hosts.as_ref().expect("the plan has a host list");
+    let body = json!({ "hosts": hosts, "lag_ms": lag_ms });
+    let call = Call::post(list.address, "/control/hosts", &body);
+    let answer = call.send().await.expect("the stand-in answers");
+    assert!(answer.status.is_success(), "{}", answer.status);
+}
+
+/// Returns an entry's line of the host list.
+pub fn entry_host(fleet: &Fleet, index: usize) -> Value {
+    json!({
+        "name": format!("entry-{index}"),
+        "address": fleet.entries[index].link,
+        "role": "entry",
+        "data_centre": fleet::DATA_CENTRES[index],
+        "state": "live",
+    })
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -23,6 +23,8 @@
 const STREAM: &str = "settlement summary";
 /// At 20 ms each the stream outlasts [`LEAVING_LIMIT`] by two seconds.
 const STREAM_TOKENS: usize = 250;
+/// Milliseconds by which the platform's host list lags.
+const LIST_LAG_MS: u64 = 300;
 
 /// An entry outlasts the word that it leaves, which takes as long as the others wait for a silent
 /// one; shorter waits than the usual shorten the test.
@@ -31,11 +33,14 @@
     settings["link_deadline_ms"] = json!(1_200);
 }
 
-async fn serving(entries: usize, engines: usize, services: usize) -> Fleet {
+fn slow_engines(entries: usize, engines: usize, services: usize) -> Plan {
     let engine_arguments = vec!["--token-ms".to_owned(), "20".to_owned()];
     let adjust_entry = quicken;
-    let plan =
-        Plan { entries, engines, services, engine_arguments, adjust_entry, ..Plan::default() };
+    Plan { entries, engines, services, engine_arguments, adjust_entry, ..Plan::default() }
+}
+
+async fn serving(entries: usize, engines: usize, services: usize) -> Fleet {
+    let plan = slow_engines(entries, engines, services);
     let fleet = Fleet::start(&plan).expect("the fleet starts");
     common::declare_and_wait(&fleet).await;
     fleet
@@ -107,6 +112,28 @@
     assert_leaves(&fleet, streamed, target, Instant::now()).await;
 }
 
+/// The list lags, so the agent learns late; from then on nothing new comes to its target.
+#[actix_rt::test]
+async fn a_host_that_the_list_calls_leaving_takes_nothing_new_and_cuts_nothing() {
+    let plan = Plan { host_list: true, ..slow_engines(2, 3, 0) };
+    let fleet = Fleet::start(&plan).expect("the fleet starts");
+    let mut hosts: Vec<Value> = (0..2).map(|index| common::entry_host(&fleet, index)).collect();
+    common::publish_hosts(&fleet, &hosts, 0).await;
+    common::declare_and_wait(&fleet).await;
+    let (streamed, target) = long_stream(&fleet).await;
+    let leaving = &fleet.targets[target];
+    hosts.push(json!({
+        "name": leaving.name,
+        "address": leaving.agent.address,
+        "role": "agent",
+        "data_centre": leaving.data_centre,
+        "state": "leaving",
+    }));
+    common::publish_hosts(&fleet, &hosts, LIST_LAG_MS).await;
+    let learnt = Instant::now() + Duration::from_millis(LIST_LAG_MS);
+    assert_leaves(&fleet, streamed, target, learnt).await;
+}
+
 /// Asks an agent as an entry does that knows nothing, and returns the reason of its refusal.
 async fn ask_agent(agent: SocketAddr, counter: u64) -> Option<wire::RefusalReason> {
     let (tx, mut rx) = mpsc::unbounded_channel();
