One command line, admin page and exit for both daemons

Cause: the agent and the entry were written side by side and had each of these twice. Change: the agent takes daemon::{app, options, signals, exit} and telemetry::admin; its own copies go.

--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -1,15 +1,15 @@
 //! The actor that turns I/O into the core's events and the core's effects into I/O.
 
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use actix::prelude::*;
 use actix_rt::task;
 use tokio::sync::oneshot;
 
-use crate::agent::{
-    admin, config_view, effects, events, frames, links, metrics, relay, target, world,
-};
+use crate::agent::{config_view, effects, events, frames, links, metrics, relay, target, world};
 use crate::clock;
 use crate::collections;
 use crate::platform::{host_list, store};
@@ -48,7 +48,7 @@
     /// The metrics.
     pub metrics: metrics::Metrics,
     /// Whether the agent takes work.
-    pub readiness: admin::Readiness,
+    pub readiness: Arc<AtomicBool>,
     /// The timing.
     pub timing: Timing,
     /// The platform's host list, and how often it is read.
@@ -67,7 +67,7 @@
     pub(crate) service: Rc<str>,
     pub(crate) config: config_view::ConfigHolder,
     pub(crate) metrics: metrics::Metrics,
-    pub(crate) readiness: admin::Readiness,
+    pub(crate) readiness: Arc<AtomicBool>,
     pub(crate) timing: Timing,
     pub(crate) host_list: Option<(host_list::HostList, Duration)>,
     pub(crate) drained: Option<oneshot::Sender<()>>,
@@ -163,7 +163,8 @@
         self.metrics.links.set(i64::try_from(self.links.len()).unwrap_or(i64::MAX));
         let revision = self.config.revision();
         self.metrics.config_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
-        self.readiness.set(load.target_healthy && !draining && revision > 0);
+        let ready = load.target_healthy && !draining && revision > 0;
+        self.readiness.store(ready, Ordering::Relaxed);
     }
 
     /// Drops every connection where the process was paused, since what their buffers hold was
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -2,20 +2,21 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use actix::prelude::*;
 use anyhow::Context as _;
-use tokio::signal::unix;
 use tokio::sync::oneshot;
 
 use crate::agent::events;
-use crate::agent::{actor, admin, config_view, metrics, options, target, world};
+use crate::agent::{actor, config_view, metrics, options, target, world};
 use crate::clock;
 use crate::config::{codec, options as config_options};
+use crate::daemon::signals;
 use crate::platform::{host_list, store};
 use crate::settings::{agent as agent_settings, common};
-use crate::telemetry::{events as log, logs};
+use crate::telemetry::{admin, events as log, logs};
 use crate::wire;
 use crate::wire::server;
 
@@ -39,8 +40,9 @@
 async fn serve(settings: agent_settings::AgentSettings) -> anyhow::Result<()> {
     let listener = server::listen(settings.listen).await?;
     let metrics = metrics::Metrics::new()?;
-    let readiness = admin::Readiness::default();
-    let admin = admin::start(settings.admin_listen, metrics.clone(), readiness.clone())
+    let readiness = Arc::new(AtomicBool::new(false));
+    let pages = admin::Admin { registry: metrics.registry(), ready: Arc::clone(&readiness) };
+    let admin = admin::start(settings.admin_listen, pages)
         .with_context(|| format!("The address {} cannot be listened on", settings.admin_listen))?;
     let admin_handle = admin.handle();
     actix_rt::spawn(admin);
@@ -53,7 +55,7 @@
     });
     let links = actix_rt::spawn(links);
     log::log(log::PROCESS_STARTED, format_args!("agent of {}", settings.target));
-    wait_for_signal().await?;
+    signals::stop_requested().await?;
     log::log(log::STOP_STARTED, format_args!("agent of {}", settings.target));
     agent.do_send(actor::Happened(events::Event::Drain {
         cause: events::DrainCause::Signal,
@@ -76,7 +78,7 @@
 fn parts(
     settings: &agent_settings::AgentSettings,
     metrics: metrics::Metrics,
-    readiness: admin::Readiness,
+    readiness: Arc<AtomicBool>,
     drained: oneshot::Sender<()>,
 ) -> actor::Parts {
     let links = &settings.links;
@@ -150,11 +152,3 @@
     let agent = agent.clone();
     Arc::new(move |event| agent.do_send(actor::OnLink(event)))
 }
-
-async fn wait_for_signal() -> anyhow::Result<()> {
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    tokio::select! {
-        _ = terminate.recv() => Ok(()),
-        interrupt = tokio::signal::ctrl_c() => Ok(interrupt?),
-    }
-}
--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::result;
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// The result of setting up or writing metrics.
 pub type Result<T> = result::Result<T, prometheus::Error>;
@@ -75,14 +75,8 @@
         })
     }
 
-    /// Returns all metrics in the text format.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error where the encoder fails.
-    pub fn text(&self) -> Result<Vec<u8>> {
-        let mut buf = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
-        Ok(buf)
+    /// Returns the registry, from which the metrics are read.
+    pub fn registry(&self) -> Registry {
+        self.registry.clone()
     }
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,9 +5,7 @@
 //! I/O. docs/AGENT.md tells why the agent decides all this alone.
 
 pub mod actor;
-pub mod admin;
 pub mod claim_store;
-pub mod cli;
 pub mod config_view;
 pub mod daemon;
 mod effects;
--- a/src/agent/options.rs
+++ b/src/agent/options.rs
@@ -1,49 +1,12 @@
-//! The options of `bitternwall-agent`, checked.
+//! What the agent's settings make of the core's options.
 
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use clap::ArgMatches;
-
 use crate::agent::{shard, world};
-use crate::settings;
 use crate::settings::agent as agent_settings;
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 
-/// Options is the command line, checked.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Options {
-    /// The settings file.
-    pub settings: PathBuf,
-    /// True to check the settings only.
-    pub check: bool,
-}
-
-impl Options {
-    /// Takes the options from a command line that clap has accepted.
-    ///
-    /// # Panics
-    ///
-    /// Panics where the matches are not those of [`super::cli::command`].
-    pub fn from_matches(matches: &ArgMatches) -> Self {
-        let settings = matches.get_one::<PathBuf>("settings");
-        Self {
-            settings: settings.expect("clap requires --settings").clone(),
-            check: matches.get_flag("check"),
-        }
-    }
-}
-
-/// Reads and checks a settings file.
-///
-/// # Errors
-///
-/// Returns a [`settings::SettingsError`] that names the file and the field.
-pub fn load(file: &Path) -> settings::Result<agent_settings::AgentSettings> {
-    settings::load(file, agent_settings::check)
-}
-
 /// Returns the core's options for the given settings.
 pub fn core(settings: &agent_settings::AgentSettings, incarnation: u64) -> world::Options {
     let agent_settings::AgentSettings { queue, links, .. } = settings;
--- a/src/bin/agent.rs
+++ b/src/bin/agent.rs
@@ -1,12 +1,22 @@
 //! The daemon in the one slot of a target host.
 
-use bitternwall::agent::{cli, daemon, options};
+use std::process;
 
-fn main() -> anyhow::Result<()> {
-    let options = options::Options::from_matches(&cli::command().get_matches());
-    let settings = options::load(&options.settings)?;
+use bitternwall::daemon::{app, exit, options};
+use bitternwall::{agent, settings};
+
+const ABOUT: &str = "Stands before one target: admits, queues and hands on its requests";
+
+fn main() -> process::ExitCode {
+    exit::code(run())
+}
+
+fn run() -> anyhow::Result<()> {
+    let matches = app::build("bitternwall-agent", ABOUT).get_matches();
+    let options = options::Options::from_matches(&matches)?;
+    let settings = settings::load(&options.settings, settings::agent::check)?;
     if options.check {
         return Ok(());
     }
-    daemon::run(settings)
+    agent::daemon::run(settings)
 }
--- a/src/bin/entry.rs
+++ b/src/bin/entry.rs
@@ -3,19 +3,13 @@
 use std::process;
 
 use anyhow::Context as _;
-use bitternwall::daemon::{app, options};
+use bitternwall::daemon::{app, exit, options};
 use bitternwall::{entry, settings};
 
 const ABOUT: &str = "Takes callers' requests and operators' declarations on an entry host";
 
 fn main() -> process::ExitCode {
-    match run() {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(error) => {
-            spdlog::error!("{:#}", error);
-            process::ExitCode::FAILURE
-        }
-    }
+    exit::code(run())
 }
 
 fn run() -> anyhow::Result<()> {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! What the daemons share: their command line and how they are told to stop.
 
 pub mod app;
+pub mod exit;
 pub mod options;
 pub mod signals;
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -265,11 +265,8 @@
     ready: &Arc<AtomicBool>,
 ) -> Result<Server> {
     let admin = admin::Admin { registry: registry.clone(), ready: Arc::clone(ready) };
-    let app =
-        move || App::new().app_data(web::Data::new(admin.clone())).configure(admin::configure);
-    let server = HttpServer::new(app).workers(1).disable_signals().bind(settings.admin_listen);
     let address = settings.admin_listen;
-    Ok(server.map_err(|source| EntryError::Listen { address, source })?.run())
+    admin::start(address, admin).map_err(|source| EntryError::Listen { address, source })
 }
 
 /// Returns what starts the task that keeps the link to one process.
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -1,9 +1,12 @@
 //! The page of metrics and the health checks of a daemon.
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use actix_web::{HttpResponse, web};
+use actix_web::dev::Server;
+use actix_web::{App, HttpResponse, HttpServer, web};
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 /// Admin is what the routes show.
@@ -15,6 +18,16 @@
     pub ready: Arc<AtomicBool>,
 }
 
+/// Serves the pages on an address.
+///
+/// # Errors
+///
+/// Returns an error where the address cannot be listened on.
+pub fn start(listen: SocketAddr, admin: Admin) -> io::Result<Server> {
+    let app = move || App::new().app_data(web::Data::new(admin.clone())).configure(configure);
+    Ok(HttpServer::new(app).workers(1).disable_signals().bind(listen)?.run())
+}
+
 /// Adds `/metrics`, `/healthz` and `/readyz`.
 pub fn configure(cfg: &mut web::ServiceConfig) {
     cfg.route("/metrics", web::get().to(metrics));
--- a/tests/documentation/problems.rs
+++ b/tests/documentation/problems.rs
@@ -67,7 +67,8 @@
     entry::metrics::EntryMetrics::register(&registry).unwrap();
     let entry = literals("src/entry/metrics.rs", "bitternwall_");
     assert!(names(&registry).is_subset(&entry));
-    let text = String::from_utf8(agent::metrics::Metrics::new().unwrap().text().unwrap()).unwrap();
+    let families = agent::metrics::Metrics::new().unwrap().registry().gather();
+    let text = prometheus::TextEncoder::new().encode_to_string(&families).unwrap();
     let agent = literals("src/agent/metrics.rs", "bitternwall_");
     let gathered = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let gathered = gathered.filter_map(|line| line.split(' ').next());
