Entry: attempts whose link was lost are forgotten with their request

Cause: the actor's table of awaited attempts kept one row for each attempt that ended with its link, for the life of the process (found by reading). Change: a request's new attempt replaces its earlier one, and its end takes the last.

--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -37,6 +37,8 @@
 /// Open is one request that has no final answer.
 struct Open {
     relay: relay::Relay,
+    /// The last attempt.
+    attempt: Option<AttemptNumber>,
     outbound: outbound::Outbound,
 }
 
@@ -130,19 +132,31 @@
             Effect::Cancel { attempt, target } => self.cancel(attempt, &target),
             Effect::Refuse { request, refusal } | Effect::Break { request, refusal } => {
                 self.parts.metrics.refused(&refusal);
-                if let Some(mut open) = self.requests.remove(&request) {
+                if let Some(mut open) = self.forget(request) {
                     open.relay.refuse(refusal);
                 }
             }
-            Effect::Finish { request } => drop(self.requests.remove(&request)),
+            Effect::Finish { request } => drop(self.forget(request)),
             Effect::TellCrashes => self.beat(),
         }
     }
 
+    /// Drops a request with its last attempt, whose frames are passed over from here on.
+    fn forget(&mut self, request: RequestId) -> Option<Open> {
+        let open = self.requests.remove(&request)?;
+        if let Some(attempt) = open.attempt {
+            self.waiting.remove(&attempt);
+        }
+        Some(open)
+    }
+
     fn start(&mut self, start: &core_events::StartAttempt) {
         let incarnation = self.incarnation();
         let Some(open) = self.requests.get_mut(&start.request) else { return };
         self.parts.metrics.attempts.inc();
+        if let Some(earlier) = open.attempt.replace(start.attempt) {
+            self.waiting.remove(&earlier);
+        }
         self.waiting.insert(start.attempt, start.request);
         open.relay.begin(start.attempt, &start.target);
         let resume_from = start.resume.then(|| open.relay.tokens());
--- a/src/entry/actor/messages.rs
+++ b/src/entry/actor/messages.rs
@@ -34,7 +34,7 @@
     fn handle(&mut self, message: Submit, cx: &mut Context<Self>) {
         let Submit { request, outbound, tx } = message;
         self.parts.metrics.requests.inc();
-        let open = Open { relay: relay::Relay::new(tx), outbound };
+        let open = Open { relay: relay::Relay::new(tx), attempt: None, outbound };
         self.requests.insert(request.id, open);
         self.tick(vec![Event::Submitted(request)]);
         self.watch_deadlines(cx);
