Entries and agents agree on a key's claim shard; one heartbeat body for all links

Cause: the entry had a hash of its own for the shard, beside the agent's, and its comment said that both were the same. Keys of one shard so went to several agents, which contended for its segment. At most once held all the same, by the compare-and-swap (found by reading the whole change). Change: the entry calls agent::segment::shard_of. Also, an agent builds the part of a heartbeat that is the same for all links once, not once a link. The cost of the contention was not measured.

--- a/src/agent/frames.rs
+++ b/src/agent/frames.rs
@@ -35,10 +35,11 @@
 /// Sends a heartbeat on every connection.
 pub(crate) fn beat_all(agent: &mut actor::AgentActor) {
     let beat = agent.config.beat(agent.clock.monotonic());
+    let same_for_all = heartbeat(agent);
     for link in agent.links.ids() {
         let Some(member) = agent.links.member(link) else { continue };
         let echo = agent.config.replica().contacts().echo(&codec::name_of(member));
-        let mut heartbeat = heartbeat(agent);
+        let mut heartbeat = same_for_all.clone();
         codec::stamp(&mut heartbeat, &beat, echo);
         agent.links.send(link, frame::Kind::Heartbeat(heartbeat));
     }
--- a/src/entry/core/routing.rs
+++ b/src/entry/core/routing.rs
@@ -11,6 +11,7 @@
 use rand::Rng as _;
 use xxhash_rust::xxh3;
 
+use crate::agent::segment;
 use crate::entry::core::events::StartAttempt;
 use crate::entry::core::tables::{Attempt, AttemptNumber, ClaimKey, RequestId, Target};
 use crate::entry::core::{EntryWorld, crashes};
@@ -183,14 +184,7 @@
 /// All entries send a shard's requests to the same agent while they see the same targets; where
 /// they do not, the compare-and-swap on the claims still lets only one of them run.
 fn claim_holder(candidates: &[Candidate<'_>], key: ClaimKey, shards: u32) -> Option<String> {
-    highest_weight(candidates, u64::from(shard_of(key, shards)))
-}
-
-/// Returns the claim shard of a key; agents compute the same.
-pub fn shard_of(key: ClaimKey, shards: u32) -> u32 {
-    let hash = xxh3::xxh3_64(&key.0);
-    let shard = hash % u64::from(shards.max(1));
-    u32::try_from(shard).unwrap_or(0)
+    highest_weight(candidates, u64::from(segment::shard_of(&key.0, shards)))
 }
 
 fn rendezvous(name: &str, hash: u64) -> u64 {
