--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bitternwall::collections;
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use bitternwall::wire::frame;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
--- a/benches/config_core.rs
+++ b/benches/config_core.rs
@@ -13,8 +13,8 @@
 use bitternwall::config::progress::Progress;
 use bitternwall::config::replica::{Event, Replica};
 use bitternwall::config::{history, state, view};
+use bitternwall::external::store;
 use bitternwall::members::{addresses, table};
-use bitternwall::platform::store;
 use bytes::Bytes;
 use serde_json::json;
 
--- a/benches/support/core_cost.rs
+++ b/benches/support/core_cost.rs
@@ -10,7 +10,7 @@
 use bitternwall::config::{envelope, history, state, view};
 use bitternwall::entry::core::events::{self, Effect, Event};
 use bitternwall::entry::core::{EntryWorld, Options, tables};
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use bitternwall::resources::kinds;
 use bitternwall::wire;
 use bitternwall::wire::server;
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -12,7 +12,7 @@
 use crate::agent::{config_view, effects, events, frames, links, metrics, relay, target, world};
 use crate::clock;
 use crate::collections;
-use crate::platform::{host_list, store};
+use crate::external::{host_list, store};
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::server;
--- a/src/agent/claim_store.rs
+++ b/src/agent/claim_store.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 
 use crate::agent::{events, segment};
-use crate::platform::store;
+use crate::external::store;
 
 /// Segments that are read at once when a shard is read for the first time.
 const PARALLEL_READS: usize = 8;
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::config::{codec, options as config_options};
 use crate::daemon::signals;
-use crate::platform::{host_list, store};
+use crate::external::{host_list, store};
 use crate::settings::{agent as agent_settings, common};
 use crate::telemetry::{admin, events as log, logs};
 use crate::wire;
--- a/src/agent/effects.rs
+++ b/src/agent/effects.rs
@@ -8,7 +8,7 @@
 
 use crate::agent::events;
 use crate::agent::{actor, claim_store, frames, target};
-use crate::platform::{host_list, store};
+use crate::external::{host_list, store};
 use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::frame;
--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -4,7 +4,7 @@
 
 use crate::agent::config_view;
 use crate::agent::segment;
-use crate::platform::store;
+use crate::external::store;
 use crate::wire;
 use crate::wire::server;
 
--- a/src/agent/shard.rs
+++ b/src/agent/shard.rs
@@ -7,7 +7,7 @@
 
 use crate::agent::{events, segment};
 use crate::collections;
-use crate::platform::store;
+use crate::external::store;
 
 /// The size at which a segment is full.
 pub const MAX_SEGMENT_BYTES: usize = 64 * 1024;
--- a/src/audit/mod.rs
+++ b/src/audit/mod.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::platform::store;
+use crate::external::store;
 use crate::resources::kinds::Kind;
 
 /// The prefix of all records; their keys are in the order of time.
--- a/src/config/history.rs
+++ b/src/config/history.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use crate::config::state::{self, Delta, State};
-use crate::platform::store;
+use crate::external::store;
 use crate::wire;
 
 /// Steps kept for peers that are behind.
--- a/src/config/replica.rs
+++ b/src/config/replica.rs
@@ -13,7 +13,7 @@
 use crate::collections::Set;
 use crate::config::contacts::{Contacts, Heard};
 use crate::config::{history, options, source, state};
-use crate::platform::store;
+use crate::external::store;
 use crate::wire;
 
 pub use serving::{Result, Stale};
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 
 use crate::collections::Map;
-use crate::platform::store;
+use crate::external::store;
 
 /// The result of moving a state.
 pub type Result<T> = result::Result<T, StateError>;
--- /dev/null
+++ b/src/direct/addresses.rs
@@ -0,0 +1,38 @@
+//! Which entries callers are told to use.
+//!
+//! Load pattern: entries come and go while callers keep what they were told. An entry that leaves
+//! is told to nobody any more, and serves on until nobody keeps its address.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::direct::peers::Peers;
+
+/// Addresses that one answer holds at the most; callers take no more into account.
+pub const MAX_ADDRESSES: usize = 64;
+
+/// Own is what an entry says of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Own {
+    /// Where callers connect.
+    pub addr: SocketAddr,
+    /// True while it serves callers.
+    pub ready: bool,
+}
+
+/// Returns the entries that serve callers now, in an order that depends on their addresses alone.
+pub fn serving(own: Own, peers: &Peers, beat_every: Duration, now: Duration) -> Vec<SocketAddr> {
+    let live = peers.live(beat_every, now).filter(|peer| peer.beat.ready && !peer.beat.leaving);
+    let mut addrs: Vec<SocketAddr> =
+        live.filter_map(|peer| peer.beat.callers_addr.parse().ok()).collect();
+    if own.ready {
+        addrs.push(own.addr);
+    }
+    addrs.sort_unstable();
+    addrs.dedup();
+    // Each entry leaves out others, so that none is left out by all.
+    let start = addrs.iter().position(|addr| *addr == own.addr).unwrap_or(0);
+    addrs.rotate_left(start);
+    addrs.truncate(MAX_ADDRESSES);
+    addrs
+}
--- /dev/null
+++ b/src/direct/call.rs
@@ -0,0 +1,232 @@
+//! One caller's request on its way: what is known of it, how long it may take, and its end.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::direct::attempts::{Failure, History};
+use crate::direct::configuration::{AnswerForm, Configuration, Route};
+use crate::direct::entry::Entry;
+use crate::direct::message::{CallerRequest, Cause, OwnAnswer};
+use crate::problem::Executed;
+use crate::telemetry::events;
+
+/// Time after which a caller may come back to an entry that knows no configuration, about the time
+/// in which a starting entry learns one.
+const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// How long a caller waits that does not say; common HTTP clients give up after this time.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Call is a request that a route and a customer were found for.
+pub struct Call {
+    /// The entry.
+    pub entry: Rc<Entry>,
+    /// The request.
+    pub caller: CallerRequest,
+    /// Its route.
+    pub route: Route,
+    /// The service that it goes to.
+    pub service: String,
+    /// The customer, if routes need keys.
+    pub customer: Option<String>,
+    /// The requests that a target may have in flight for each of its slots.
+    pub fill: f64,
+    /// The version of the configuration that it is handled by.
+    pub version: u64,
+    /// When it must have its final answer, on the entry's clock.
+    pub ends: Duration,
+    /// Targets that it was sent to.
+    pub tried: Vec<String>,
+    /// Targets that may have seen it.
+    pub sent: u32,
+    /// True where an earlier attempt may have run.
+    pub may_have_run: bool,
+    /// Time that it waited for places.
+    pub waited: Duration,
+    finished: bool,
+}
+
+impl Call {
+    /// Finds route, customer and service of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's own answer where there is none.
+    pub fn admit(entry: &Rc<Entry>, caller: CallerRequest) -> Result<Self, OwnAnswer> {
+        let found = find(entry, &caller);
+        match found {
+            Ok(found) => Ok(Self::start(entry, caller, found)),
+            Err(own) => {
+                let version = entry.facts.borrow().version();
+                events::log(
+                    events::REQUEST_ANSWERED,
+                    format_args!(
+                        "id={} host={} path={} cause={} status={} version={version}",
+                        caller.id,
+                        caller.host,
+                        caller.uri.path(),
+                        own.cause.name(),
+                        own.status().as_u16()
+                    ),
+                );
+                entry.metrics.answered(own.cause.name());
+                Err(own)
+            }
+        }
+    }
+
+    fn start(entry: &Rc<Entry>, caller: CallerRequest, found: Found) -> Self {
+        let Found { configuration, route, service, customer } = found;
+        let is_engine =
+            configuration.service(&service).is_some_and(|service| service.engine.is_some());
+        let fill = match is_engine {
+            true => entry.options.engine_fill,
+            false => entry.options.plain_fill,
+        };
+        let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
+        let ends = caller.arrived + patience.min(route.timeout);
+        entry.earn_retry(&service);
+        entry.in_progress.set(entry.in_progress.get() + 1);
+        entry.metrics.in_progress(entry.in_progress.get());
+        Self {
+            entry: Rc::clone(entry),
+            route,
+            service,
+            customer,
+            fill,
+            version: configuration.version,
+            ends,
+            tried: Vec::new(),
+            sent: 0,
+            may_have_run: false,
+            waited: Duration::ZERO,
+            finished: false,
+            caller,
+        }
+    }
+
+    /// Returns the time until the call's end.
+    pub fn time_left(&self) -> Duration {
+        self.ends.saturating_sub(self.entry.now())
+    }
+
+    /// Tells whether the answer is a series of events.
+    pub fn wants_events(&self) -> bool {
+        self.route.form == AnswerForm::Events
+    }
+
+    /// Returns what became of the call so far.
+    pub fn history(&self) -> History {
+        History {
+            may_repeat: self.route.may_repeat(),
+            sent: self.sent,
+            max_targets: self.route.max_targets,
+            may_have_run: self.may_have_run,
+            time_left: self.time_left(),
+        }
+    }
+
+    /// Notes how an attempt failed.
+    pub fn failed(&mut self, target: &str, failure: &Failure) {
+        self.may_have_run |= failure.executed != Executed::No;
+        events::log(
+            events::ATTEMPT_FAILED,
+            format_args!(
+                "id={} target={target} cause={} executed={:?} sent={} left_ms={}",
+                self.caller.id,
+                failure.cause.name(),
+                failure.executed,
+                self.sent,
+                self.time_left().as_millis()
+            ),
+        );
+        self.entry.metrics.attempt(failure.cause.name());
+    }
+
+    /// Notes the entry's own final answer.
+    pub fn refused(&mut self, own: &OwnAnswer) {
+        if let Some(delay) = own.retry_after {
+            self.entry.metrics.retry_after(delay);
+        }
+        self.finish(own.cause.name(), own.status().as_u16(), own.retry_after);
+    }
+
+    /// Notes that a target's answer was passed on, whole or broken off.
+    pub fn passed_on(&mut self, cause: &'static str, status: u16) {
+        self.finish(cause, status, None);
+    }
+
+    fn finish(&mut self, cause: &str, status: u16, retry_after: Option<Duration>) {
+        if self.finished {
+            return;
+        }
+        self.finished = true;
+        self.entry.metrics.answered(cause);
+        let took = self.entry.now().saturating_sub(self.caller.arrived);
+        events::log(
+            events::REQUEST_ANSWERED,
+            format_args!(
+                "id={} route={} customer={} service={} cause={cause} status={status} targets={} \
+                 sent={} waited_ms={} took_ms={} retry_after_ms={} version={}",
+                self.caller.id,
+                self.route.name,
+                self.customer.as_deref().unwrap_or("-"),
+                self.service,
+                self.tried.join(","),
+                self.sent,
+                self.waited.as_millis(),
+                took.as_millis(),
+                retry_after.map_or(0, |delay| delay.as_millis()),
+                self.version,
+            ),
+        );
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        let entry = &self.entry;
+        entry.in_progress.set(entry.in_progress.get().saturating_sub(1));
+        entry.metrics.in_progress(entry.in_progress.get());
+        if !self.finished {
+            entry.metrics.left();
+            self.finish("caller_left", 0, None);
+        }
+    }
+}
+
+struct Found {
+    configuration: Arc<Configuration>,
+    route: Route,
+    service: String,
+    customer: Option<String>,
+}
+
+fn find(entry: &Entry, caller: &CallerRequest) -> Result<Found, OwnAnswer> {
+    if entry.refusing.get() {
+        return Err(OwnAnswer::not_run(Cause::Stopping, Some(UNREADY_RETRY_AFTER)));
+    }
+    let Some(configuration) = entry.configuration() else {
+        let come_back = Some(UNREADY_RETRY_AFTER);
+        return Err(OwnAnswer::not_run(Cause::NoConfiguration, come_back));
+    };
+    let Some(route) = configuration.route(&caller.host, caller.uri.path()).cloned() else {
+        return Err(OwnAnswer::not_run(Cause::NoRoute, None));
+    };
+    let customer = match configuration.keys_required && !route.public {
+        false => None,
+        true => {
+            let holder = caller.key.as_deref().and_then(|key| configuration.customer(key));
+            let Some(customer) = holder else {
+                return Err(OwnAnswer::not_run(Cause::UnknownKey, None));
+            };
+            Some(customer.name.clone())
+        }
+    };
+    if caller.body.len() > configuration.limits.body_bytes {
+        return Err(OwnAnswer::not_run(Cause::TooLarge, None));
+    }
+    let service = route.service(rand::random()).to_owned();
+    Ok(Found { configuration, route, service, customer })
+}
--- /dev/null
+++ b/src/direct/daemon.rs
@@ -0,0 +1,300 @@
+//! Wires an entry on the direct path: facts, heartbeats, HTTP servers, reload and graceful stop.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::result;
+use std::time::{Duration, SystemTime};
+
+use actix_web::web;
+use prometheus::Registry;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::daemon::signals;
+use crate::direct::entry::{Entry, Options};
+use crate::direct::gossip::{self, Identity};
+use crate::direct::lapses::Lapses;
+use crate::direct::listener;
+use crate::direct::message::TargetProtocol;
+use crate::direct::metrics::Metrics;
+use crate::direct::stopping::{Step, Stopping};
+use crate::direct::store::{Collection, Formats, Store};
+use crate::direct::sync::Follower;
+use crate::settings::direct::DirectSettings;
+use crate::settings::{self};
+use crate::telemetry::{admin, events, logs};
+
+/// The result of running an entry.
+pub type Result<T> = result::Result<T, DaemonError>;
+
+/// DaemonError is why an entry cannot run.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// The log cannot be set up.
+    #[error(transparent)]
+    Log(#[from] logs::LogError),
+    /// The metrics cannot be registered.
+    #[error("The metrics cannot be registered.")]
+    Metrics(#[from] prometheus::Error),
+    /// An address cannot be listened on.
+    #[error(transparent)]
+    Listen(#[from] listener::ListenError),
+    /// The address for heartbeats cannot be used.
+    #[error("The address {address} cannot be used for heartbeats.")]
+    Heartbeats {
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        #[source]
+        source: std::io::Error,
+    },
+    /// Signals cannot be waited for.
+    #[error(transparent)]
+    Signals(#[from] signals::SignalError),
+}
+
+/// Adapter is what translates between the direct path and one platform.
+#[derive(Clone, Copy)]
+pub struct Adapter {
+    /// How targets are spoken with.
+    pub protocol: TargetProtocol,
+    /// How stored values are read.
+    pub formats: Formats,
+    /// Returns the store at an address.
+    pub store: fn(&DirectSettings, &Clock) -> Store,
+    /// Adds the route for callers' requests.
+    pub callers: fn(&mut web::ServiceConfig),
+    /// Adds the route that tells whether the entry is ready.
+    pub ready: fn(&mut web::ServiceConfig),
+    /// Adds the route that tells callers which entries to use.
+    pub addresses: fn(&mut web::ServiceConfig),
+}
+
+/// AddressAnswer is what the route for addresses answers from.
+pub struct AddressAnswer {
+    /// The entry.
+    pub entry: Rc<Entry>,
+    /// Where callers connect to it.
+    pub own: SocketAddr,
+    /// Seconds that callers keep an answer.
+    pub keep_s: u32,
+    /// The pause between two heartbeats.
+    pub beat_every: Duration,
+}
+
+/// Pause between two looks at what changes without an event: lapsed targets, idle connections, the
+/// settings file and a stop in progress.
+const HOUSEKEEPING: Duration = Duration::from_millis(100);
+
+/// Housekeeping rounds between two looks at the settings file.
+const ROUNDS_PER_FILE_CHECK: u32 = 10;
+
+/// Idle time of connections to the pages for operators and other entries.
+const INTERNAL_IDLE: Duration = Duration::from_secs(5);
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error where the entry cannot start.
+pub async fn run(file: PathBuf, settings: DirectSettings, adapter: Adapter) -> Result<()> {
+    logs::start_on_stdout(&settings.log)?;
+    let clock = Clock::system();
+    let registry = Registry::new();
+    let metrics = Metrics::register(&registry)?;
+    let options = Options {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        retry_ratio: settings.retries.ratio,
+        retry_allowance: settings.retries.allowance,
+        engine_fill: settings.placement.engine_fill,
+        plain_fill: settings.placement.plain_fill,
+    };
+    let entry = Rc::new(Entry::new(clock.clone(), options, adapter.protocol, metrics));
+    let follower = Rc::new(Follower {
+        entry: Rc::clone(&entry),
+        store: Rc::new((adapter.store)(&settings, &clock)),
+        formats: adapter.formats,
+        beat_every: settings.heartbeat(),
+        changed: Rc::new(Notify::new()),
+        outdated: Rc::new(Notify::new()),
+        lapses: Lapses::default(),
+    });
+    start_heartbeats(&follower, &settings, &clock).await?;
+    serve(&entry, &follower, &settings, adapter, &registry).await?;
+    for collection in [Collection::Configuration, Collection::Targets] {
+        actix_rt::spawn(Rc::clone(&follower).follow(collection));
+    }
+    let Listen { callers, peers, .. } = settings.listen;
+    events::log(
+        events::PROCESS_STARTED,
+        format_args!(
+            "name={} data_centre={} callers={callers} peers={peers} version={}",
+            settings.name,
+            settings.data_centre,
+            env!("CARGO_PKG_VERSION")
+        ),
+    );
+    actix_rt::spawn(reload(file, settings.clone()));
+    housekeep(&follower, &settings).await
+}
+
+use crate::settings::direct::Listen;
+
+async fn start_heartbeats(
+    follower: &Rc<Follower>,
+    settings: &DirectSettings,
+    clock: &Clock,
+) -> Result<()> {
+    let address = settings.listen.peers;
+    let socket = gossip::open(address)
+        .await
+        .map_err(|source| DaemonError::Heartbeats { address, source })?;
+    let identity = Identity {
+        life: life(clock.wall()),
+        callers_addr: settings.listen.callers,
+        peer_addr: address,
+        seeds: settings.seed_peers(),
+    };
+    actix_rt::spawn(gossip::receive(Rc::clone(follower), Rc::clone(&socket)));
+    actix_rt::spawn(gossip::send(Rc::clone(follower), socket, identity));
+    actix_rt::spawn(gossip::catch_up(Rc::clone(follower)));
+    Ok(())
+}
+
+/// Returns a number that differs in each life of a process.
+fn life(now: SystemTime) -> u64 {
+    let since = now.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let micros = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
+    micros ^ (rand::random::<u64>() << 52)
+}
+
+async fn serve(
+    entry: &Rc<Entry>,
+    follower: &Rc<Follower>,
+    settings: &DirectSettings,
+    adapter: Adapter,
+    registry: &Registry,
+) -> Result<()> {
+    let listen = &settings.listen;
+    let idle = Duration::from_millis(settings.caller_idle_ms);
+    let callers = web::Data::new(Rc::clone(entry));
+    listener::serve(listen.callers, idle, move |cfg| {
+        cfg.app_data(callers.clone()).configure(adapter.callers);
+    })
+    .await?;
+    let ready = web::Data::new(Rc::clone(entry));
+    listener::serve(listen.ready, idle, move |cfg| {
+        cfg.app_data(ready.clone()).configure(adapter.ready);
+    })
+    .await?;
+    let answer = web::Data::new(AddressAnswer {
+        entry: Rc::clone(entry),
+        own: listen.callers,
+        keep_s: settings.addresses.keep_s,
+        beat_every: settings.heartbeat(),
+    });
+    listener::serve(listen.addresses, idle, move |cfg| {
+        cfg.app_data(answer.clone()).configure(adapter.addresses);
+    })
+    .await?;
+    let facts = web::Data::new(Rc::clone(follower));
+    listener::serve(listen.peers, INTERNAL_IDLE, move |cfg| {
+        cfg.app_data(facts.clone()).configure(gossip::configure);
+    })
+    .await?;
+    let pages =
+        web::Data::new(admin::Admin { registry: registry.clone(), ready: Default::default() });
+    listener::serve(listen.metrics, INTERNAL_IDLE, move |cfg| {
+        cfg.app_data(pages.clone()).configure(admin::configure);
+    })
+    .await?;
+    Ok(())
+}
+
+/// Looks after what changes without an event until the process may exit.
+async fn housekeep(follower: &Follower, settings: &DirectSettings) -> Result<()> {
+    let entry = &follower.entry;
+    let keep = Duration::from_secs(u64::from(settings.addresses.keep_s));
+    let mut stop = Box::pin(signals::stop_requested());
+    let mut stopping: Option<Stopping> = None;
+    loop {
+        tokio::select! {
+            name = &mut stop, if stopping.is_none() => {
+                let in_progress = entry.in_progress.get();
+                let name = name?;
+                events::log(
+                    events::STOP_STARTED,
+                    format_args!("signal={name} in_progress={in_progress}"),
+                );
+                entry.stopping.set(true);
+                follower.changed.notify_one();
+                stopping = Some(Stopping::begin(entry.now(), settings.grace(), keep));
+            }
+            () = time::sleep(HOUSEKEEPING) => {}
+        }
+        look_after(follower);
+        let Some(stopping) = &stopping else { continue };
+        match stopping.step(entry.now(), entry.in_progress.get()) {
+            Step::Serve => {}
+            Step::Refuse => entry.refusing.set(true),
+            Step::Exit => {
+                let in_progress = entry.in_progress.get();
+                events::log(events::STOP_FINISHED, format_args!("in_progress={in_progress}"));
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn look_after(follower: &Follower) {
+    let entry = &follower.entry;
+    let now = entry.now();
+    follower.sweep_lapsed();
+    entry.peers.borrow_mut().count(follower.beat_every, now);
+    let loads = entry.peers.borrow().loads(follower.beat_every, now);
+    entry.targets.borrow_mut().set_others(loads);
+    let targets = entry.targets.borrow();
+    entry.pool.prune(|addr| targets.iter().any(|target| target.addr == addr));
+}
+
+/// Reads the settings again on SIGHUP and when the file has changed. What can change in a running
+/// process is taken over; a broken file changes nothing.
+async fn reload(file: PathBuf, mut settings: DirectSettings) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        events::log(events::SETTINGS_REFUSED, format_args!("cause=\"no handler for SIGHUP\""));
+        return;
+    };
+    let mut modified = modified_at(&file);
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = time::sleep(HOUSEKEEPING * ROUNDS_PER_FILE_CHECK) => false,
+        };
+        let now_modified = modified_at(&file);
+        if !signalled && now_modified == modified {
+            continue;
+        }
+        modified = now_modified;
+        match settings::load(&file, settings::direct::check) {
+            Ok(newer) => {
+                let changed = format!("{newer:?}") != format!("{settings:?}");
+                events::log(
+                    events::SETTINGS_RELOADED,
+                    format_args!("signal={signalled} changed={changed}"),
+                );
+                settings = newer;
+            }
+            Err(error) => {
+                events::log(events::SETTINGS_REFUSED, format_args!("cause=\"{error}\""));
+            }
+        }
+    }
+}
+
+fn modified_at(file: &std::path::Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|metadata| metadata.modified()).ok()
+}
--- /dev/null
+++ b/src/direct/gossip.rs
@@ -0,0 +1,271 @@
+//! Sends and takes heartbeats, and fetches facts from entries that have newer ones.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode, Uri};
+use actix_web::{HttpResponse, web};
+use bytes::Bytes;
+use prost::Message as _;
+use tokio::net::UdpSocket;
+use tokio::time;
+
+use crate::direct::facts::Listed;
+use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
+use crate::direct::peers::{Heartbeat, Load, PeerAddr};
+use crate::direct::store::Item;
+use crate::direct::sync::Follower;
+use crate::telemetry::events;
+
+/// Bytes of the longest datagram, under what common links carry in one packet after its headers.
+const MAX_DATAGRAM: usize = 1_400;
+
+/// Every how many heartbeats the addresses of the other entries are told.
+const HEARS_EVERY: u64 = 5;
+
+/// How long another entry may take to hand over its facts.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Bytes of the facts of one entry, above the store's limit for a value.
+const MAX_FACTS: usize = 8 * 1024 * 1024;
+
+/// The path at which an entry hands over its facts.
+const FACTS_PATH: &str = "/facts";
+
+/// FactsMessage is what an entry hands over.
+#[derive(Clone, PartialEq, prost::Message)]
+struct FactsMessage {
+    /// The configuration as stored; empty where none is known.
+    #[prost(bytes = "bytes", tag = "1")]
+    configuration: Bytes,
+    /// The targets as stored.
+    #[prost(message, repeated, tag = "2")]
+    targets: Vec<ListedMessage>,
+    /// The revision of the list; 0 where none is known.
+    #[prost(uint64, tag = "3")]
+    targets_at: u64,
+}
+
+/// ListedMessage is one entry of the list of targets.
+#[derive(Clone, PartialEq, prost::Message)]
+struct ListedMessage {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(bytes = "bytes", tag = "2")]
+    value: Bytes,
+    #[prost(uint64, tag = "3")]
+    revision: u64,
+}
+
+/// Identity is what stays the same in an entry's heartbeats.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// A number that differs in each life of the process.
+    pub life: u64,
+    /// Where callers connect.
+    pub callers_addr: SocketAddr,
+    /// Where other entries send heartbeats.
+    pub peer_addr: SocketAddr,
+    /// Entries that are written to in any case.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Sends heartbeats until the process ends: at each beat, and at once when the facts change.
+pub async fn send(follower: Rc<Follower>, socket: Rc<UdpSocket>, identity: Identity) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let now = follower.entry.now();
+        let beat = heartbeat(&follower, &identity, sequence);
+        let mut datagram = beat.encode_to_vec();
+        if datagram.len() > MAX_DATAGRAM {
+            datagram = Heartbeat { hears: Vec::new(), ..beat }.encode_to_vec();
+        }
+        let audience = follower.entry.peers.borrow_mut().audience(&identity.seeds, now);
+        for addr in audience.into_iter().filter(|addr| *addr != identity.peer_addr) {
+            // A datagram that is not sent counts as lost; the next heartbeat makes up for it.
+            let _lost = socket.try_send_to(&datagram, addr);
+        }
+        tokio::select! {
+            () = time::sleep(follower.beat_every) => {}
+            () = follower.changed.notified() => {}
+        }
+    }
+}
+
+fn heartbeat(follower: &Follower, identity: &Identity, sequence: u64) -> Heartbeat {
+    let entry = &follower.entry;
+    let own: Vec<Load> = {
+        let targets = entry.targets.borrow();
+        let loads = targets.own();
+        loads.map(|(target, requests)| Load { target: target.to_owned(), requests }).collect()
+    };
+    let now = entry.now();
+    let peers = entry.peers.borrow();
+    let hears = match sequence % HEARS_EVERY {
+        1 => peers.live(follower.beat_every, now).filter_map(|p| PeerAddr::of(p.addr)).collect(),
+        _ => Vec::new(),
+    };
+    let facts = entry.facts.borrow();
+    Heartbeat {
+        name: entry.options.name.clone(),
+        life: identity.life,
+        sequence,
+        callers_addr: identity.callers_addr.to_string(),
+        data_centre: entry.options.data_centre.clone(),
+        ready: entry.is_ready(),
+        version: facts.version(),
+        targets_at: facts.targets_at(),
+        reads_store: entry.store_answers.get(),
+        loads: own,
+        hears,
+        leaving: entry.stopping.get(),
+    }
+}
+
+/// Takes heartbeats until the process ends.
+pub async fn receive(follower: Rc<Follower>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0_u8; 64 * 1024];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((length, from)) => match Heartbeat::decode(&buf[..length]) {
+                Ok(beat) => take(&follower, beat, from),
+                Err(error) => events::log(
+                    events::HEARTBEAT_UNREADABLE,
+                    format_args!("from={from} cause=\"{error}\""),
+                ),
+            },
+            Err(error) => {
+                events::log(events::HEARTBEAT_UNREADABLE, format_args!("cause=\"{error}\""));
+                time::sleep(follower.beat_every).await;
+            }
+        }
+    }
+}
+
+fn take(follower: &Follower, beat: Heartbeat, from: SocketAddr) {
+    let entry = &follower.entry;
+    if beat.name == entry.options.name {
+        return;
+    }
+    let now = entry.now();
+    let name = beat.name.clone();
+    let (version, targets_at) = (beat.version, beat.targets_at);
+    let news = entry.peers.borrow_mut().heard(beat, from, now);
+    if news.joined {
+        events::log(
+            events::PEER_JOINED,
+            format_args!("entry={name} addr={from} version={version} targets_at={targets_at}"),
+        );
+    }
+    if news.loads {
+        let loads = entry.peers.borrow().loads(follower.beat_every, now);
+        entry.targets.borrow_mut().set_others(loads);
+        entry.places.notify_one();
+    }
+    let facts = entry.facts.borrow();
+    if version > facts.version() || targets_at > facts.targets_at() {
+        follower.outdated.notify_one();
+    }
+}
+
+/// Fetches newer facts from other entries until the process ends.
+pub async fn catch_up(follower: Rc<Follower>) {
+    let codecs = Codecs::new();
+    loop {
+        follower.outdated.notified().await;
+        let source = {
+            let entry = &follower.entry;
+            let facts = entry.facts.borrow();
+            let peers = entry.peers.borrow();
+            let (version, at) = (facts.version(), facts.targets_at());
+            let ahead = peers.ahead(version, at, follower.beat_every, entry.now());
+            ahead.map(|peer| (peer.beat.name.clone(), peer.addr))
+        };
+        let Some((name, addr)) = source else { continue };
+        match time::timeout(FETCH_TIMEOUT, fetch(addr, &codecs)).await {
+            Ok(Ok(facts)) => take_facts(&follower, facts, &name),
+            Ok(Err(error)) => {
+                events::log(events::PEER_FAILED, format_args!("entry={name} cause=\"{error}\""));
+                time::sleep(follower.beat_every).await;
+            }
+            Err(_elapsed) => {
+                events::log(events::PEER_FAILED, format_args!("entry={name} cause=timeout"));
+            }
+        }
+    }
+}
+
+/// FetchError is why another entry's facts could not be had.
+#[derive(Debug, thiserror::Error)]
+enum FetchError {
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    #[error("the entry answers with status {0}")]
+    Status(StatusCode),
+    #[error("the facts cannot be read: {0}")]
+    Unreadable(#[from] prost::DecodeError),
+}
+
+async fn fetch(addr: SocketAddr, codecs: &Codecs) -> Result<FactsMessage, FetchError> {
+    let mut connection = Connection::open(addr, FETCH_TIMEOUT, codecs).await?;
+    let exchange = Exchange {
+        method: Method::GET,
+        uri: Uri::from_static(FACTS_PATH),
+        headers: http::host(addr),
+        body: Bytes::new(),
+    };
+    connection.send(&exchange).await?;
+    let head = connection.head().await?;
+    if head.status != StatusCode::OK {
+        return Err(FetchError::Status(head.status));
+    }
+    let body = connection.body(MAX_FACTS).await?;
+    Ok(FactsMessage::decode(body)?)
+}
+
+fn take_facts(follower: &Follower, facts: FactsMessage, source: &str) {
+    if !facts.configuration.is_empty() {
+        follower.take_configuration(&facts.configuration, source);
+    }
+    if facts.targets_at > follower.entry.facts.borrow().targets_at() {
+        let listed: Vec<(String, Listed)> = facts
+            .targets
+            .into_iter()
+            .map(|ListedMessage { key, value, revision }| Item { key, value, revision })
+            .map(|item| follower.read_target(item))
+            .collect();
+        follower.take_targets(listed, facts.targets_at, source);
+    }
+}
+
+/// Adds the route at which other entries fetch facts.
+pub fn configure(cfg: &mut web::ServiceConfig) {
+    cfg.route(FACTS_PATH, web::get().to(hand_over));
+}
+
+async fn hand_over(follower: web::Data<Rc<Follower>>) -> HttpResponse {
+    let facts = follower.entry.facts.borrow();
+    let targets = facts.listed().map(|(key, listed)| ListedMessage {
+        key: key.clone(),
+        value: listed.raw.clone(),
+        revision: listed.revision,
+    });
+    let message = FactsMessage {
+        configuration: facts.configuration_raw().cloned().unwrap_or_default(),
+        targets: targets.collect(),
+        targets_at: facts.targets_at(),
+    };
+    HttpResponse::Ok().body(message.encode_to_vec())
+}
+
+/// Opens the socket for heartbeats.
+///
+/// # Errors
+///
+/// Returns an error where the address cannot be bound.
+pub async fn open(addr: SocketAddr) -> io::Result<Rc<UdpSocket>> {
+    Ok(Rc::new(UdpSocket::bind(addr).await?))
+}
--- /dev/null
+++ b/src/direct/http.rs
@@ -0,0 +1,294 @@
+//! One HTTP/1.1 connection to a target, the key-value service or another entry.
+//!
+//! An answer is taken apart strictly: what arrives before a request was sent, after an answer has
+//! ended, or in no valid form ends the connection, so that bytes of one exchange never reach
+//! another.
+
+use std::io;
+use std::net::SocketAddr;
+use std::result;
+use std::time::Duration;
+
+use actix_http::body::BodySize;
+use actix_http::error::{ParseError, PayloadError};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{self, HeaderMap, HeaderValue};
+use actix_http::{
+    ConnectionType, KeepAlive, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
+    ServiceConfigBuilder, StatusCode, Uri,
+};
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time;
+use tokio_util::codec::{Decoder as _, Encoder as _};
+
+/// The result of using a connection.
+pub type Result<T> = result::Result<T, HttpError>;
+
+/// Bytes that a read asks for.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Bytes of an answer's head; the codec's own limit is reached earlier for honest heads.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// HttpError is why an exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// No connection came up in time.
+    #[error("no connection within {0:?}")]
+    ConnectTimeout(Duration),
+    /// The connection was refused or failed while it was set up.
+    #[error("no connection: {0}")]
+    Connect(#[source] io::Error),
+    /// Sending or receiving failed.
+    #[error("connection failed: {0}")]
+    Io(#[from] io::Error),
+    /// The peer closed the connection before the end of its answer.
+    #[error("connection closed before the end of the answer")]
+    Closed,
+    /// The answer's head is no valid HTTP.
+    #[error("malformed answer: {0}")]
+    Malformed(#[from] ParseError),
+    /// The answer's body is not framed as its head says.
+    #[error("malformed body: {0}")]
+    MalformedBody(#[from] PayloadError),
+    /// The answer's head is too long.
+    #[error("the head of the answer exceeds {MAX_HEAD_BYTES} bytes")]
+    HeadTooLong,
+    /// The answer came later than the caller waits.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+}
+
+/// Exchange is a request to be written.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub uri: Uri,
+    /// All headers but those that frame the body.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Codecs makes the codecs of connections, which share one clock for dates.
+#[derive(Clone)]
+pub struct Codecs(ServiceConfig);
+
+impl Codecs {
+    /// Returns the maker; it needs a running actix system.
+    pub fn new() -> Self {
+        let keep_alive = KeepAlive::Os;
+        Self(ServiceConfigBuilder::new().keep_alive(keep_alive).build())
+    }
+}
+
+impl Default for Codecs {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+enum Stage {
+    Idle(Box<ClientCodec>),
+    Payload(Box<ClientPayloadCodec>),
+    UntilClose,
+    Broken,
+}
+
+/// Connection is one open connection; it carries one exchange at a time.
+pub struct Connection {
+    stream: TcpStream,
+    stage: Stage,
+    buf: BytesMut,
+    keep_alive: bool,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where none is up within `timeout`.
+    pub async fn open(addr: SocketAddr, timeout: Duration, codecs: &Codecs) -> Result<Self> {
+        let stream = time::timeout(timeout, TcpStream::connect(addr))
+            .await
+            .map_err(|_| HttpError::ConnectTimeout(timeout))?
+            .map_err(HttpError::Connect)?;
+        stream.set_nodelay(true)?;
+        let codec = ClientCodec::new(codecs.0.clone());
+        let stage = Stage::Idle(Box::new(codec));
+        Ok(Self { stream, stage, buf: BytesMut::new(), keep_alive: true })
+    }
+
+    /// Tells whether the connection may carry another exchange: the last answer has ended, and
+    /// nothing has arrived since.
+    pub fn is_reusable(&self) -> bool {
+        let idle = matches!(self.stage, Stage::Idle(_));
+        idle && self.keep_alive && self.buf.is_empty() && self.is_silent()
+    }
+
+    /// Tells whether nothing waits to be read. A closed or reset connection is not silent.
+    fn is_silent(&self) -> bool {
+        let mut probe = [0_u8; 1];
+        match self.stream.try_read(&mut probe) {
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+
+    /// Writes a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the peer has gone or reads nothing.
+    pub async fn send(&mut self, exchange: &Exchange) -> Result<()> {
+        let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
+        let mut head = RequestHead::default();
+        head.method = exchange.method.clone();
+        head.uri = exchange.uri.clone();
+        head.headers = exchange.headers.clone();
+        head.set_connection_type(ConnectionType::KeepAlive);
+        let size = body_size(exchange);
+        let mut out = BytesMut::with_capacity(1024 + exchange.body.len());
+        let head = RequestHeadType::Owned(head);
+        codec.encode(Message::Item((head, size)), &mut out)?;
+        if !exchange.body.is_empty() {
+            codec.encode(Message::Chunk(Some(exchange.body.clone())), &mut out)?;
+        }
+        self.stream.write_all(&out).await?;
+        Ok(())
+    }
+
+    /// Reads the head of the next answer. Interim answers are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the peer closes first or sends anything but an answer.
+    pub async fn head(&mut self) -> Result<ResponseHead> {
+        loop {
+            let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
+            if let Some(head) = codec.decode(&mut self.buf)? {
+                if head.status.is_informational() {
+                    continue;
+                }
+                self.enter_body(&head);
+                return Ok(head);
+            }
+            if self.buf.len() > MAX_HEAD_BYTES {
+                return Err(HttpError::HeadTooLong);
+            }
+            self.fill().await?;
+        }
+    }
+
+    fn enter_body(&mut self, head: &ResponseHead) {
+        let Stage::Idle(codec) = std::mem::replace(&mut self.stage, Stage::Broken) else { return };
+        self.keep_alive = codec.keep_alive();
+        let has_body = codec.message_type() != MessageType::None;
+        self.stage = if is_unframed(head) {
+            self.keep_alive = false;
+            Stage::UntilClose
+        } else if has_body {
+            Stage::Payload(Box::new(codec.into_payload_codec()))
+        } else {
+            Stage::Idle(codec)
+        };
+    }
+
+    /// Returns the next piece of the answer's body; none at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the body ends before its end.
+    pub async fn piece(&mut self) -> Result<Option<Bytes>> {
+        loop {
+            match std::mem::replace(&mut self.stage, Stage::Broken) {
+                Stage::Idle(codec) => {
+                    self.stage = Stage::Idle(codec);
+                    return Ok(None);
+                }
+                Stage::Payload(mut codec) => match codec.decode(&mut self.buf)? {
+                    Some(Some(piece)) => {
+                        self.stage = Stage::Payload(codec);
+                        return Ok(Some(piece));
+                    }
+                    Some(None) => {
+                        self.stage = Stage::Idle(Box::new(codec.into_message_codec()));
+                        return Ok(None);
+                    }
+                    None => self.stage = Stage::Payload(codec),
+                },
+                Stage::UntilClose => return self.piece_until_close().await,
+                Stage::Broken => return Err(HttpError::Closed),
+            }
+            self.fill().await?;
+        }
+    }
+
+    async fn piece_until_close(&mut self) -> Result<Option<Bytes>> {
+        if self.buf.is_empty() {
+            match self.fill().await {
+                Ok(()) => {}
+                Err(HttpError::Closed) => return Ok(None),
+                Err(error) => return Err(error),
+            }
+        }
+        self.stage = Stage::UntilClose;
+        Ok(Some(self.buf.split().freeze()))
+    }
+
+    /// Reads the rest of the answer's body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the body ends early or exceeds `max` bytes.
+    pub async fn body(&mut self, max: usize) -> Result<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.piece().await? {
+            if whole.len() + piece.len() > max {
+                return Err(HttpError::MalformedBody(PayloadError::Overflow));
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    async fn fill(&mut self) -> Result<()> {
+        self.buf.reserve(READ_BYTES);
+        match self.stream.read_buf(&mut self.buf).await? {
+            0 => Err(HttpError::Closed),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Returns the headers of a request that names an address as its host.
+pub fn host(addr: SocketAddr) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(&addr.to_string()) {
+        headers.insert(header::HOST, value);
+    }
+    headers
+}
+
+/// Returns how a request's body is framed; methods that usually have none get no length of zero.
+fn body_size(exchange: &Exchange) -> BodySize {
+    let bodyless = matches!(exchange.method, Method::GET | Method::HEAD);
+    match u64::try_from(exchange.body.len()) {
+        Ok(0) if bodyless => BodySize::None,
+        Ok(length) => BodySize::Sized(length),
+        Err(_) => BodySize::Sized(u64::MAX),
+    }
+}
+
+/// Tells whether a body without a length ends with its connection.
+fn is_unframed(head: &ResponseHead) -> bool {
+    let bodyless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    !bodyless && !framed
+}
--- /dev/null
+++ b/src/direct/metrics.rs
@@ -0,0 +1,174 @@
+//! The counters and histograms of the direct path; docs/OPERATIONS.md lists them.
+
+use std::result;
+use std::time::Duration;
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// The result of registering metrics.
+pub type Result<T> = result::Result<T, prometheus::Error>;
+
+/// Bounds of the histograms in seconds, around the objectives of first events and documents.
+const SECONDS: &[f64] =
+    &[0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.0, 4.0, 8.0];
+
+/// Metrics counts what an entry does on the direct path.
+#[derive(Clone)]
+pub struct Metrics {
+    answers: IntCounterVec,
+    attempts: IntCounterVec,
+    store_failures: IntCounterVec,
+    first_event: Histogram,
+    pause: Histogram,
+    document: Histogram,
+    wait: Histogram,
+    retry_after: Histogram,
+    resumed: IntCounter,
+    left: IntCounter,
+    configuration: IntGauge,
+    in_progress: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a name is registered already.
+    pub fn register(registry: &Registry) -> Result<Self> {
+        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec> {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let seconds = |name: &str, help: &str| -> Result<Histogram> {
+            let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+            let histogram = Histogram::with_opts(opts)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        Ok(Self {
+            answers: counters(
+                "bitternwall_direct_answers_total",
+                "Final answers by who made them and why.",
+                &["cause"],
+            )?,
+            attempts: counters(
+                "bitternwall_direct_attempts_total",
+                "Attempts at targets by outcome.",
+                &["outcome"],
+            )?,
+            store_failures: counters(
+                "bitternwall_direct_store_failures_total",
+                "Calls to the store that failed.",
+                &["collection"],
+            )?,
+            first_event: seconds(
+                "bitternwall_direct_first_event_seconds",
+                "Time from a request's arrival to the first event of its answer.",
+            )?,
+            pause: seconds(
+                "bitternwall_direct_pause_seconds",
+                "Longest pause between two events of an answer.",
+            )?,
+            document: seconds(
+                "bitternwall_direct_document_seconds",
+                "Time from a request's arrival to the end of an answer that is one document.",
+            )?,
+            wait: seconds(
+                "bitternwall_direct_wait_seconds",
+                "Time that requests waited for a place.",
+            )?,
+            retry_after: seconds(
+                "bitternwall_direct_retry_after_seconds",
+                "Times after which refused callers were told to come back.",
+            )?,
+            resumed: counter(
+                "bitternwall_direct_resumed_total",
+                "Answers that went on at another target.",
+            )?,
+            left: counter(
+                "bitternwall_direct_callers_left_total",
+                "Callers that left before the end of their answer.",
+            )?,
+            configuration: gauge(
+                "bitternwall_direct_configuration_version",
+                "The version of the configuration in force.",
+            )?,
+            in_progress: gauge(
+                "bitternwall_direct_requests_in_progress",
+                "Requests without a final answer.",
+            )?,
+        })
+    }
+
+    /// Counts a final answer.
+    pub fn answered(&self, cause: &str) {
+        self.answers.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts an attempt at a target.
+    pub fn attempt(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a call to the store that failed.
+    pub fn store_failed(&self, collection: &str) {
+        self.store_failures.with_label_values(&[collection]).inc();
+    }
+
+    /// Notes the time to the first event of an answer.
+    pub fn first_event(&self, after: Duration) {
+        self.first_event.observe(after.as_secs_f64());
+    }
+
+    /// Notes the longest pause of an answer.
+    pub fn pause(&self, longest: Duration) {
+        self.pause.observe(longest.as_secs_f64());
+    }
+
+    /// Notes the time to the end of a document.
+    pub fn document(&self, after: Duration) {
+        self.document.observe(after.as_secs_f64());
+    }
+
+    /// Notes how long a request waited for a place.
+    pub fn waited(&self, wait: Duration) {
+        self.wait.observe(wait.as_secs_f64());
+    }
+
+    /// Notes when a refused caller was told to come back.
+    pub fn retry_after(&self, delay: Duration) {
+        self.retry_after.observe(delay.as_secs_f64());
+    }
+
+    /// Counts an answer that went on at another target.
+    pub fn resumed(&self) {
+        self.resumed.inc();
+    }
+
+    /// Counts a caller that left.
+    pub fn left(&self) {
+        self.left.inc();
+    }
+
+    /// Sets the version in force.
+    pub fn configuration(&self, version: u64) {
+        self.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of requests in progress.
+    pub fn in_progress(&self, requests: usize) {
+        self.in_progress.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/src/direct/peers.rs
@@ -0,0 +1,220 @@
+//! The other entries, as their heartbeats tell.
+//!
+//! Heartbeats carry what each entry has in flight and which facts it holds. They tell who lives,
+//! spread the load that each target has, and let few entries read the store for all.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use crate::collections::{Map, Set};
+
+/// Heartbeats that an entry may miss before its load and address no longer count.
+const MISSED_BEATS: u32 = 5;
+
+/// An entry that was not heard for this long is forgotten and no longer written to.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Entries that read the store for all others.
+pub const READERS: usize = 3;
+
+/// Heartbeat is what an entry tells the others.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Heartbeat {
+    /// The entry's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// A number that differs in each life of the process.
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    /// Counts the heartbeats of this life.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Where callers connect, as `ip:port`.
+    #[prost(string, tag = "4")]
+    pub callers_addr: String,
+    /// The data centre.
+    #[prost(string, tag = "5")]
+    pub data_centre: String,
+    /// True while it serves callers.
+    #[prost(bool, tag = "6")]
+    pub ready: bool,
+    /// The version of its configuration; 0 without one.
+    #[prost(uint64, tag = "7")]
+    pub version: u64,
+    /// The store's revision of its list of targets; 0 without one.
+    #[prost(uint64, tag = "8")]
+    pub targets_at: u64,
+    /// True while the store answers it.
+    #[prost(bool, tag = "9")]
+    pub reads_store: bool,
+    /// Its requests in flight by target.
+    #[prost(message, repeated, tag = "10")]
+    pub loads: Vec<Load>,
+    /// Addresses of entries that it hears.
+    #[prost(message, repeated, tag = "11")]
+    pub hears: Vec<PeerAddr>,
+    /// True once the process leaves.
+    #[prost(bool, tag = "12")]
+    pub leaving: bool,
+}
+
+/// Load is the requests that an entry has in flight at one target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Load {
+    /// The target's id.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The requests.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+}
+
+/// PeerAddr is where an entry hears heartbeats.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PeerAddr {
+    /// The IPv4 address.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// The port.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+}
+
+impl PeerAddr {
+    /// Returns the address as others write it; none for one that is not IPv4.
+    pub fn of(addr: SocketAddr) -> Option<Self> {
+        match addr {
+            SocketAddr::V4(addr) => {
+                Some(Self { ip: addr.ip().to_bits(), port: u32::from(addr.port()) })
+            }
+            SocketAddr::V6(_) => None,
+        }
+    }
+
+    /// Returns the address, where the port is one.
+    pub fn addr(self) -> Option<SocketAddr> {
+        let port = u16::try_from(self.port).ok()?;
+        Some(SocketAddrV4::new(Ipv4Addr::from_bits(self.ip), port).into())
+    }
+}
+
+/// Peer is one other entry.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its newest heartbeat.
+    pub beat: Heartbeat,
+    /// When that arrived.
+    pub heard: Duration,
+    /// Where it hears heartbeats and serves its facts.
+    pub addr: SocketAddr,
+}
+
+/// News is what a heartbeat changed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct News {
+    /// The entry was not heard of before, or is back.
+    pub joined: bool,
+    /// Its loads differ from those before.
+    pub loads: bool,
+}
+
+/// Peers is the table.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: Map<String, Peer>,
+    known: Map<SocketAddr, Duration>,
+    most: u32,
+}
+
+impl Peers {
+    /// Takes in a heartbeat that came from an address.
+    pub fn heard(&mut self, beat: Heartbeat, from: SocketAddr, now: Duration) -> News {
+        self.known.insert(from, now);
+        for addr in beat.hears.iter().filter_map(|addr| addr.addr()) {
+            self.known.entry(addr).or_insert(now);
+        }
+        let old = self.peers.get(&beat.name);
+        let same_life = old.is_some_and(|old| old.beat.life == beat.life);
+        if same_life && old.is_some_and(|old| old.beat.sequence >= beat.sequence) {
+            return News::default();
+        }
+        let loads = old.is_none_or(|old| old.beat.loads != beat.loads);
+        let name = beat.name.clone();
+        self.peers.insert(name, Peer { beat, heard: now, addr: from });
+        News { joined: !same_life, loads }
+    }
+
+    /// Notes an address that may be an entry's.
+    pub fn expect(&mut self, addr: SocketAddr, now: Duration) {
+        self.known.entry(addr).or_insert(now);
+    }
+
+    /// Returns the addresses that heartbeats go to, and forgets those that are silent for long.
+    /// Addresses in `always` are kept.
+    pub fn audience(&mut self, always: &[SocketAddr], now: Duration) -> Vec<SocketAddr> {
+        self.known.retain(|_, heard| now.saturating_sub(*heard) < FORGET_AFTER);
+        self.peers.retain(|_, peer| now.saturating_sub(peer.heard) < FORGET_AFTER);
+        let mut audience: Set<SocketAddr> = self.known.keys().copied().collect();
+        audience.extend(always);
+        audience.into_iter().collect()
+    }
+
+    /// Returns the entries that were heard within a few heartbeats.
+    pub fn live(&self, beat_every: Duration, now: Duration) -> impl Iterator<Item = &Peer> {
+        let limit = beat_every * MISSED_BEATS;
+        self.peers.values().filter(move |peer| now.saturating_sub(peer.heard) <= limit)
+    }
+
+    /// Returns the requests that the other live entries have in flight, by target.
+    pub fn loads(&self, beat_every: Duration, now: Duration) -> Map<String, u32> {
+        let mut loads: Map<String, u32> = Map::default();
+        for peer in self.live(beat_every, now) {
+            for load in &peer.beat.loads {
+                *loads.entry(load.target.clone()).or_default() += load.requests;
+            }
+        }
+        loads
+    }
+
+    /// Counts the entries now; the largest count is remembered for shares of what all use.
+    pub fn count(&mut self, beat_every: Duration, now: Duration) -> u32 {
+        let live = u32::try_from(self.live(beat_every, now).count()).unwrap_or(u32::MAX);
+        let entries = live.saturating_add(1);
+        self.most = self.most.max(entries);
+        entries
+    }
+
+    /// Returns the largest number of entries seen at once, with this one; at least 1.
+    pub fn most_entries(&self) -> u32 {
+        self.most.max(1)
+    }
+
+    /// Tells whether the entry of this name is among those that read the store for all: the first
+    /// ones by name's hash among the live entries that the store answers.
+    pub fn is_reader(&self, name: &str, beat_every: Duration, now: Duration) -> bool {
+        let own = rank(name);
+        let ahead = self
+            .live(beat_every, now)
+            .filter(|peer| peer.beat.reads_store && !peer.beat.leaving)
+            .filter(|peer| rank(&peer.beat.name) < own)
+            .count();
+        ahead < READERS
+    }
+
+    /// Returns the live entry with the newest facts that are newer than those given.
+    pub fn ahead(
+        &self,
+        version: u64,
+        targets_at: u64,
+        beat_every: Duration,
+        now: Duration,
+    ) -> Option<&Peer> {
+        let newer = |peer: &&Peer| peer.beat.version > version || peer.beat.targets_at > targets_at;
+        let live = self.live(beat_every, now).filter(newer);
+        live.max_by_key(|peer| (peer.beat.version, peer.beat.targets_at))
+    }
+}
+
+fn rank(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
--- /dev/null
+++ b/src/direct/pool.rs
@@ -0,0 +1,108 @@
+//! Kept connections to targets, within the connections that a target accepts.
+//!
+//! Load pattern: many short requests to few targets. A target accepts a number of connections from
+//! all callers together, so each entry keeps to its part of them; what exceeds the part waits for
+//! a connection to come back.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::collections::Map;
+use crate::direct::http::{Codecs, Connection, Result};
+
+/// Longest idle time of a connection that is used again, where the target names no limit. It lies
+/// under the five seconds that HTTP servers commonly keep an idle connection.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
+/// Longest idle time before a request that may not be sent twice: a target may close an idle
+/// connection just as the request is on its way, and then nobody knows whether it ran.
+const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_millis(500);
+
+/// The part of a target's own idle limit during which a connection is used again; the rest covers
+/// the way of a request to the target.
+const IDLE_LIMIT_PART: f64 = 0.7;
+
+/// Reuse says which kept connections a request may go over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// Any that seems open.
+    Any,
+    /// Those that were used a moment ago.
+    RecentOnly,
+}
+
+struct Kept {
+    connection: Connection,
+    since: Duration,
+    usable_for: Duration,
+}
+
+/// Pool keeps idle connections by target address.
+#[derive(Clone)]
+pub struct Pool {
+    clock: Clock,
+    codecs: Codecs,
+    idle: Rc<RefCell<Map<SocketAddr, Vec<Kept>>>>,
+}
+
+impl Pool {
+    /// Returns an empty pool.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, codecs: Codecs::new(), idle: Rc::default() }
+    }
+
+    /// Returns a kept connection that still seems open.
+    pub fn kept(&self, addr: SocketAddr, reuse: Reuse) -> Option<Connection> {
+        let now = self.clock.monotonic();
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        while let Some(kept) = list.pop() {
+            let age = now.saturating_sub(kept.since);
+            let limit = match reuse {
+                Reuse::Any => kept.usable_for,
+                Reuse::RecentOnly => kept.usable_for.min(MAX_IDLE_AT_MOST_ONCE),
+            };
+            if age <= limit && kept.connection.is_reusable() {
+                return Some(kept.connection);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where none is up within `timeout`.
+    pub async fn open(&self, addr: SocketAddr, timeout: Duration) -> Result<Connection> {
+        Connection::open(addr, timeout, &self.codecs).await
+    }
+
+    /// Keeps a connection whose answer has ended, if it may carry another exchange.
+    pub fn keep(&self, addr: SocketAddr, connection: Connection, idle_limit: Option<Duration>) {
+        if !connection.is_reusable() {
+            return;
+        }
+        let usable_for = idle_limit.map_or(MAX_IDLE, |limit| limit.mul_f64(IDLE_LIMIT_PART));
+        let kept = Kept { connection, since: self.clock.monotonic(), usable_for };
+        self.idle.borrow_mut().entry(addr).or_default().push(kept);
+    }
+
+    /// Drops connections that have been idle for too long, and those to other addresses than the
+    /// ones that `wanted` accepts.
+    pub fn prune(&self, wanted: impl Fn(SocketAddr) -> bool) {
+        let now = self.clock.monotonic();
+        self.idle.borrow_mut().retain(|addr, list| {
+            list.retain(|kept| now.saturating_sub(kept.since) <= kept.usable_for);
+            wanted(*addr) && !list.is_empty()
+        });
+    }
+
+    /// Returns the number of idle connections to an address.
+    pub fn idle_count(&self, addr: SocketAddr) -> usize {
+        self.idle.borrow().get(&addr).map_or(0, Vec::len)
+    }
+}
--- /dev/null
+++ b/src/direct/targets.rs
@@ -0,0 +1,304 @@
+//! The targets that an entry reaches directly: who is there, how loaded each is, and which one a
+//! request goes to.
+//!
+//! Load pattern: many entries share few targets, and each entry sees only its own requests at once.
+//! The table adds what the other entries said of theirs, a moment old, so that all of them fill the
+//! same targets evenly and none beyond its places.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::collections::{Map, Set};
+
+/// First pause of a target that failed; each further failure in a row doubles it.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest pause of a target that keeps failing, so that one that is back is found soon.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+
+/// Places that a target in another data centre seems fuller by, which keeps traffic near while
+/// loads are about even.
+const REMOTE_HANDICAP: f64 = 0.5;
+
+/// Weight of a new sample in the moving averages of a target.
+const SAMPLE_WEIGHT: f64 = 0.15;
+
+/// Places that a target whose requests all fail seems fuller by.
+const FAILURE_HANDICAP: f64 = 12.0;
+
+/// Failures' share below which a target is not avoided; plain services fail some requests by
+/// themselves.
+const TOLERATED_FAILURES: f64 = 0.25;
+
+/// Target is one server of a service, as the list of targets names it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// The id of this incarnation, which the target itself checks.
+    pub id: String,
+    /// The service that it runs.
+    pub service: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// True once it takes no new work.
+    pub leaving: bool,
+    /// The start of this incarnation, in Unix milliseconds, if it says so.
+    pub born_ms: Option<u64>,
+}
+
+/// Outcome is what an attempt says of its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It answered.
+    Answered,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It took no more work, and said so.
+    Full,
+    /// It could not be reached, fell silent, or its answer was cut or spoilt.
+    Broken,
+}
+
+/// Standing is what an entry knows of a target besides the list.
+#[derive(Clone, Debug, Default)]
+struct Standing {
+    own: u32,
+    failures: f64,
+    broken_in_row: u32,
+    paused_until: Duration,
+    full_until: Duration,
+}
+
+/// Choice is the target that a request goes to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub target: Target,
+    /// Requests in flight there, as far as known, before this one.
+    pub load: u32,
+}
+
+/// NoChoice is why no target takes a request now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoChoice {
+    /// The service has no target.
+    NoTargets,
+    /// All targets are paused after failures.
+    AllPaused,
+    /// All places are taken.
+    AllFull,
+}
+
+/// Wanted describes the request that a target is looked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Requests in flight that a target may have for each of its slots.
+    pub fill: f64,
+    /// Targets that were tried already.
+    pub tried: &'a [String],
+    /// A number drawn at random, which spreads entries over equal targets.
+    pub draw: u32,
+}
+
+/// Targets is the table.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    listed: Map<String, Target>,
+    standing: Map<String, Standing>,
+    others: Map<String, u32>,
+    data_centre: String,
+}
+
+impl Targets {
+    /// Returns an empty table of an entry in a data centre.
+    pub fn new(data_centre: &str) -> Self {
+        Self { data_centre: data_centre.to_owned(), ..Self::default() }
+    }
+
+    /// Takes one target as listed. A new incarnation under an old id starts with a clean record.
+    pub fn upsert(&mut self, target: Target) {
+        let reborn = self.listed.get(&target.id).is_some_and(|old| old.born_ms != target.born_ms);
+        if reborn && let Some(standing) = self.standing.get_mut(&target.id) {
+            *standing = Standing { own: standing.own, ..Standing::default() };
+        }
+        self.listed.insert(target.id.clone(), target);
+    }
+
+    /// Takes a target off the list.
+    pub fn remove(&mut self, id: &str) {
+        self.listed.remove(id);
+        self.forget_unused(id);
+    }
+
+    /// Returns the ids in the table that a list lacks.
+    pub fn missing_from(&self, listed: &[Target]) -> Vec<String> {
+        let ids: Set<&str> = listed.iter().map(|target| target.id.as_str()).collect();
+        self.listed.keys().filter(|id| !ids.contains(id.as_str())).cloned().collect()
+    }
+
+    fn forget_unused(&mut self, id: &str) {
+        if self.standing.get(id).is_some_and(|standing| standing.own == 0) {
+            self.standing.remove(id);
+        }
+    }
+
+    /// Returns a listed target.
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.listed.get(id)
+    }
+
+    /// Returns all listed targets.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.listed.values()
+    }
+
+    /// Returns the number of listed targets.
+    pub fn len(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Tells whether no target is listed.
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty()
+    }
+
+    /// Sets the requests that the other entries have in flight at each target.
+    pub fn set_others(&mut self, others: Map<String, u32>) {
+        self.others = others;
+    }
+
+    /// Returns this entry's requests in flight by target.
+    pub fn own(&self) -> impl Iterator<Item = (&str, u32)> {
+        let used = self.standing.iter().filter(|(_, standing)| standing.own > 0);
+        used.map(|(id, standing)| (id.as_str(), standing.own))
+    }
+
+    /// Returns all requests in flight at a target, as far as known.
+    pub fn load(&self, id: &str) -> u32 {
+        let own = self.standing.get(id).map_or(0, |standing| standing.own);
+        own + self.others.get(id).copied().unwrap_or(0)
+    }
+
+    /// Returns the target for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none takes it now.
+    pub fn choose(&self, wanted: &Wanted<'_>, now: Duration) -> Result<Choice, NoChoice> {
+        let mut why = NoChoice::NoTargets;
+        let mut best: Option<(f64, &Target, u32)> = None;
+        for target in self.listed.values() {
+            if target.service != wanted.service || target.leaving {
+                continue;
+            }
+            if wanted.tried.contains(&target.id) {
+                continue;
+            }
+            let standing = self.standing.get(&target.id);
+            if standing.is_some_and(|standing| standing.paused_until > now) {
+                why = worse(why, NoChoice::AllPaused);
+                continue;
+            }
+            let load = self.load(&target.id);
+            let places = f64::from(target.slots) * wanted.fill;
+            let full = standing.is_some_and(|standing| standing.full_until > now);
+            if full || f64::from(load) >= places {
+                why = worse(why, NoChoice::AllFull);
+                continue;
+            }
+            let rank = self.rank(target, standing, load, wanted.draw);
+            if best.is_none_or(|(least, _, _)| rank < least) {
+                best = Some((rank, target, load));
+            }
+        }
+        best.map(|(_, target, load)| Choice { target: target.clone(), load }).ok_or(why)
+    }
+
+    /// Ranks a target; the least loaded, nearest and soundest one comes first.
+    fn rank(&self, target: &Target, standing: Option<&Standing>, load: u32, draw: u32) -> f64 {
+        let failures = standing.map_or(0.0, |standing| standing.failures);
+        let excess = (failures - TOLERATED_FAILURES).max(0.0) / (1.0 - TOLERATED_FAILURES);
+        let remote = if target.data_centre == self.data_centre { 0.0 } else { REMOTE_HANDICAP };
+        let shuffled = rustc_hash_of(&target.id) ^ draw;
+        let jitter = f64::from(shuffled.wrapping_mul(0x9E37_79B1) >> 16) / 65_536.0 * 0.4;
+        f64::from(load) + excess * FAILURE_HANDICAP + remote + jitter
+    }
+
+    /// Notes that a request is on its way to a target.
+    pub fn began(&mut self, id: &str) {
+        self.standing.entry(id.to_owned()).or_default().own += 1;
+    }
+
+    /// Notes that a request at a target has ended, or was given up.
+    pub fn ended(&mut self, id: &str) {
+        if let Some(standing) = self.standing.get_mut(id) {
+            standing.own = standing.own.saturating_sub(1);
+        }
+        if !self.listed.contains_key(id) {
+            self.forget_unused(id);
+        }
+    }
+
+    /// Takes in what an attempt says of its target. Returns how long the target is paused, where
+    /// it was not before.
+    pub fn learn(&mut self, id: &str, outcome: Outcome, now: Duration) -> Option<Duration> {
+        let standing = self.standing.entry(id.to_owned()).or_default();
+        let sample = if outcome == Outcome::Answered { 0.0 } else { 1.0 };
+        if outcome != Outcome::Full {
+            standing.failures += (sample - standing.failures) * SAMPLE_WEIGHT;
+        }
+        match outcome {
+            Outcome::Answered | Outcome::Failed => {
+                standing.broken_in_row = 0;
+                None
+            }
+            Outcome::Full => {
+                standing.full_until = now + FULL_PAUSE;
+                None
+            }
+            Outcome::Broken => {
+                let paused = standing.paused_until > now;
+                if paused {
+                    return None;
+                }
+                let doublings = standing.broken_in_row.min(8);
+                standing.broken_in_row += 1;
+                let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE);
+                standing.paused_until = now + pause;
+                Some(pause)
+            }
+        }
+    }
+
+    /// Returns when the first paused or full target of a service is tried again.
+    pub fn next_chance(&self, service: &str, now: Duration) -> Option<Duration> {
+        let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
+        listed
+            .filter_map(|target| self.standing.get(&target.id))
+            .map(|standing| standing.paused_until.max(standing.full_until))
+            .filter(|until| *until > now)
+            .min()
+    }
+}
+
+/// Pause of a target that said it is full, about the time in which a place comes free.
+const FULL_PAUSE: Duration = Duration::from_millis(40);
+
+fn worse(one: NoChoice, other: NoChoice) -> NoChoice {
+    match (one, other) {
+        (NoChoice::AllFull, _) | (_, NoChoice::AllFull) => NoChoice::AllFull,
+        (NoChoice::AllPaused, _) | (_, NoChoice::AllPaused) => NoChoice::AllPaused,
+        (NoChoice::NoTargets, NoChoice::NoTargets) => NoChoice::NoTargets,
+    }
+}
+
+/// Spreads ids over all of `u32`.
+fn rustc_hash_of(id: &str) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+    u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
+}
--- /dev/null
+++ b/src/direct/waiting.rs
@@ -0,0 +1,56 @@
+//! Decides how long a request waits for a place and when a refused one may come back.
+//!
+//! Load pattern: more requests than places. A place comes free every few milliseconds, so a short
+//! wait often finds one; a long one makes the answer late and only moves the queue from the
+//! targets into the entry. What finds no place in time is refused at once, with a time to come
+//! back that grows with the share of requests that are refused, and that differs by caller so
+//! that they do not come back together.
+
+use std::time::Duration;
+
+/// The part of a request's objective that it waits for a place.
+const WAIT_PART: f64 = 0.125;
+
+/// Bounds of the time after which a refused caller may come back.
+const MIN_RETURN: Duration = Duration::from_millis(150);
+
+/// The part of the caller's remaining time within which it is told to come back.
+const MAX_RETURN_PART: f64 = 0.3;
+
+/// Weight of a new request in the share of refused ones.
+const SAMPLE_WEIGHT: f64 = 0.02;
+
+/// Pressure is the share of lately arrived requests that found no place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pressure {
+    refused: f64,
+}
+
+impl Pressure {
+    /// Notes that a request found a place.
+    pub fn admitted(&mut self) {
+        self.refused -= self.refused * SAMPLE_WEIGHT;
+    }
+
+    /// Notes that a request was refused.
+    pub fn refused(&mut self) {
+        self.refused += (1.0 - self.refused) * SAMPLE_WEIGHT;
+    }
+
+    /// Returns the share, from 0 to 1.
+    pub fn share(&self) -> f64 {
+        self.refused
+    }
+
+    /// Returns when a refused caller may come back. `draw` is drawn evenly from 0 to 1.
+    pub fn retry_after(&self, time_left: Duration, draw: f64) -> Duration {
+        let longest = time_left.mul_f64(MAX_RETURN_PART);
+        let spread = longest.saturating_sub(MIN_RETURN).mul_f64(self.refused.sqrt() * draw);
+        (MIN_RETURN + spread).min(longest)
+    }
+}
+
+/// Returns how long a request may wait for a place.
+pub fn longest_wait(objective: Duration, time_left: Duration) -> Duration {
+    objective.mul_f64(WAIT_PART).min(time_left / 4)
+}
--- a/src/entry/actor/messages.rs
+++ b/src/entry/actor/messages.rs
@@ -12,8 +12,8 @@
 use crate::entry::core::tables::RequestId;
 use crate::entry::links::SendFrame;
 use crate::entry::{outbound, relay};
+use crate::external::host_list;
 use crate::members::addresses::Address;
-use crate::platform::host_list;
 use crate::wire::{client, server};
 
 /// Submit hands a caller's request to the core.
--- a/src/entry/config_source.rs
+++ b/src/entry/config_source.rs
@@ -6,7 +6,7 @@
 
 use crate::collections::Map;
 use crate::config::{envelope, replica, source, state};
-use crate::platform::store;
+use crate::external::store;
 
 /// Takes what the service answered.
 pub type Report = Rc<dyn Fn(replica::Event)>;
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -45,9 +45,15 @@
         self.left = (self.left + self.share).min(self.burst);
     }
 
+    /// Changes how many retries may be saved up.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.left = self.left.min(burst);
+    }
+
     /// Takes one retry, if there is one left. What keeps an answer whole of which the caller has
     /// a part may overdraw the budget.
-    fn spend(&mut self, may_overdraw: bool) -> bool {
+    pub fn spend(&mut self, may_overdraw: bool) -> bool {
         let floor = if may_overdraw { -self.burst } else { 0.0 };
         let enough = self.left - 1.0 >= floor;
         if enough {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -25,8 +25,8 @@
 use crate::entry::{
     actor, addresses, caller_api, config_source, explain_api, force, metrics, operator_api,
 };
+use crate::external::{host_list, store};
 use crate::members::table;
-use crate::platform::{host_list, store};
 use crate::settings::common;
 use crate::settings::entry::EntrySettings;
 use crate::telemetry::{admin, events, logs};
--- a/src/entry/operator_api.rs
+++ b/src/entry/operator_api.rs
@@ -19,7 +19,7 @@
 use tokio::sync;
 
 use crate::clock::Clock;
-use crate::platform::store::{Store, StoreOptions};
+use crate::external::store::{Store, StoreOptions};
 use crate::problem::Problem;
 use crate::resources::changes::{Accepted, Change, ChangeState, Operation};
 use crate::resources::documents::{AuditDocument, ChangeDocument, Document, ListDocument};
--- a/src/resources/changes.rs
+++ b/src/resources/changes.rs
@@ -8,7 +8,7 @@
 use sha2::Digest;
 
 use crate::audit::Action;
-use crate::platform::store;
+use crate::external::store;
 use crate::resources::error::{ResourceError, Result};
 use crate::resources::kinds::Kind;
 
--- a/src/resources/error.rs
+++ b/src/resources/error.rs
@@ -2,7 +2,7 @@
 
 use std::result;
 
-use crate::platform::store::StoreError;
+use crate::external::store::StoreError;
 use crate::resources::kinds::Kind;
 use crate::resources::names::NameError;
 use crate::resources::specs::SpecError;
--- a/src/resources/plan.rs
+++ b/src/resources/plan.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::audit::{self, Action, AuditRecord, Subject};
-use crate::platform::store::{Compare, KeyValue, Range, Write};
+use crate::external::store::{Compare, KeyValue, Range, Write};
 use crate::resources::changes::{self, Applied, Change, Marker, Operation};
 use crate::resources::error::{ResourceError, Result};
 use crate::resources::kinds::Kind;
--- a/src/resources/service.rs
+++ b/src/resources/service.rs
@@ -7,7 +7,7 @@
 
 use crate::audit::{self, AuditRecord};
 use crate::clock::Clock;
-use crate::platform::store::{Commit, Range, Store, StoreError};
+use crate::external::store::{Commit, Range, Store, StoreError};
 use crate::resources::changes::{self, Accepted, Applied, Change, ChangeState, Marker};
 use crate::resources::error::{ResourceError, Result};
 use crate::resources::kinds::Kind;
--- a/src/resources/stored.rs
+++ b/src/resources/stored.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::platform::store;
+use crate::external::store;
 use crate::resources::kinds::Kind;
 
 /// The prefix of all resources.
--- a/src/resources/watch.rs
+++ b/src/resources/watch.rs
@@ -1,6 +1,6 @@
 //! A watch of resources on top of a watch of keys.
 
-use crate::platform::store;
+use crate::external::store;
 use crate::resources::error::Result;
 use crate::resources::kinds::Kind;
 use crate::resources::stored::{self, StoredResource};
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 
-use crate::platform::store;
+use crate::external::store;
 use crate::settings::Problem;
 
 /// StoreSettings tells how to reach the platform's key-value service.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod common;
+pub mod direct;
 pub mod entry;
 
 use std::{fs, io, path, result};
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -1,7 +1,8 @@
 //! Numbered log events; docs/LOG_EVENTS.md is the catalogue.
 //!
 //! Entry events count from 1000, agent events from 2000, platform events from 3000, resource
-//! events from 4000, configuration events from 5000 and expert-map events from 6000.
+//! events from 4000, configuration events from 5000, expert-map events from 6000 and events of the
+//! direct path from 7000.
 
 use std::fmt;
 
@@ -101,6 +102,63 @@
 /// The audit trail could not be pruned; a later change tries again.
 pub const AUDIT_PRUNE_FAILED: LogEvent =
     LogEvent { number: 4007, severity: Severity::Warning, title: "audit trail not pruned" };
+/// A request got its final answer, or its caller left.
+pub const REQUEST_ANSWERED: LogEvent =
+    LogEvent { number: 7001, severity: Severity::Info, title: "request answered" };
+/// An attempt at a target gave no answer to pass on.
+pub const ATTEMPT_FAILED: LogEvent =
+    LogEvent { number: 7002, severity: Severity::Warning, title: "attempt failed" };
+/// A target that failed gets no new work for a while.
+pub const TARGET_PAUSED: LogEvent =
+    LogEvent { number: 7003, severity: Severity::Warning, title: "target paused" };
+/// An exchange with a target failed.
+pub const TARGET_BROKE: LogEvent =
+    LogEvent { number: 7004, severity: Severity::Warning, title: "exchange failed" };
+/// An answer broke off after its beginning was passed on.
+pub const ANSWER_BROKE: LogEvent =
+    LogEvent { number: 7005, severity: Severity::Warning, title: "answer broke off" };
+/// A target came on the list or its entry changed.
+pub const TARGET_LISTED: LogEvent =
+    LogEvent { number: 7010, severity: Severity::Info, title: "target listed" };
+/// A target went off the list.
+pub const TARGET_GONE: LogEvent =
+    LogEvent { number: 7011, severity: Severity::Info, title: "target gone" };
+/// A target went off the list around an absence of the store and may come back.
+pub const TARGET_LAPSED: LogEvent =
+    LogEvent { number: 7012, severity: Severity::Warning, title: "target lapsed" };
+/// A newer configuration came into force.
+pub const DIRECT_CONFIG: LogEvent =
+    LogEvent { number: 7020, severity: Severity::Info, title: "configuration in force" };
+/// A value of the store cannot be read and is passed over.
+pub const VALUE_UNREADABLE: LogEvent =
+    LogEvent { number: 7021, severity: Severity::Warning, title: "value unreadable" };
+/// The store does not answer, or refuses calls.
+pub const STORE_LOST: LogEvent =
+    LogEvent { number: 7030, severity: Severity::Warning, title: "store lost" };
+/// The store answers again.
+pub const STORE_REGAINED: LogEvent =
+    LogEvent { number: 7031, severity: Severity::Info, title: "store regained" };
+/// The store dropped the history that a watch needs; the collection is read again.
+pub const STORE_HISTORY_LOST: LogEvent =
+    LogEvent { number: 7032, severity: Severity::Info, title: "store history lost" };
+/// Another entry was heard for the first time in its life.
+pub const PEER_JOINED: LogEvent =
+    LogEvent { number: 7040, severity: Severity::Info, title: "entry joined" };
+/// Facts could not be fetched from another entry.
+pub const PEER_FAILED: LogEvent =
+    LogEvent { number: 7041, severity: Severity::Warning, title: "facts not fetched" };
+/// A datagram is no heartbeat.
+pub const HEARTBEAT_UNREADABLE: LogEvent =
+    LogEvent { number: 7042, severity: Severity::Warning, title: "heartbeat unreadable" };
+/// A connection could not be accepted.
+pub const ACCEPT_FAILED: LogEvent =
+    LogEvent { number: 7050, severity: Severity::Error, title: "connection not accepted" };
+/// The settings were read again.
+pub const SETTINGS_RELOADED: LogEvent =
+    LogEvent { number: 7051, severity: Severity::Info, title: "settings reloaded" };
+/// The settings cannot be read again; the old ones hold.
+pub const SETTINGS_REFUSED: LogEvent =
+    LogEvent { number: 7052, severity: Severity::Error, title: "settings refused" };
 
 /// Every event, in the order of its number.
 pub const CATALOGUE: &[LogEvent] = &[
@@ -129,6 +187,25 @@
     RESOURCE_UNREADABLE,
     AUDIT_PRUNED,
     AUDIT_PRUNE_FAILED,
+    REQUEST_ANSWERED,
+    ATTEMPT_FAILED,
+    TARGET_PAUSED,
+    TARGET_BROKE,
+    ANSWER_BROKE,
+    TARGET_LISTED,
+    TARGET_GONE,
+    TARGET_LAPSED,
+    DIRECT_CONFIG,
+    VALUE_UNREADABLE,
+    STORE_LOST,
+    STORE_REGAINED,
+    STORE_HISTORY_LOST,
+    PEER_JOINED,
+    PEER_FAILED,
+    HEARTBEAT_UNREADABLE,
+    ACCEPT_FAILED,
+    SETTINGS_RELOADED,
+    SETTINGS_REFUSED,
 ];
 
 /// Logs one event with its details.
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -6,7 +6,7 @@
 
 use bitternwall::agent::world::ClaimCheck;
 use bitternwall::agent::{events, shard};
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestCaseError, TestError, TestRng, TestRunner};
--- a/tests/common/claim_store_model.rs
+++ b/tests/common/claim_store_model.rs
@@ -6,7 +6,7 @@
 
 use bitternwall::agent::events::{ClaimKey, CommitOutcome};
 use bitternwall::agent::segment;
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use bytes::Bytes;
 use prost::Message;
 
--- a/tests/common/claims_model.rs
+++ b/tests/common/claims_model.rs
@@ -10,7 +10,7 @@
 
 use bitternwall::agent::events::{CommitOutcome, Effect, Event, Failure, JobId, Probe};
 use bitternwall::agent::{config_view, segment, shard, world};
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use bitternwall::resources::kinds;
 use bitternwall::wire;
 use bitternwall::wire::server::LinkId;
--- a/tests/common/entry_model.rs
+++ b/tests/common/entry_model.rs
@@ -12,7 +12,7 @@
 };
 use bitternwall::entry::core::tables::{AttemptNumber, RequestId};
 use bitternwall::entry::core::{EntryWorld, Options};
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use serde_json::{Value, json};
 
 pub const KEY_HASH: [u8; 32] = [7; 32];
--- a/tests/common/store.rs
+++ b/tests/common/store.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use bitternwall::platform::store::{Store, StoreOptions};
+use bitternwall::external::store::{Store, StoreOptions};
 use tokio::net::TcpSocket;
 
 /// Long enough for a busy machine, as no test waits for it to pass.
--- a/tests/configuration/model.rs
+++ b/tests/configuration/model.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bitternwall::config::{source, state};
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use bytes::Bytes;
 
 pub type Table = BTreeMap<String, store::KeyValue>;
--- a/tests/configuration/tables.rs
+++ b/tests/configuration/tables.rs
@@ -4,7 +4,7 @@
 use bitternwall::config::history::History;
 use bitternwall::config::state::{Delta, State, StateError};
 use bitternwall::config::view::{Grant, View};
-use bitternwall::platform::store;
+use bitternwall::external::store;
 
 fn key_value(key: &str, revision: u64, value: &str) -> store::KeyValue {
     let key = format!("/bitternwall/config/{key}");
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -18,7 +18,7 @@
 use bitternwall::entry::core::events::{Event, TargetReport};
 use bitternwall::entry::core::explain::{self, Reason, TargetExplanation};
 use bitternwall::entry::core::{Options, targets};
-use bitternwall::platform::store;
+use bitternwall::external::store;
 use common::Call;
 use entry_model::{EntryModel, Fate, Kind};
 use proptest::prelude::*;
--- a/tests/resources/connections.rs
+++ b/tests/resources/connections.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use actix_web::{App, HttpResponse, HttpServer, web};
-use bitternwall::platform::host_list::{HostList, HostListError, HostRole, HostState};
-use bitternwall::platform::store::{Store, StoreError, StoreOptions, WatchEvent, Write};
+use bitternwall::external::host_list::{HostList, HostListError, HostRole, HostState};
+use bitternwall::external::store::{Store, StoreError, StoreOptions, WatchEvent, Write};
 use bytes::Bytes;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/resources/faults.rs
+++ b/tests/resources/faults.rs
@@ -6,7 +6,7 @@
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use bitternwall::clock::Clock;
-use bitternwall::platform::store::{Store, StoreOptions};
+use bitternwall::external::store::{Store, StoreOptions};
 use bitternwall::resources::changes::{Change, ChangeState, Operation};
 use bitternwall::resources::error::ResourceError;
 use bitternwall::resources::kinds::Kind;
--- a/tests/resources/model.rs
+++ b/tests/resources/model.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use bitternwall::platform::store::{Compare, KeyValue, Range, Write};
+use bitternwall::external::store::{Compare, KeyValue, Range, Write};
 
 /// Txn is a transaction on its way to the service.
 #[derive(Clone, Debug)]
--- a/tests/resources/store_client.rs
+++ b/tests/resources/store_client.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bitternwall::platform::store::{
+use bitternwall::external::store::{
     Compare, Store, StoreError, StoreOptions, Watch, WatchEvent, Write,
 };
 use bytes::Bytes;
