--- a/benches/rebalancing.rs
+++ b/benches/rebalancing.rs
@@ -171,7 +171,12 @@
 }
 
 fn demand<'a>(tokens: &'a [f64], shape: &map::Shape, speeds: &'a [f64]) -> placement::Demand<'a> {
-    placement::Demand { shares: tokens, speeds, slots_per_rank: shape.slots_per_rank }
+    placement::Demand {
+        shares: tokens,
+        speeds,
+        slots_per_rank: shape.slots_per_rank,
+        max_new_per_rank: usize::MAX,
+    }
 }
 
 /// Places every layer from nothing on the loads of the last window, ranks renamed to keep what
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::daemon::signals;
 use crate::direct::entry::{Entry, Options};
+use crate::direct::fleet;
 use crate::direct::gossip::{self, Identity};
 use crate::direct::lapses::Lapses;
 use crate::direct::listener;
@@ -166,7 +167,7 @@
 }
 
 /// Returns a number that differs in each life of a process.
-fn life(now: SystemTime) -> u64 {
+pub fn life(now: SystemTime) -> u64 {
     let since = now.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let micros = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
     micros ^ (rand::random::<u64>() << 52)
@@ -203,11 +204,10 @@
     .await?;
     let facts = web::Data::new(Rc::clone(follower));
     listener::serve(listen.peers, INTERNAL_IDLE, move |cfg| {
-        cfg.app_data(facts.clone()).configure(gossip::configure);
+        cfg.app_data(facts.clone()).configure(gossip::configure).configure(fleet::configure);
     })
     .await?;
-    let pages =
-        web::Data::new(admin::Admin { registry: registry.clone(), ready: Default::default() });
+    let pages = web::Data::new(admin::Admin::new(registry.clone()));
     listener::serve(listen.metrics, INTERNAL_IDLE, move |cfg| {
         cfg.app_data(pages.clone()).configure(admin::configure);
     })
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod events;
 pub mod facts;
+pub mod fleet;
 pub mod forward;
 pub mod gossip;
 pub mod http;
--- a/src/expert_map/placement.rs
+++ b/src/expert_map/placement.rs
@@ -21,6 +21,8 @@
     pub speeds: &'a [f64],
     /// Experts that one rank can hold.
     pub slots_per_rank: usize,
+    /// Experts that one rank may newly load for one change of the map.
+    pub max_new_per_rank: usize,
 }
 
 impl Demand<'_> {
@@ -150,6 +152,7 @@
     times: Vec<f64>,
     penalties: Vec<f64>,
     deltas: Deltas,
+    new_by_rank: Vec<usize>,
     loads: usize,
 }
 
@@ -170,7 +173,20 @@
         let penalties = times.iter().copied().map(penalty).collect();
         let held = present.held.clone();
         let deltas = Deltas::default();
-        Self { demand, present, held, holders, shares, times, penalties, deltas, loads: 0 }
+        let new_by_rank = vec![0; present.held.len()];
+        let loads = 0;
+        Self {
+            demand,
+            present,
+            held,
+            holders,
+            shares,
+            times,
+            penalties,
+            deltas,
+            new_by_rank,
+            loads,
+        }
     }
 
     fn best_change(&mut self) -> Option<Change> {
@@ -205,7 +221,7 @@
     }
 
     fn push_changes(&self, from: usize, expert: usize, to: usize, changes: &mut Vec<Change>) {
-        if self.held[to].contains(&expert) {
+        if self.held[to].contains(&expert) || !self.may_take(to, expert) {
             return;
         }
         if self.held[to].len() < self.demand.slots_per_rank {
@@ -215,12 +231,19 @@
             if self.holders[other].len() > 1 {
                 changes.push(Change::Replicate { expert, to, evicted: Some(other) });
             }
-            if self.shares[other] < self.shares[expert] && !self.held[from].contains(&other) {
+            let lighter = self.shares[other] < self.shares[expert];
+            if lighter && !self.held[from].contains(&other) && self.may_take(from, other) {
                 changes.push(Change::Swap { from, expert, to, other });
             }
         }
     }
 
+    /// Tells whether a rank holds the expert at present, or may still load it for this change.
+    fn may_take(&self, rank: usize, expert: usize) -> bool {
+        self.new_by_rank[rank] < self.demand.max_new_per_rank
+            || self.present.held[rank].contains(&expert)
+    }
+
     /// Returns how many more experts ranks would load for a change.
     fn price(&self, change: Change) -> f64 {
         let load = |rank: usize, expert: usize| {
@@ -311,6 +334,7 @@
         self.update_share(expert);
         if !self.present.held[rank].contains(&expert) {
             self.loads += 1;
+            self.new_by_rank[rank] += 1;
         }
     }
 
@@ -320,6 +344,7 @@
         self.update_share(expert);
         if !self.present.held[rank].contains(&expert) {
             self.loads -= 1;
+            self.new_by_rank[rank] -= 1;
         }
     }
 
--- a/src/expert_map/planner.rs
+++ b/src/expert_map/planner.rs
@@ -256,7 +256,12 @@
 
     fn demand<'a>(&'a self, layer: usize, speeds: &'a [f64]) -> placement::Demand<'a> {
         let slots_per_rank = self.shape.slots_per_rank;
-        placement::Demand { shares: &self.loads.shares[layer], speeds, slots_per_rank }
+        placement::Demand {
+            shares: &self.loads.shares[layer],
+            speeds,
+            slots_per_rank,
+            max_new_per_rank: usize::MAX,
+        }
     }
 
     fn step_time(&self, map: &map::ExpertMap, speeds: &[f64]) -> f64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod external;
 pub mod members;
 pub mod problem;
+pub mod ranks;
 pub mod resources;
 pub mod settings;
 pub mod telemetry;
--- /dev/null
+++ b/src/ranks/engine.rs
@@ -0,0 +1,117 @@
+//! Calls to engines: reports, counts, held experts and orders.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use bytes::Bytes;
+use tokio::time;
+
+use crate::direct::http::{self, Exchange, HttpError};
+use crate::direct::pool::{Pool, Reuse};
+use crate::direct::store::UnreadableValue;
+use crate::ranks::report::{EngineProtocol, Held, Order, OrderOutcome, Picks, RankReport};
+
+/// The result of a call.
+pub type Result<T> = std::result::Result<T, EngineError>;
+
+/// EngineError is why a call gave nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum EngineError {
+    /// The exchange failed.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    /// The engine refused.
+    #[error("the engine answers with status {0}")]
+    Status(StatusCode),
+    /// The answer cannot be read.
+    #[error("the answer cannot be read: {0}")]
+    Unreadable(#[from] UnreadableValue),
+}
+
+/// Bytes of the longest answer: the counts of some thousand experts.
+const MAX_ANSWER: usize = 1024 * 1024;
+
+/// How long an engine may take to answer; one on the same host takes a few milliseconds.
+const CALL_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Engines calls the engines of a group.
+#[derive(Clone)]
+pub struct Engines {
+    /// How they are spoken with.
+    pub protocol: EngineProtocol,
+    /// Kept connections.
+    pub pool: Pool,
+}
+
+impl Engines {
+    /// Reads a rank's state.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub async fn report(&self, engine: SocketAddr) -> Result<RankReport> {
+        let body = self.get(engine, (self.protocol.ask_report)()).await?;
+        Ok((self.protocol.read_report)(&body)?)
+    }
+
+    /// Reads which experts a rank's requests chose.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is nothing.
+    pub async fn picks(&self, engine: SocketAddr) -> Result<Picks> {
+        let body = self.get(engine, (self.protocol.ask_picks)()).await?;
+        Ok((self.protocol.read_picks)(&body)?)
+    }
+
+    /// Reads which experts a rank holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is nothing.
+    pub async fn held(&self, engine: SocketAddr) -> Result<Held> {
+        let body = self.get(engine, (self.protocol.ask_held)()).await?;
+        Ok((self.protocol.read_held)(&body)?)
+    }
+
+    /// Gives an order.
+    pub async fn order(&self, engine: SocketAddr, order: &Order, epoch: u64) -> OrderOutcome {
+        let exchange = (self.protocol.order)(order, epoch);
+        match self.call(engine, exchange).await {
+            Ok((status, _)) => (self.protocol.read_outcome)(status.as_u16()),
+            Err(_) => OrderOutcome::NoAnswer,
+        }
+    }
+
+    async fn get(&self, engine: SocketAddr, exchange: Exchange) -> Result<Bytes> {
+        match self.call(engine, exchange).await? {
+            (StatusCode::OK, body) => Ok(body),
+            (status, _) => Err(EngineError::Status(status)),
+        }
+    }
+
+    async fn call(&self, engine: SocketAddr, exchange: Exchange) -> Result<(StatusCode, Bytes)> {
+        let call = self.exchange(engine, exchange);
+        time::timeout(CALL_TIMEOUT, call).await.map_err(|_| HttpError::Timeout(CALL_TIMEOUT))?
+    }
+
+    async fn exchange(
+        &self,
+        engine: SocketAddr,
+        mut exchange: Exchange,
+    ) -> Result<(StatusCode, Bytes)> {
+        for (name, value) in http::host(engine) {
+            exchange.headers.insert(name, value);
+        }
+        let mut connection = match self.pool.kept(engine, Reuse::Any) {
+            Some(connection) => connection,
+            None => self.pool.open(engine, CALL_TIMEOUT).await?,
+        };
+        connection.send(&exchange).await?;
+        let head = connection.head().await?;
+        let body = connection.body(MAX_ANSWER).await?;
+        self.pool.keep(engine, connection, None);
+        Ok((head.status, body))
+    }
+}
--- /dev/null
+++ b/src/ranks/mod.rs
@@ -0,0 +1,26 @@
+//! Agents beside the ranks of a group whose engines take orders themselves: they measure which
+//! experts are asked for, plan where experts go, and switch the map on all ranks at one step.
+//!
+//! [`demand`], [`rebalance`], [`switch`] and [`status`] are pure; [`daemon`] does the I/O. See
+//! docs/EXPERT_MAPS.md.
+
+pub mod daemon;
+pub mod demand;
+pub mod engine;
+pub mod orders;
+pub mod rebalance;
+pub mod report;
+pub mod status;
+pub mod switch;
+
+use crate::expert_map::float;
+
+/// Converts an index for a message.
+fn narrow(index: usize) -> u32 {
+    u32::try_from(index).unwrap_or(u32::MAX)
+}
+
+/// Converts an index of a message.
+fn wide(index: u32) -> usize {
+    usize::try_from(index).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/src/ranks/orders.rs
@@ -0,0 +1,217 @@
+//! Orders on their way from the coordinator to the agent of the rank that they are for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode, Uri};
+use bytes::Bytes;
+use prost::Message as _;
+use tokio::time;
+
+use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
+use crate::expert_map::map::{ExpertMap, Layer};
+use crate::ranks::report::{Order, OrderOutcome, Switch};
+use crate::ranks::status::{LayerMessage, StateMessage};
+
+/// The path at which an agent takes orders.
+pub const ORDERS_PATH: &str = "/orders";
+
+/// How long an agent may take to carry an order to its engine and back.
+pub const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Bytes of the longest answer.
+const MAX_ANSWER: usize = 64 * 1024;
+
+/// OrderMessage is an order for a rank of a group in an epoch.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OrderMessage {
+    /// Which order.
+    #[prost(enumeration = "Kind", tag = "1")]
+    pub kind: i32,
+    /// The version, where the order has one.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The step, where the order has one.
+    #[prost(uint64, tag = "3")]
+    pub step: u64,
+    /// The map to prepare: its layers, rank after rank.
+    #[prost(message, repeated, tag = "4")]
+    pub held: Vec<LayerMessage>,
+    /// Ranks of the map.
+    #[prost(uint32, tag = "5")]
+    pub ranks: u32,
+    /// The group's epoch.
+    #[prost(uint64, tag = "6")]
+    pub epoch: u64,
+}
+
+/// Kind names an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Kind {
+    /// None.
+    Unknown = 0,
+    /// Load the experts of a map.
+    Prepare = 1,
+    /// Use a prepared map from a step on.
+    Arm = 2,
+    /// Forget a switch.
+    Disarm = 3,
+    /// Do not begin a step.
+    Hold = 4,
+    /// Begin a held step.
+    Release = 5,
+}
+
+/// OrderAnswer is what became of an order, and the rank's state after it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OrderAnswer {
+    /// 1 done, 2 begun, 3 conflict, 4 refused; anything else is no answer.
+    #[prost(uint32, tag = "1")]
+    pub outcome: u32,
+    /// The state.
+    #[prost(message, optional, tag = "2")]
+    pub state: Option<StateMessage>,
+    /// The life of the agent that read it.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+}
+
+impl OrderMessage {
+    /// Returns the message for an order.
+    pub fn of(order: &Order, epoch: u64) -> Self {
+        let mut message = Self { epoch, ..Self::default() };
+        match order {
+            Order::Prepare { version, map } => {
+                message.set_kind(Kind::Prepare);
+                message.version = *version;
+                message.ranks =
+                    super::narrow(map.layers.first().map_or(0, |layer| layer.held.len()));
+                message.held = map
+                    .layers
+                    .iter()
+                    .flat_map(|layer| &layer.held)
+                    .map(|held| LayerMessage {
+                        experts: held.iter().map(|expert| super::narrow(*expert)).collect(),
+                    })
+                    .collect();
+            }
+            Order::Arm(Switch { version, step }) => {
+                message.set_kind(Kind::Arm);
+                (message.version, message.step) = (*version, *step);
+            }
+            Order::Disarm { version } => {
+                message.set_kind(Kind::Disarm);
+                message.version = *version;
+            }
+            Order::Hold { step } => {
+                message.set_kind(Kind::Hold);
+                message.step = *step;
+            }
+            Order::Release { step } => {
+                message.set_kind(Kind::Release);
+                message.step = *step;
+            }
+        }
+        message
+    }
+
+    /// Returns the order and the epoch, if the message holds one.
+    pub fn order(&self) -> Option<(Order, u64)> {
+        let (version, step) = (self.version, self.step);
+        let order = match self.kind() {
+            Kind::Unknown => return None,
+            Kind::Prepare => Order::Prepare { version, map: Arc::new(self.map()?) },
+            Kind::Arm => Order::Arm(Switch { version, step }),
+            Kind::Disarm => Order::Disarm { version },
+            Kind::Hold => Order::Hold { step },
+            Kind::Release => Order::Release { step },
+        };
+        Some((order, self.epoch))
+    }
+
+    fn map(&self) -> Option<ExpertMap> {
+        let ranks = super::wide(self.ranks);
+        if ranks == 0 || self.held.len() % ranks != 0 {
+            return None;
+        }
+        let layers = self.held.chunks(ranks).map(|ranks| Layer {
+            held: ranks
+                .iter()
+                .map(|held| held.experts.iter().map(|expert| super::wide(*expert)).collect())
+                .collect(),
+        });
+        Some(ExpertMap { layers: layers.collect() })
+    }
+}
+
+impl OrderAnswer {
+    /// Returns the message for an outcome.
+    pub fn of(outcome: OrderOutcome, state: Option<StateMessage>, life: u64) -> Self {
+        let outcome = match outcome {
+            OrderOutcome::Done => 1,
+            OrderOutcome::Begun => 2,
+            OrderOutcome::Conflict => 3,
+            OrderOutcome::Refused => 4,
+            OrderOutcome::NoAnswer => 0,
+        };
+        Self { outcome, state, life }
+    }
+
+    /// Returns the outcome.
+    pub fn outcome(&self) -> OrderOutcome {
+        match self.outcome {
+            1 => OrderOutcome::Done,
+            2 => OrderOutcome::Begun,
+            3 => OrderOutcome::Conflict,
+            4 => OrderOutcome::Refused,
+            _ => OrderOutcome::NoAnswer,
+        }
+    }
+}
+
+/// SendError is why an agent gave no answer to an order.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// The exchange failed.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    /// The agent refused.
+    #[error("the agent answers with status {0}")]
+    Status(StatusCode),
+    /// The answer cannot be read.
+    #[error("the answer cannot be read: {0}")]
+    Unreadable(#[from] prost::DecodeError),
+}
+
+/// Sends an order to an agent.
+///
+/// # Errors
+///
+/// Returns why there is no answer; the order may have been carried out.
+pub async fn send(
+    agent: SocketAddr,
+    codecs: &Codecs,
+    order: &Order,
+    epoch: u64,
+) -> Result<OrderAnswer, SendError> {
+    let body = OrderMessage::of(order, epoch).encode_to_vec();
+    let exchange = Exchange {
+        method: Method::POST,
+        uri: Uri::from_static(ORDERS_PATH),
+        headers: http::host(agent),
+        body: Bytes::from(body),
+    };
+    let call = async {
+        let mut connection = Connection::open(agent, TIMEOUT, codecs).await?;
+        connection.send(&exchange).await?;
+        let head = connection.head().await?;
+        if head.status != StatusCode::OK {
+            return Err(SendError::Status(head.status));
+        }
+        let body = connection.body(MAX_ANSWER).await?;
+        Ok(OrderAnswer::decode(body)?)
+    };
+    time::timeout(TIMEOUT, call).await.map_err(|_| HttpError::Timeout(TIMEOUT))?
+}
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -18,6 +18,13 @@
     pub ready: Arc<AtomicBool>,
 }
 
+impl Admin {
+    /// Returns pages that show the daemon as ready.
+    pub fn new(registry: Registry) -> Self {
+        Self { registry, ready: Arc::new(AtomicBool::new(true)) }
+    }
+}
+
 /// Serves the pages on an address.
 ///
 /// # Errors
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -1,8 +1,8 @@
 //! Numbered log events; docs/LOG_EVENTS.md is the catalogue.
 //!
 //! Entry events count from 1000, agent events from 2000, platform events from 3000, resource
-//! events from 4000, configuration events from 5000, expert-map events from 6000 and events of the
-//! direct path from 7000.
+//! events from 4000, configuration events from 5000, expert-map events from 6000 events of the
+//! direct path from 7000 and events of the agents beside ranks from 8000.
 
 use std::fmt;
 
@@ -159,6 +159,36 @@
 /// The settings cannot be read again; the old ones hold.
 pub const SETTINGS_REFUSED: LogEvent =
     LogEvent { number: 7052, severity: Severity::Error, title: "settings refused" };
+/// No entry tells the agent of the other ranks.
+pub const ENTRIES_LOST: LogEvent =
+    LogEvent { number: 8001, severity: Severity::Warning, title: "entries lost" };
+/// An entry tells the agent of the other ranks again.
+pub const ENTRIES_REGAINED: LogEvent =
+    LogEvent { number: 8002, severity: Severity::Info, title: "entries regained" };
+/// The engine on the agent's host does not answer.
+pub const ENGINE_LOST: LogEvent =
+    LogEvent { number: 8003, severity: Severity::Warning, title: "engine lost" };
+/// The engine on the agent's host answers.
+pub const ENGINE_REGAINED: LogEvent =
+    LogEvent { number: 8004, severity: Severity::Info, title: "engine regained" };
+/// The rank's group, epoch or map changed.
+pub const RANK_CHANGED: LogEvent =
+    LogEvent { number: 8005, severity: Severity::Info, title: "rank changed" };
+/// The agent began or ceased to coordinate its group.
+pub const COORDINATOR_CHANGED: LogEvent =
+    LogEvent { number: 8006, severity: Severity::Info, title: "coordinator changed" };
+/// Another expert map saves more than moving to it costs.
+pub const MAP_WANTED: LogEvent =
+    LogEvent { number: 8010, severity: Severity::Info, title: "map wanted" };
+/// A change of the expert map went on or ended.
+pub const SWITCH_PROGRESS: LogEvent =
+    LogEvent { number: 8011, severity: Severity::Info, title: "switch progress" };
+/// An order was given to an engine.
+pub const ORDER_GIVEN: LogEvent =
+    LogEvent { number: 8012, severity: Severity::Info, title: "order given" };
+/// A rank's agent did not answer to an order; it is given again.
+pub const ORDER_UNANSWERED: LogEvent =
+    LogEvent { number: 8013, severity: Severity::Warning, title: "order unanswered" };
 
 /// Every event, in the order of its number.
 pub const CATALOGUE: &[LogEvent] = &[
@@ -206,6 +236,16 @@
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
+    ENTRIES_LOST,
+    ENTRIES_REGAINED,
+    ENGINE_LOST,
+    ENGINE_REGAINED,
+    RANK_CHANGED,
+    COORDINATOR_CHANGED,
+    MAP_WANTED,
+    SWITCH_PROGRESS,
+    ORDER_GIVEN,
+    ORDER_UNANSWERED,
 ];
 
 /// Logs one event with its details.
