--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,4 +3,5 @@
 pub mod app;
 pub mod exit;
 pub mod options;
+pub mod reload;
 pub mod signals;
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -40,6 +40,8 @@
     pub tried: Vec<String>,
     /// Targets that may have seen it.
     pub sent: u32,
+    /// Sends that a target has seen, or another process at its address.
+    pub arrivals: u32,
     /// True where an earlier attempt may have run.
     pub may_have_run: bool,
     /// Time that it waited for places.
@@ -99,6 +101,7 @@
             ends,
             tried: Vec::new(),
             sent: 0,
+            arrivals: 0,
             may_have_run: false,
             waited: Duration::ZERO,
             finished: false,
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -8,12 +8,11 @@
 
 use actix_web::web;
 use prometheus::Registry;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::daemon::signals;
+use crate::daemon::{reload, signals};
 use crate::direct::entry::{Entry, Options};
 use crate::direct::fleet;
 use crate::direct::gossip::{self, Identity};
@@ -24,8 +23,8 @@
 use crate::direct::stopping::{Step, Stopping};
 use crate::direct::store::{Collection, Formats, Store};
 use crate::direct::sync::Follower;
-use crate::settings::direct::DirectSettings;
-use crate::settings::{self};
+use crate::settings;
+use crate::settings::direct::{DirectSettings, Listen};
 use crate::telemetry::{admin, events, logs};
 
 /// The result of running an entry.
@@ -86,13 +85,10 @@
     pub beat_every: Duration,
 }
 
-/// Pause between two looks at what changes without an event: lapsed targets, idle connections, the
-/// settings file and a stop in progress.
+/// Pause between two looks at what changes without an event: lapsed targets, idle connections and
+/// a stop in progress.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
 
-/// Housekeeping rounds between two looks at the settings file.
-const ROUNDS_PER_FILE_CHECK: u32 = 10;
-
 /// Idle time of connections to the pages for operators and other entries.
 const INTERNAL_IDLE: Duration = Duration::from_secs(5);
 
@@ -139,12 +135,10 @@
             env!("CARGO_PKG_VERSION")
         ),
     );
-    actix_rt::spawn(reload(file, settings.clone()));
+    actix_rt::spawn(reload::follow(file, settings.clone(), settings::direct::check));
     housekeep(&follower, &settings).await
 }
 
-use crate::settings::direct::Listen;
-
 async fn start_heartbeats(
     follower: &Rc<Follower>,
     settings: &DirectSettings,
@@ -260,41 +254,3 @@
     let targets = entry.targets.borrow();
     entry.pool.prune(|addr| targets.iter().any(|target| target.addr == addr));
 }
-
-/// Reads the settings again on SIGHUP and when the file has changed. What can change in a running
-/// process is taken over; a broken file changes nothing.
-async fn reload(file: PathBuf, mut settings: DirectSettings) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        events::log(events::SETTINGS_REFUSED, format_args!("cause=\"no handler for SIGHUP\""));
-        return;
-    };
-    let mut modified = modified_at(&file);
-    loop {
-        let signalled = tokio::select! {
-            _ = hangup.recv() => true,
-            () = time::sleep(HOUSEKEEPING * ROUNDS_PER_FILE_CHECK) => false,
-        };
-        let now_modified = modified_at(&file);
-        if !signalled && now_modified == modified {
-            continue;
-        }
-        modified = now_modified;
-        match settings::load(&file, settings::direct::check) {
-            Ok(newer) => {
-                let changed = format!("{newer:?}") != format!("{settings:?}");
-                events::log(
-                    events::SETTINGS_RELOADED,
-                    format_args!("signal={signalled} changed={changed}"),
-                );
-                settings = newer;
-            }
-            Err(error) => {
-                events::log(events::SETTINGS_REFUSED, format_args!("cause=\"{error}\""));
-            }
-        }
-    }
-}
-
-fn modified_at(file: &std::path::Path) -> Option<SystemTime> {
-    std::fs::metadata(file).and_then(|metadata| metadata.modified()).ok()
-}
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -135,7 +135,7 @@
         };
         call.failed(&target.id, &failure);
         match attempts::next(&call.history(), &failure) {
-            Next::Again if call.sent == 0 || call.entry.spend_retry(&call.service, false) => {}
+            Next::Again if call.arrivals == 0 || call.entry.spend_retry(&call.service, false) => {}
             Next::Again => {
                 let own = attempts::final_answer(&call.history(), &failure);
                 return last_resort(fallback, own);
@@ -231,6 +231,7 @@
     call.tried.push(target.id.clone());
     let mut connection = connect(call, target).await?;
     call.sent += 1;
+    call.arrivals += 1;
     let limit = silence_limit(call);
     let got = exchange(call, target, &mut connection, resume_after, limit).await;
     let (answer, body) = match got {
@@ -240,7 +241,7 @@
     if answer.other_incarnation {
         // Another process has the address now, so the target that was meant has not seen it.
         call.sent -= 1;
-        call.entry.learn(&target.id, Outcome::Broken);
+        call.entry.learn(&target.id, Outcome::Replaced);
         return Err(not_run(Cause::Unreachable, &answer));
     }
     if answer.not_run {
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -16,6 +16,9 @@
 /// Longest pause of a target that keeps failing, so that one that is back is found soon.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
+/// Pause of a target whose address another process has, long enough for the list to say so.
+const REPLACED_PAUSE: Duration = Duration::from_secs(10);
+
 /// Places that a target in another data centre seems fuller by, which keeps traffic near while
 /// loads are about even.
 const REMOTE_HANDICAP: f64 = 0.5;
@@ -58,6 +61,8 @@
     Failed,
     /// It took no more work, and said so.
     Full,
+    /// Another process answers at its address, so this incarnation is gone.
+    Replaced,
     /// It could not be reached, fell silent, or its answer was cut or spoilt.
     Broken,
 }
@@ -261,6 +266,10 @@
                 standing.full_until = now + FULL_PAUSE;
                 None
             }
+            Outcome::Replaced => {
+                standing.paused_until = now + REPLACED_PAUSE;
+                Some(REPLACED_PAUSE)
+            }
             Outcome::Broken => {
                 let paused = standing.paused_until > now;
                 if paused {
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::result;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::daemon::signals;
+use crate::daemon::{reload, signals};
 use crate::direct::daemon::life;
 use crate::direct::fleet::{self, FleetMessage, ShapeMessage};
 use crate::direct::http::Codecs;
@@ -30,6 +31,7 @@
 use crate::ranks::report::{EngineProtocol, Held, OrderOutcome, Picks, RankReport};
 use crate::ranks::status::{COUNTS_PER_MESSAGE, CountsMessage, Members, RankMessage, StateMessage};
 use crate::ranks::switch::{Given, Progress, Switcher};
+use crate::settings;
 use crate::settings::rank::RankSettings;
 use crate::telemetry::{admin, events, logs};
 
@@ -135,8 +137,9 @@
 /// # Errors
 ///
 /// Returns an error where the agent cannot start.
-pub async fn run(settings: RankSettings, protocol: EngineProtocol) -> Result<()> {
+pub async fn run(file: PathBuf, settings: RankSettings, protocol: EngineProtocol) -> Result<()> {
     logs::start_on_stdout(&settings.log)?;
+    actix_rt::spawn(reload::follow(file, settings.clone(), settings::rank::check));
     let clock = Clock::system();
     let registry = Registry::new();
     let metrics = Metrics::register(&registry)?;
