Retry budgets are earned after a start; the newest entry of an address counts

Cause: after a loss of power each new process began with a full budget that covered one entry, and stale entries of the list led requests round addresses that new incarnations had (421).

--- a/src/direct/attempts.rs
+++ b/src/direct/attempts.rs
@@ -12,6 +12,9 @@
 /// Time that must be left for another attempt to be of use.
 pub const MIN_TIME_FOR_ATTEMPT: Duration = Duration::from_millis(30);
 
+/// Sends in all, so that a request does not go round targets that are all gone.
+pub const MAX_ARRIVALS: u32 = 3;
+
 /// When a caller may come back whose request did not run, where nothing better is known.
 pub const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -35,6 +38,8 @@
     pub sent: u32,
     /// The largest number of targets that it may be sent to.
     pub max_targets: u32,
+    /// Sends that reached a target, or another process at its address.
+    pub arrivals: u32,
     /// True where an earlier attempt may have run.
     pub may_have_run: bool,
     /// The time until the request's end.
@@ -55,7 +60,8 @@
     let may_have_run = history.may_have_run || failure.executed != Executed::No;
     let safe = history.may_repeat || !may_have_run;
     let in_time = history.time_left >= MIN_TIME_FOR_ATTEMPT;
-    match safe && in_time && history.sent < history.max_targets {
+    let more = history.sent < history.max_targets && history.arrivals < MAX_ARRIVALS;
+    match safe && in_time && more {
         true => Next::Again,
         false => Next::Final(final_answer(history, failure)),
     }
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -125,6 +125,7 @@
             may_repeat: self.route.may_repeat(),
             sent: self.sent,
             max_targets: self.route.max_targets,
+            arrivals: self.arrivals,
             may_have_run: self.may_have_run,
             time_left: self.time_left(),
         }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -21,9 +21,17 @@
 use crate::entry::core::retry::Budget;
 use crate::telemetry::events;
 
-/// The part of the shared retry allowance that all entries together use; the rest covers entries
-/// that do not hear of each other.
-const ALLOWANCE_PART: f64 = 0.8;
+/// The parts of the shared allowance that all entries together may save up, and may use evenly in
+/// each window. What is saved may be overdrawn as much again, so that nine tenths may be used in
+/// one window; the rest covers entries that do not hear of each other.
+const SAVED_PART: f64 = 0.3;
+const EVEN_PART: f64 = 0.3;
+
+/// The part of the shared ratio that entries use.
+const RATIO_PART: f64 = 0.8;
+
+/// The time over which the allowance is counted, if the settings give none.
+const WINDOW: Duration = Duration::from_secs(10);
 
 /// Options is how an entry serves.
 #[derive(Clone, Debug)]
@@ -71,7 +79,7 @@
     /// Told when a place comes free or targets change.
     pub places: Notify,
     pressure: RefCell<Map<String, Pressure>>,
-    budgets: RefCell<Map<String, Budget>>,
+    budgets: RefCell<Map<String, (Budget, Duration)>>,
 }
 
 impl Entry {
@@ -125,13 +133,17 @@
     }
 
     fn with_budget<T>(&self, service: &str, use_budget: impl FnOnce(&mut Budget) -> T) -> T {
-        let entries = f64::from(self.peers.borrow().most_entries());
-        let burst = self.options.retry_allowance * ALLOWANCE_PART / entries;
+        let share = self.options.retry_allowance / f64::from(self.peers.borrow().most_entries());
+        let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| Budget::new(self.options.retry_ratio * ALLOWANCE_PART, burst));
-        budget.set_burst(burst);
+        // A process that has just started may follow one that has used the budget up.
+        let (budget, since) = budgets.entry(service.to_owned()).or_insert_with(|| {
+            (Budget::empty(self.options.retry_ratio * RATIO_PART, share * SAVED_PART), now)
+        });
+        let elapsed = now.saturating_sub(*since);
+        *since = now;
+        budget.set_burst(share * SAVED_PART);
+        budget.add(share * EVEN_PART * elapsed.as_secs_f64() / WINDOW.as_secs_f64());
         use_budget(budget)
     }
 
--- a/src/direct/facts.rs
+++ b/src/direct/facts.rs
@@ -3,6 +3,7 @@
 //! Both parts only move forward: the configuration by its version, the list of targets by the
 //! store's revision. So a late answer or a peer that lags never brings back what was replaced.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -157,8 +158,17 @@
         self.listed.iter()
     }
 
-    /// Returns the targets that can be read.
+    /// Returns the targets that can be read. Of several at one address only the one listed last is
+    /// there: an entry of an incarnation that has ended stays on the list for a while.
     pub fn targets(&self) -> Vec<Target> {
-        self.listed.values().filter_map(|listed| listed.target.clone()).collect()
+        let mut newest: Map<SocketAddr, (u64, &Target)> = Map::default();
+        for listed in self.listed.values() {
+            let Some(target) = &listed.target else { continue };
+            let known = newest.get(&target.addr);
+            if known.is_none_or(|(revision, _)| *revision < listed.revision) {
+                newest.insert(target.addr, (listed.revision, target));
+            }
+        }
+        newest.into_values().map(|(_, target)| target.clone()).collect()
     }
 }
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -40,9 +40,19 @@
         Self { share, burst, left: burst }
     }
 
+    /// Returns a budget that has to be earned first.
+    pub fn empty(share: f64, burst: f64) -> Self {
+        Self { share, burst, left: 0.0 }
+    }
+
     /// Adds the share of one first try.
     pub fn earn(&mut self) {
-        self.left = (self.left + self.share).min(self.burst);
+        self.add(self.share);
+    }
+
+    /// Adds retries, as far as they may be saved up.
+    pub fn add(&mut self, retries: f64) {
+        self.left = (self.left + retries).min(self.burst);
     }
 
     /// Changes how many retries may be saved up.
