Coordinators hold steps at one rank and never undo a switch that may be released

Cause: the new property test (tests/rank_switch.rs: lost, late and repeated orders, two coordinators, pauses, restarts, dead ranks) found two coordinators of which one told a rank to forget its switch while the other released the step: ranks began it with different maps. Tests for the decisions of the direct path.

--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -420,7 +420,7 @@
                 observed = now;
             }
             self.ask_silent().await;
-            self.decide(own.rank);
+            self.decide();
         }
     }
 
@@ -507,15 +507,14 @@
     }
 
     /// Gives the orders that are due.
-    fn decide(self: &Rc<Self>, own_rank: usize) {
+    fn decide(self: &Rc<Self>) {
         let (views, present) = {
             let members = self.members.borrow();
             (members.views(), members.present())
         };
         let Some(views) = views else { return };
         let now = self.now();
-        let (progress, orders) =
-            self.switcher.borrow_mut().tick(&views, own_rank, present.as_ref(), now);
+        let (progress, orders) = self.switcher.borrow_mut().tick(&views, present.as_ref(), now);
         if progress != self.progress.replace(progress) {
             let version = self.switcher.borrow().version().unwrap_or(0);
             events::log(
--- a/src/ranks/switch.rs
+++ b/src/ranks/switch.rs
@@ -1,8 +1,8 @@
 //! Switches the map of a group on all ranks at one step, whatever becomes of single orders.
 //!
-//! Orders may be lost, answered late, or carried out seconds after newer ones, and the process that
-//! gives them may stop at any point. Six rules keep two ranks from beginning a step with different
-//! maps:
+//! Orders may be lost, answered late, or carried out seconds after newer ones, the process that
+//! gives them may stop at any point, and two may give orders at once. Seven rules keep two ranks
+//! from beginning a step with different maps:
 //!
 //! 1. No rank is armed before every rank has prepared the version and the step is held.
 //! 2. A held step is released only where every rank is armed for it with one version, or none is
@@ -10,9 +10,12 @@
 //! 3. Versions are never used twice: each coordinator has a number of its own in them.
 //! 4. A rank that has prepared a newer version refuses to be armed with an older one, so preparing
 //!    a new one on all ranks makes arm orders that are still on their way harmless.
-//! 5. What a predecessor left is finished, never undone: a partly armed switch is armed
-//!    everywhere; a held step without one gets a new version of the map in use.
-//! 6. Orders name the group's epoch, since a group that forms anew has forgotten everything.
+//! 5. Steps are held at one rank only, whoever coordinates, so that there is one held step.
+//! 6. What a predecessor left is finished, not undone: a partly armed switch is armed everywhere; a
+//!    held step without one gets a new version of the map in use. A rank is told to forget its
+//!    switch only where another rank has a newer version prepared, since that one can never be
+//!    armed for the same switch and nobody can have released the step.
+//! 7. Orders name the group's epoch, since a group that forms anew has forgotten everything.
 //!
 //! docs/EXPERT_MAPS.md gives the argument, and `tests/rank_switch.rs` the property.
 
@@ -22,6 +25,9 @@
 use crate::expert_map::map::ExpertMap;
 use crate::ranks::report::{Order, OrderOutcome, RankReport, Switch};
 
+/// The rank at which steps are held.
+const HOLDING_RANK: usize = 0;
+
 /// Steps between the last one begun and the one that is held: about the time that two rounds of
 /// orders take.
 const LEAD_STEPS: u64 = 3;
@@ -160,7 +166,6 @@
     pub fn tick(
         &mut self,
         views: &[RankView],
-        own_rank: usize,
         present: Option<&Arc<ExpertMap>>,
         now: Duration,
     ) -> (Progress, Vec<Given>) {
@@ -173,13 +178,11 @@
             self.plan = None;
         }
         let armed: Vec<Switch> = views.iter().filter_map(|view| view.report.armed).collect();
-        let held = views.iter().enumerate().find_map(|(r, view)| Some((r, view.report.held?)));
+        let held = views[HOLDING_RANK].report.held;
         let (progress, orders) = match (armed.first(), held) {
-            (Some(first), _) => {
-                self.finish_arming(*first, &armed, held, views, own_rank, present, now)
-            }
-            (None, Some((_, step))) => self.arm_held(step, views, present, now),
-            (None, None) => self.prepare_and_hold(views, own_rank, now),
+            (Some(first), _) => self.finish_arming(*first, &armed, held, views, present, now),
+            (None, Some(step)) => self.arm_held(step, views, present, now),
+            (None, None) => self.prepare_and_hold(views, now),
         };
         let given = orders.into_iter().filter(|given| self.may_give(given, now)).collect();
         let given: Vec<Given> = given;
@@ -194,14 +197,12 @@
     }
 
     /// Some ranks are armed: all of them have to be, and then the step may begin.
-    #[allow(clippy::too_many_arguments, reason = "all of it is the state of one moment")]
     fn finish_arming(
         &mut self,
         first: Switch,
         armed: &[Switch],
-        held: Option<(usize, u64)>,
+        held: Option<u64>,
         views: &[RankView],
-        own_rank: usize,
         present: Option<&Arc<ExpertMap>>,
         now: Duration,
     ) -> (Progress, Vec<Given>) {
@@ -210,24 +211,30 @@
             // The step has begun, so the reports that still show a switch are old.
             return (Progress::Switching, Vec::new());
         }
-        let one_switch = armed.iter().all(|switch| *switch == first);
-        let abandoned = armed.iter().any(|switch| self.abandoned == Some(*switch));
         let open: Vec<usize> =
             (0..views.len()).filter(|rank| views[*rank].report.armed.is_none()).collect();
-        let ready = |rank: &usize| views[*rank].report.prepared == Some(first.version);
-        if abandoned || !one_switch || !open.iter().all(ready) {
+        let newer = |view: &RankView| view.report.prepared > Some(first.version);
+        if self.abandoned == Some(first) || views.iter().any(newer) {
             return (Progress::Arming, self.start_over(first, views, present, now));
         }
-        let mut orders: Vec<Given> =
-            open.iter().map(|rank| given(*rank, Order::Arm(first), &views[*rank].report)).collect();
+        if armed.iter().any(|switch| *switch != first) || held.is_some_and(|s| s != first.step) {
+            // No two switches can be armed at once, so some of the reports are old.
+            return (Progress::Arming, Vec::new());
+        }
+        let ready = |rank: &&usize| views[**rank].report.prepared == Some(first.version);
+        let mut orders: Vec<Given> = open
+            .iter()
+            .filter(ready)
+            .map(|rank| given(*rank, Order::Arm(first), &views[*rank].report))
+            .collect();
+        let holder = &views[HOLDING_RANK].report;
         match held {
-            Some((rank, step)) if orders.is_empty() => {
-                let order = Order::Release { step };
-                return (Progress::Switching, vec![given(rank, order, &views[rank].report)]);
+            Some(step) if open.is_empty() => {
+                orders.push(given(HOLDING_RANK, Order::Release { step }, holder))
             }
-            None if !orders.is_empty() => {
-                let order = Order::Hold { step: first.step };
-                orders.insert(0, given(own_rank, order, &views[own_rank].report));
+            None if !open.is_empty() => {
+                let step = first.step;
+                orders.insert(0, given(HOLDING_RANK, Order::Hold { step }, holder));
             }
             _ => {}
         }
@@ -235,9 +242,9 @@
         (progress, orders)
     }
 
-    /// Ranks cannot all be armed with what they have: those that are armed are disarmed, and then
-    /// a new version of the map in use is brought in at the same step. A switch that a rank was
-    /// told to forget is never released, since that order may still be on its way.
+    /// A rank has a newer version than the one that others are armed with: these forget it, and a
+    /// new version of the map in use is brought in at the same step. The old switch is never
+    /// released here, since an order to forget it may still be on its way.
     fn start_over(
         &mut self,
         first: Switch,
@@ -291,12 +298,7 @@
         (Progress::Arming, self.prepare(views, now))
     }
 
-    fn prepare_and_hold(
-        &mut self,
-        views: &[RankView],
-        own_rank: usize,
-        now: Duration,
-    ) -> (Progress, Vec<Given>) {
+    fn prepare_and_hold(&mut self, views: &[RankView], now: Duration) -> (Progress, Vec<Given>) {
         let Some(plan) = &self.plan else { return (Progress::Idle, Vec::new()) };
         let (version, began) = (plan.version, plan.began);
         if views.iter().any(|view| view.report.version == version) {
@@ -318,7 +320,7 @@
             plan.step = Some(step);
         }
         let order = Order::Hold { step };
-        (Progress::Arming, vec![given(own_rank, order, &views[own_rank].report)])
+        (Progress::Arming, vec![given(HOLDING_RANK, order, &views[HOLDING_RANK].report)])
     }
 
     fn is_overtaken(&self, views: &[RankView]) -> bool {
--- /dev/null
+++ b/tests/direct/answers.rs
@@ -0,0 +1,133 @@
+//! Streams of events that break off anywhere, and the answers to callers whose request fails.
+
+use std::time::Duration;
+
+use bitternwall::direct::attempts::{self, Failure, History, Next};
+use bitternwall::direct::events::Cutter;
+use bitternwall::direct::message::{Cause, OwnAnswer};
+use bitternwall::problem::Executed;
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id} of the answer\n\n")
+}
+
+fn events(from: u64, to: u64) -> String {
+    (from..to).map(event).collect()
+}
+
+proptest! {
+    /// However a stream is cut up, broken off and gone on with, the caller gets each event once.
+    #[test]
+    fn a_stream_that_breaks_off_anywhere_goes_on_exactly(
+        count in 1u64..30,
+        breaks in prop::collection::vec(0usize..400, 0..4),
+        chunk in 1usize..50,
+    ) {
+        let mut got = BytesMut::new();
+        let mut last = None;
+        for at in breaks {
+            let rest = events(last.map_or(1, |id: u64| id + 1), count + 1);
+            let mut cutter = Cutter::after(last);
+            let part = &rest.as_bytes()[..at.min(rest.len())];
+            part.chunks(chunk).for_each(|piece| got.extend_from_slice(&cutter.push(piece).data));
+            last = cutter.last_id();
+        }
+        let mut cutter = Cutter::after(last);
+        let rest = events(last.map_or(1, |id| id + 1), count + 1);
+        rest.as_bytes().chunks(chunk).for_each(|piece| got.extend_from_slice(&cutter.push(piece).data));
+        prop_assert_eq!(Bytes::from(got), Bytes::from(events(1, count + 1)));
+        prop_assert!(cutter.take_partial().is_empty());
+    }
+}
+
+#[test]
+fn events_that_were_passed_on_are_left_out() {
+    let mut cutter = Cutter::after(Some(2));
+    let block = cutter.push(events(1, 5).as_bytes());
+    assert_eq!(block.data, events(3, 5));
+    assert_eq!(cutter.last_id(), Some(4));
+}
+
+#[test]
+fn half_an_event_is_held_back() {
+    let mut cutter = Cutter::default();
+    let text = event(1);
+    assert!(cutter.push(&text.as_bytes()[..10]).data.is_empty());
+    assert_eq!(cutter.push(&text.as_bytes()[10..]).data, text);
+}
+
+#[test]
+fn a_line_before_the_id_belongs_to_the_event() {
+    let mut cutter = Cutter::default();
+    let text = "weights: 2\nid: 7\ndata: x\n\n";
+    assert_eq!(cutter.push(text.as_bytes()).data, text);
+    assert_eq!(cutter.last_id(), Some(7));
+}
+
+const FRESH: History = History {
+    may_repeat: false,
+    sent: 1,
+    max_targets: 2,
+    arrivals: 1,
+    may_have_run: false,
+    time_left: Duration::from_millis(500),
+};
+
+fn failure(executed: Executed) -> Failure {
+    Failure { cause: Cause::Broken, executed, retry_after: None }
+}
+
+#[test]
+fn a_request_that_may_run_once_is_not_sent_again_after_it_may_have_run() {
+    for executed in [Executed::Unknown, Executed::Yes] {
+        assert!(matches!(attempts::next(&FRESH, &failure(executed)), Next::Final(_)));
+    }
+    assert_eq!(attempts::next(&FRESH, &failure(Executed::No)), Next::Again);
+    let earlier = History { may_have_run: true, ..FRESH };
+    assert!(matches!(attempts::next(&earlier, &failure(Executed::No)), Next::Final(_)));
+}
+
+#[test]
+fn a_request_goes_to_no_more_targets_than_its_route_allows() {
+    let again = History { may_repeat: true, ..FRESH };
+    assert_eq!(attempts::next(&again, &failure(Executed::Unknown)), Next::Again);
+    let spent = History { sent: 2, ..again };
+    assert!(matches!(attempts::next(&spent, &failure(Executed::Unknown)), Next::Final(_)));
+    let round = History { sent: 0, arrivals: attempts::MAX_ARRIVALS, ..again };
+    assert!(matches!(attempts::next(&round, &failure(Executed::No)), Next::Final(_)));
+    let late = History { time_left: Duration::from_millis(1), ..again };
+    assert!(matches!(attempts::next(&late, &failure(Executed::Unknown)), Next::Final(_)));
+}
+
+#[test]
+fn only_what_did_not_run_is_refused_with_a_promise() {
+    let causes = [
+        Cause::NoConfiguration,
+        Cause::Stopping,
+        Cause::NoTarget,
+        Cause::TargetsPaused,
+        Cause::Full,
+        Cause::TargetFull,
+        Cause::TimedOut,
+        Cause::Unreachable,
+        Cause::Broken,
+        Cause::Crashing,
+    ];
+    for cause in causes {
+        let status = |executed| OwnAnswer { cause, executed, retry_after: None }.status().as_u16();
+        assert_eq!(status(Executed::No), 503, "{cause:?}");
+        for executed in [Executed::Yes, Executed::Unknown] {
+            assert!([502, 504].contains(&status(executed)), "{cause:?} {executed:?}");
+        }
+    }
+}
+
+#[test]
+fn an_earlier_run_is_not_denied_by_a_later_refusal() {
+    let earlier = History { may_have_run: true, ..FRESH };
+    let own = attempts::final_answer(&earlier, &failure(Executed::No));
+    assert_eq!(own.executed, Executed::Unknown);
+    assert_eq!(own.retry_after, None);
+}
--- /dev/null
+++ b/tests/direct/experts.rs
@@ -0,0 +1,73 @@
+//! Demand for experts that drifts and jumps, and maps that follow it at a price.
+
+use std::time::Duration;
+
+use bitternwall::expert_map::map::{ExpertMap, Shape};
+use bitternwall::ranks::demand::Demand;
+use bitternwall::ranks::rebalance::{self, Limits};
+
+const SHAPE: Shape = Shape { ranks: 8, layers: 2, experts: 64, slots_per_rank: 11 };
+const BEAT: Duration = Duration::from_millis(250);
+
+/// Counts in which one expert in eight has half of the demand; the hot ones begin at `first`.
+fn counts(first: usize) -> Vec<Vec<f64>> {
+    let hot = |expert: usize| (expert + SHAPE.experts - first) % SHAPE.experts < 8;
+    let layer = (0..SHAPE.experts).map(|expert| if hot(expert) { 70.0 } else { 10.0 }).collect();
+    vec![layer; SHAPE.layers]
+}
+
+fn measured(first: usize, beats: usize) -> Demand {
+    let mut demand = Demand::default();
+    (0..beats).for_each(|_| demand.observe(&counts(first), BEAT));
+    demand
+}
+
+fn limits(load_price: f64) -> Limits {
+    Limits { new_per_rank: 4, load_price }
+}
+
+fn contiguous() -> ExpertMap {
+    ExpertMap::contiguous(&SHAPE).expect("the group holds its experts")
+}
+
+#[test]
+fn a_jump_of_demand_is_believed_within_a_second() {
+    let mut demand = measured(0, 20);
+    (0..4).for_each(|_| demand.observe(&counts(32), BEAT));
+    let shares = demand.shares();
+    let hot: f64 = shares[0][32..40].iter().sum();
+    assert!(hot > 0.4, "the new hot experts are expected to get {hot} of the tokens");
+}
+
+#[test]
+fn a_new_map_levels_the_ranks_within_what_they_may_load() {
+    let present = contiguous();
+    let shares = measured(0, 8).shares();
+    let proposal =
+        rebalance::propose(&SHAPE, &present, &shares, &limits(0.01)).expect("a better map");
+    assert!(proposal.present_skew > 3.0, "{}", proposal.present_skew);
+    assert!(proposal.planned_skew < 1.5, "{}", proposal.planned_skew);
+    proposal.map.check(&SHAPE).expect("a whole map");
+    for (layer, before) in proposal.map.layers.iter().zip(&present.layers) {
+        for (held, old) in layer.held.iter().zip(&before.held) {
+            let new = held.iter().filter(|expert| !old.contains(expert)).count();
+            assert!(new <= 4, "a rank loads {new} experts");
+        }
+    }
+}
+
+#[test]
+fn a_dear_load_is_made_only_where_it_saves_much() {
+    let shares = measured(0, 8).shares();
+    let loads = |price: f64| {
+        rebalance::propose(&SHAPE, &contiguous(), &shares, &limits(price)).map_or(0, |p| p.loads)
+    };
+    assert!(loads(0.4) < loads(0.01));
+    assert_eq!(loads(100.0), 0);
+}
+
+#[test]
+fn a_level_map_is_left_alone() {
+    let even = vec![vec![1.0 / 64.0; 64]; SHAPE.layers];
+    assert!(rebalance::propose(&SHAPE, &contiguous(), &even, &limits(0.01)).is_none());
+}
--- /dev/null
+++ b/tests/direct/knowledge.rs
@@ -0,0 +1,197 @@
+//! What an entry knows only moves forward, and outlives an absence of the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bitternwall::direct::addresses::{self, Own};
+use bitternwall::direct::facts::{Facts, Listed};
+use bitternwall::direct::lapses::{Lapses, Removal};
+use bitternwall::direct::peers::{Heartbeat, Load, PeerAddr, Peers, READERS};
+use bitternwall::direct::targets::Target;
+use bytes::Bytes;
+use proptest::prelude::*;
+
+use crate::lookups::configuration;
+use crate::placement::target;
+
+const BEAT: Duration = Duration::from_millis(200);
+
+fn listed(target: Target, revision: u64) -> Listed {
+    Listed { revision, raw: Bytes::new(), target: Some(target) }
+}
+
+proptest! {
+    /// Whatever order versions arrive in, from whoever, the one in force never goes back.
+    #[test]
+    fn a_configuration_never_goes_back(versions in prop::collection::vec(1u64..50, 1..30)) {
+        let mut facts = Facts::default();
+        let mut highest = 0;
+        for version in versions {
+            let taken = facts.offer_configuration(configuration(version), Bytes::new());
+            prop_assert_eq!(taken, version > highest);
+            highest = highest.max(version);
+            prop_assert_eq!(facts.version(), highest);
+        }
+    }
+}
+
+#[test]
+fn a_late_change_does_not_bring_a_target_back() {
+    let mut facts = Facts::default();
+    facts.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], 5);
+    assert!(facts.remove_target("t0", 8));
+    assert!(!facts.put_target("t0".to_owned(), listed(target("t0", 1), 7)));
+    assert!(facts.targets().is_empty());
+    assert!(facts.put_target("t0".to_owned(), listed(target("t0", 1), 9)));
+    assert!(!facts.remove_target("t0", 8));
+    assert_eq!(facts.targets().len(), 1);
+}
+
+#[test]
+fn an_older_list_is_passed_over() {
+    let mut facts = Facts::default();
+    assert!(facts.replace_targets(Vec::new(), 10));
+    assert!(!facts.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], 9));
+    assert!(facts.targets().is_empty());
+}
+
+#[test]
+fn of_two_incarnations_at_one_address_only_the_newer_one_is_there() {
+    let mut facts = Facts::default();
+    facts.replace_targets(
+        vec![
+            ("old".to_owned(), listed(target("old", 1), 5)),
+            ("new".to_owned(), listed(target("new", 1), 9)),
+            ("other".to_owned(), listed(target("other", 2), 3)),
+        ],
+        9,
+    );
+    let mut ids: Vec<String> = facts.targets().into_iter().map(|target| target.id).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, ["new", "other"]);
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_no_target_and_harms_no_other() {
+    let mut facts = Facts::default();
+    let unreadable = Listed { revision: 4, raw: Bytes::from_static(b"\xff"), target: None };
+    let sound = listed(target("t0", 1), 5);
+    facts.replace_targets(vec![("bad".to_owned(), unreadable), ("t0".to_owned(), sound)], 5);
+    assert_eq!(facts.targets().len(), 1);
+}
+
+#[test]
+fn a_target_whose_entry_lapsed_with_the_store_away_stays_until_it_had_time_to_return() {
+    let lapses = Lapses::default();
+    let at = Duration::from_secs;
+    assert_eq!(lapses.removed("t0", &target("t0", 1), 1, at(1)), Removal::Now);
+    lapses.store_away();
+    assert!(matches!(lapses.removed("t0", &target("t0", 1), 2, at(2)), Removal::NotBefore(_)));
+    assert!(lapses.due(at(60)).is_empty(), "the store is still away");
+    lapses.store_back(at(60));
+    assert!(lapses.due(at(61)).is_empty());
+    assert_eq!(lapses.due(at(63)), [("t0".to_owned(), 2)]);
+    assert!(lapses.due(at(64)).is_empty());
+}
+
+#[test]
+fn a_target_that_is_back_or_was_leaving_is_not_waited_for() {
+    let lapses = Lapses::default();
+    lapses.store_away();
+    lapses.removed("t0", &target("t0", 1), 2, Duration::ZERO);
+    lapses.store_back(Duration::from_secs(1));
+    lapses.listed("t0");
+    assert!(lapses.due(Duration::from_secs(9)).is_empty());
+    let leaving = Target { leaving: true, ..target("t1", 2) };
+    let just_back = Duration::from_millis(1_100);
+    assert_eq!(lapses.removed("t1", &leaving, 3, just_back), Removal::Now);
+}
+
+fn beat(name: &str, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        name: name.to_owned(),
+        life: 1,
+        sequence,
+        callers_addr: format!("10.0.0.{}:80", name.len()),
+        ready: true,
+        reads_store: true,
+        ..Heartbeat::default()
+    }
+}
+
+fn from(host: u8) -> SocketAddr {
+    ([10, 0, 0, host], 7_000).into()
+}
+
+#[test]
+fn a_late_heartbeat_does_not_replace_a_newer_one() {
+    let mut peers = Peers::default();
+    let loads = vec![Load { target: "t0".to_owned(), requests: 3 }];
+    peers.heard(Heartbeat { loads, ..beat("a", 2) }, from(1), Duration::ZERO);
+    peers.heard(beat("a", 1), from(1), Duration::ZERO);
+    assert_eq!(peers.loads(BEAT, Duration::ZERO).get("t0"), Some(&3));
+    let reborn = Heartbeat { life: 2, ..beat("a", 1) };
+    assert!(peers.heard(reborn, from(1), Duration::ZERO).joined);
+    assert_eq!(peers.loads(BEAT, Duration::ZERO).get("t0"), None);
+}
+
+#[test]
+fn a_silent_entry_counts_for_nothing() {
+    let mut peers = Peers::default();
+    let loads = vec![Load { target: "t0".to_owned(), requests: 3 }];
+    peers.heard(Heartbeat { loads, ..beat("a", 1) }, from(1), Duration::ZERO);
+    let later = Duration::from_secs(2);
+    assert!(peers.loads(BEAT, later).is_empty());
+    let own = Own { addr: from(9), ready: false };
+    assert!(addresses::serving(own, &peers, BEAT, later).is_empty());
+    assert_eq!(addresses::serving(own, &peers, BEAT, Duration::ZERO).len(), 1);
+}
+
+#[test]
+fn entries_that_leave_are_told_to_nobody() {
+    let mut peers = Peers::default();
+    peers.heard(Heartbeat { leaving: true, ..beat("a", 1) }, from(1), Duration::ZERO);
+    peers.heard(Heartbeat { ready: false, ..beat("bb", 1) }, from(2), Duration::ZERO);
+    peers.heard(beat("ccc", 1), from(3), Duration::ZERO);
+    let own = Own { addr: from(9), ready: true };
+    let serving = addresses::serving(own, &peers, BEAT, Duration::ZERO);
+    assert_eq!(serving, [from(9), ([10, 0, 0, 3], 80).into()]);
+}
+
+#[test]
+fn few_entries_read_the_store_and_others_step_in_when_it_turns_those_away() {
+    let names: Vec<String> = (0..13).map(|index| format!("entry-{index}")).collect();
+    let readers = |reads: &dyn Fn(&str) -> bool| -> Vec<String> {
+        let of = |own: &String| {
+            let mut peers = Peers::default();
+            for (host, name) in names.iter().enumerate().filter(|(_, name)| *name != own) {
+                let host = u8::try_from(host).expect("few hosts");
+                let beat = Heartbeat { reads_store: reads(name), ..beat(name, 1) };
+                peers.heard(beat, from(host), Duration::ZERO);
+            }
+            peers.is_reader(own, BEAT, Duration::ZERO)
+        };
+        names.iter().filter(|name| of(name)).cloned().collect()
+    };
+    let usual = readers(&|_| true);
+    assert_eq!(usual.len(), READERS);
+    let refused = usual[0].clone();
+    let instead = readers(&|name| name != refused);
+    assert!(instead.len() > READERS, "{instead:?} with {refused} turned away");
+}
+
+#[test]
+fn an_entry_that_hears_nobody_reads_the_store_itself() {
+    assert!(Peers::default().is_reader("a", BEAT, Duration::ZERO));
+}
+
+#[test]
+fn addresses_of_others_are_passed_on() {
+    let mut peers = Peers::default();
+    let hears = vec![PeerAddr::of(from(7)).expect("IPv4")];
+    peers.heard(Heartbeat { hears, ..beat("a", 1) }, from(1), Duration::ZERO);
+    let mut audience = peers.audience(&[from(8)], Duration::ZERO);
+    audience.sort_unstable();
+    assert_eq!(audience, [from(1), from(7), from(8)]);
+    assert_eq!(peers.audience(&[from(8)], Duration::from_secs(60)), [from(8)]);
+}
--- /dev/null
+++ b/tests/direct/lookups.rs
@@ -0,0 +1,76 @@
+//! Routes, customers and shares of services.
+
+use std::time::Duration;
+
+use bitternwall::direct::configuration::{
+    AnswerForm, Configuration, Customer, Parts, Repeatability, RequestLimits, Route, Share,
+};
+
+pub fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeatability: Repeatability::Idempotent,
+        form: AnswerForm::Document,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        pause_objective: None,
+        priority: 1,
+        max_targets: 2,
+        public: false,
+        shares: shares
+            .iter()
+            .map(|(service, weight)| Share { service: (*service).to_owned(), weight: *weight })
+            .collect(),
+    }
+}
+
+pub fn configuration(version: u64) -> Configuration {
+    let customer = Customer {
+        name: "rosetta".to_owned(),
+        keys: vec!["k1".to_owned(), "k2".to_owned()],
+        priority: None,
+    };
+    Configuration::new(Parts {
+        version,
+        limits: RequestLimits { body_bytes: 1_000 },
+        routes: vec![
+            route("short", "/a/", &[("one", 1)]),
+            route("long", "/a/b/", &[("two", 90), ("three", 10)]),
+        ],
+        services: Vec::new(),
+        customers: Some(vec![customer]),
+    })
+}
+
+#[test]
+fn the_longest_prefix_that_begins_the_path_wins() {
+    let configuration = configuration(1);
+    let name = |path: &str| configuration.route("A.Example", path).map(|route| route.name.as_str());
+    assert_eq!(name("/a/x"), Some("short"));
+    assert_eq!(name("/a/b/x"), Some("long"));
+    assert_eq!(name("/a/bc"), Some("short"));
+    assert_eq!(name("/a"), None);
+    assert!(configuration.route("b.example", "/a/x").is_none());
+}
+
+#[test]
+fn keys_name_their_customer_and_nothing_else_does() {
+    let configuration = configuration(1);
+    let holder = |key: &str| configuration.customer(key).map(|customer| customer.name.as_str());
+    assert_eq!(holder("k2"), Some("rosetta"));
+    assert_eq!(holder("k3"), None);
+    assert_eq!(holder(""), None);
+}
+
+#[test]
+fn services_take_requests_by_their_weights() {
+    let split = route("r", "/", &[("two", 90), ("three", 10)]);
+    let draws = 10_000_u32;
+    let step = u32::MAX / draws;
+    let count = (0..draws).filter(|draw| split.service(draw * step) == "three").count();
+    assert!((950..=1_050).contains(&count), "{count} of {draws} instead of a tenth");
+    assert_eq!(split.service(0), "two");
+    assert_eq!(split.service(u32::MAX), "three");
+}
--- /dev/null
+++ b/tests/direct/placement.rs
@@ -0,0 +1,120 @@
+//! Which target a request goes to while many entries share few of them.
+
+use std::time::Duration;
+
+use bitternwall::collections::Map;
+use bitternwall::direct::targets::{NoChoice, Outcome, Target, Targets, Wanted};
+
+const NOW: Duration = Duration::from_secs(100);
+
+pub fn target(id: &str, port: u16) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: "model".to_owned(),
+        addr: ([127, 0, 0, 1], port).into(),
+        data_centre: "kafr".to_owned(),
+        slots: 4,
+        leaving: false,
+        born_ms: Some(1),
+    }
+}
+
+fn table(count: u16) -> Targets {
+    let mut targets = Targets::new("kafr");
+    (0..count).for_each(|index| targets.upsert(target(&format!("t{index}"), 1_000 + index)));
+    targets
+}
+
+fn wanted<'a>(tried: &'a [String], draw: u32) -> Wanted<'a> {
+    Wanted { service: "model", fill: 1.0, tried, draw }
+}
+
+#[test]
+fn entries_that_hear_of_each_other_fill_targets_evenly() {
+    const ENTRIES: usize = 13;
+    let mut tables = vec![table(4); ENTRIES];
+    for request in 0..16_usize {
+        let entry = request % ENTRIES;
+        let draw = u32::try_from(request).expect("small").wrapping_mul(2_654_435_761);
+        let choice = tables[entry].choose(&wanted(&[], draw), NOW).expect("places are free");
+        tables[entry].began(&choice.target.id);
+        share_loads(&mut tables);
+    }
+    for index in 0..4 {
+        assert_eq!(tables[0].load(&format!("t{index}")), 4);
+    }
+    assert_eq!(tables[5].choose(&wanted(&[], 1), NOW), Err(NoChoice::AllFull));
+}
+
+fn share_loads(tables: &mut [Targets]) {
+    let own: Vec<Vec<(String, u32)>> = tables
+        .iter()
+        .map(|table| table.own().map(|(id, load)| (id.to_owned(), load)).collect())
+        .collect();
+    for (index, table) in tables.iter_mut().enumerate() {
+        let mut others: Map<String, u32> = Map::default();
+        let rest = own.iter().enumerate().filter(|(other, _)| *other != index);
+        rest.flat_map(|(_, loads)| loads)
+            .for_each(|(id, load)| *others.entry(id.clone()).or_default() += load);
+        table.set_others(others);
+    }
+}
+
+#[test]
+fn a_target_that_leaves_or_was_tried_gets_nothing() {
+    let mut targets = table(2);
+    targets.upsert(Target { leaving: true, ..target("t0", 1_000) });
+    let choice = targets.choose(&wanted(&[], 0), NOW).expect("one is left");
+    assert_eq!(choice.target.id, "t1");
+    let tried = ["t1".to_owned()];
+    assert_eq!(targets.choose(&wanted(&tried, 0), NOW), Err(NoChoice::NoTargets));
+}
+
+#[test]
+fn a_broken_target_is_paused_for_longer_each_time_and_comes_back() {
+    let mut targets = table(1);
+    let first = targets.learn("t0", Outcome::Broken, NOW).expect("a pause");
+    assert_eq!(targets.choose(&wanted(&[], 0), NOW), Err(NoChoice::AllPaused));
+    assert_eq!(targets.learn("t0", Outcome::Broken, NOW), None, "one failure of many at once");
+    let later = NOW + first;
+    assert!(targets.choose(&wanted(&[], 0), later).is_ok());
+    let second = targets.learn("t0", Outcome::Broken, later).expect("a pause");
+    assert_eq!(second, first * 2);
+    targets.learn("t0", Outcome::Answered, later + second);
+    let third = targets.learn("t0", Outcome::Broken, later + second).expect("a pause");
+    assert_eq!(third, first);
+}
+
+#[test]
+fn a_target_that_fails_half_of_its_requests_gets_few() {
+    let mut targets = table(3);
+    let mut counts: Map<String, u32> = Map::default();
+    for request in 0..600_u32 {
+        let draw = request.wrapping_mul(2_654_435_761);
+        let id = targets.choose(&wanted(&[], draw), NOW).expect("places are free").target.id;
+        let failed = id == "t0" && request % 2 == 0;
+        targets.learn(&id, if failed { Outcome::Failed } else { Outcome::Answered }, NOW);
+        *counts.entry(id).or_default() += 1;
+    }
+    let sick = counts.get("t0").copied().unwrap_or(0);
+    assert!(sick < 100, "{sick} of 600");
+}
+
+#[test]
+fn a_new_incarnation_under_an_old_id_starts_with_a_clean_record() {
+    let mut targets = table(1);
+    targets.learn("t0", Outcome::Replaced, NOW);
+    assert!(targets.choose(&wanted(&[], 0), NOW).is_err());
+    targets.upsert(Target { born_ms: Some(2), ..target("t0", 1_000) });
+    assert!(targets.choose(&wanted(&[], 0), NOW).is_ok());
+}
+
+#[test]
+fn places_come_free_when_requests_end_even_after_the_target_is_gone() {
+    let mut targets = table(1);
+    targets.began("t0");
+    targets.remove("t0");
+    assert_eq!(targets.load("t0"), 1);
+    targets.ended("t0");
+    assert_eq!(targets.load("t0"), 0);
+}
--- /dev/null
+++ b/tests/rank_switch.rs
@@ -0,0 +1,146 @@
+//! All ranks of a group begin each step with one map, whatever becomes of orders and coordinators,
+//! and a group that was disturbed goes on and takes new maps.
+
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+
+#[path = "rank_switch/world.rs"]
+mod world;
+
+use world::{Fault, Network, Rules, World};
+
+/// Ticks of 10 ms of a run with faults.
+const FAULTY_TICKS: u64 = 3_000;
+/// Ticks within which a healed group takes a new map: late orders come after 12 s at the most.
+const HEALING_TICKS: u64 = 3_000;
+const SEED: u64 = 0x7261_6e6b;
+
+const RULES: Rules =
+    Rules { ranks: 4, rearms: false, forgets_prepared: false, hold: true, own_numbers: true };
+
+fn runner(cases: u32) -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })
+}
+
+fn any_network() -> impl Strategy<Value = Network> {
+    (0u64..25, 0u64..25, 0u64..45).prop_map(|(lost, unanswered, late)| Network {
+        lost,
+        unanswered,
+        late,
+    })
+}
+
+fn any_fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        8 => (0usize..2).prop_map(Fault::Want),
+        3 => (0usize..2, 1u64..500).prop_map(|(who, ticks)| Fault::Pause(who, ticks)),
+        2 => (0usize..2).prop_map(Fault::Restart),
+        4 => (0usize..2, any::<bool>()).prop_map(|(who, believes)| Fault::Believe(who, believes)),
+        1 => (0usize..4).prop_map(Fault::KillRank),
+        1 => (1u64..300).prop_map(Fault::Idle),
+        3 => any_network().prop_map(Fault::Network),
+    ]
+}
+
+fn script() -> impl Strategy<Value = Vec<(u64, Fault)>> {
+    prop::collection::vec((0u64..FAULTY_TICKS, any_fault()), 10..80).prop_map(|mut faults| {
+        faults.sort_by_key(|(tick, _)| *tick);
+        faults
+    })
+}
+
+fn disturb(rules: Rules, seed: u64, script: &[(u64, Fault)]) -> Result<World, String> {
+    let mut world = World::new(rules, seed);
+    let mut faults = script.iter().peekable();
+    for tick in 0..FAULTY_TICKS {
+        while let Some((_, fault)) = faults.next_if(|(at, _)| *at <= tick) {
+            world.apply(*fault);
+        }
+        world.advance()?;
+    }
+    Ok(world)
+}
+
+/// Runs on without faults until a new map is in use.
+fn recover(world: &mut World) -> Result<(), String> {
+    world.heal();
+    let (switches, step) = (world.switches, world.step);
+    for tick in 0..HEALING_TICKS {
+        if tick % 100 == 50 {
+            world.want(0);
+        }
+        world.advance()?;
+        if world.switches > switches + 1 && world.step > step && world.is_settled() {
+            return Ok(());
+        }
+    }
+    Err(format!(
+        "no new map after {HEALING_TICKS} ticks; {} switches, step {}",
+        world.switches, world.step
+    ))
+}
+
+fn holds(rules: Rules, cases: u32) {
+    let strategy = (any::<u64>(), script());
+    let outcome = runner(cases).run(&strategy, |(seed, script)| {
+        let seed = seed % 3_000;
+        let mut world = disturb(rules, seed, &script).map_err(TestCaseError::fail)?;
+        recover(&mut world).map_err(TestCaseError::fail)?;
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
+
+fn breaks(rules: Rules) -> bool {
+    let strategy = (any::<u64>(), script());
+    let outcome = runner(400).run(&strategy, |(seed, script)| {
+        disturb(rules, seed % 3_000, &script).map(drop).map_err(TestCaseError::fail)
+    });
+    outcome.is_err()
+}
+
+#[test]
+fn every_step_begins_with_one_map() {
+    holds(RULES, 1_000);
+}
+
+#[test]
+fn one_map_also_where_armed_ranks_take_another_step() {
+    holds(Rules { rearms: true, ..RULES }, 400);
+}
+
+#[test]
+fn one_map_also_where_loading_forgets_what_was_prepared() {
+    holds(Rules { forgets_prepared: true, ..RULES }, 400);
+}
+
+#[test]
+fn a_calm_group_switches_soon() {
+    let mut world = World::new(RULES, 1);
+    for _ in 0..50 {
+        world.advance().expect("one map");
+    }
+    world.want(0);
+    for _ in 0..100 {
+        world.advance().expect("one map");
+    }
+    assert_eq!(world.switches, 1);
+    assert!(world.is_settled());
+}
+
+#[test]
+fn without_holding_the_step_ranks_differ() {
+    assert!(breaks(Rules { hold: false, ..RULES }));
+}
+
+#[test]
+fn without_numbers_of_their_own_coordinators_mix_maps() {
+    assert!(breaks(Rules { own_numbers: false, ..RULES }));
+}
