--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -9,7 +9,7 @@
 use crate::collections::{Map, Set};
 
 /// Heartbeats that an entry may miss before its load and address no longer count.
-const MISSED_BEATS: u32 = 5;
+const MISSED_BEATS: u32 = 10;
 
 /// An entry that was not heard for this long is forgotten and no longer written to.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -23,6 +23,11 @@
 /// loads are about even.
 const REMOTE_HANDICAP: f64 = 0.5;
 
+/// Places by which targets may differ and still count as equally full: about the requests that the
+/// entries together send to a target between two heartbeats. Without it all of them would choose
+/// the same one.
+const LOAD_SPREAD: f64 = 2.0;
+
 /// Weight of a new sample in the moving averages of a target.
 const SAMPLE_WEIGHT: f64 = 0.15;
 
@@ -230,8 +235,8 @@
         let excess = (failures - TOLERATED_FAILURES).max(0.0) / (1.0 - TOLERATED_FAILURES);
         let remote = if target.data_centre == self.data_centre { 0.0 } else { REMOTE_HANDICAP };
         let shuffled = rustc_hash_of(&target.id) ^ draw;
-        let jitter = f64::from(shuffled.wrapping_mul(0x9E37_79B1) >> 16) / 65_536.0 * 0.4;
-        f64::from(load) + excess * FAILURE_HANDICAP + remote + jitter
+        let even = f64::from(shuffled.wrapping_mul(0x9E37_79B1) >> 16) / 65_536.0;
+        f64::from(load) + excess * FAILURE_HANDICAP + remote + even * LOAD_SPREAD
     }
 
     /// Notes that a request is on its way to a target.
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -28,7 +28,7 @@
 use crate::ranks::engine::Engines;
 use crate::ranks::orders::{self, OrderAnswer, OrderMessage};
 use crate::ranks::rebalance::{self, Limits};
-use crate::ranks::report::{EngineProtocol, Held, OrderOutcome, Picks, RankReport};
+use crate::ranks::report::{EngineProtocol, Held, Order, OrderOutcome, Picks, RankReport};
 use crate::ranks::status::{COUNTS_PER_MESSAGE, CountsMessage, Members, RankMessage, StateMessage};
 use crate::ranks::switch::{Given, Progress, Switcher};
 use crate::settings;
@@ -71,10 +71,13 @@
 const DECIDE_EVERY: Duration = Duration::from_millis(50);
 
 /// Decisions between two plans.
-const DECISIONS_PER_PLAN: u32 = 5;
+const DECISIONS_PER_PLAN: u32 = 2;
 
 /// Every how many looks all agents of the service are told, not only those that may coordinate.
-const TELL_ALL_EVERY: u64 = 2;
+const TELL_ALL_EVERY: u64 = 4;
+
+/// Pause between two looks at an engine that loads experts, since the whole group waits for it.
+const LOADING_BEAT: Duration = Duration::from_millis(40);
 
 /// Time after the start in which an agent only listens, so that a restarted one does not take a
 /// group over from a coordinator that it has not heard yet.
@@ -129,6 +132,7 @@
     switcher: RefCell<Switcher>,
     demand: RefCell<Demand>,
     coordinates: Cell<bool>,
+    loading: Cell<bool>,
     progress: Cell<Progress>,
 }
 
@@ -161,6 +165,7 @@
         switcher: RefCell::new(Switcher::new(life)),
         demand: RefCell::default(),
         coordinates: Cell::new(false),
+        loading: Cell::new(false),
         progress: Cell::new(Progress::Idle),
         clock,
         life,
@@ -206,6 +211,9 @@
     };
     let engine = agent.settings.engine;
     let outcome = agent.engines.order(engine, &order, epoch).await;
+    if matches!(order, Order::Prepare { .. }) && outcome == OrderOutcome::Begun {
+        agent.loading.set(true);
+    }
     agent.note_order(order.name(), outcome, None);
     let state = agent.refresh().await.then(|| agent.state()).flatten();
     HttpResponse::Ok().body(OrderAnswer::of(outcome, state, agent.life).encode_to_vec())
@@ -280,7 +288,8 @@
                 sequence += 1;
                 self.tell(sequence).await;
             }
-            time::sleep(self.settings.beat()).await;
+            let pause = if self.loading.get() { LOADING_BEAT } else { self.settings.beat() };
+            time::sleep(pause).await;
         }
     }
 
@@ -312,6 +321,9 @@
         }
         self.metrics.map_version.set(i64::try_from(report.version).unwrap_or(i64::MAX));
         self.reading.set(self.reading.get() + 1);
+        if report.prepared.is_some() {
+            self.loading.set(false);
+        }
         let old = self.own.replace(Some(report.clone()));
         if old.as_ref().is_none_or(|old| {
             (old.epoch, old.open, old.version) != (report.epoch, report.open, report.version)
@@ -420,6 +432,10 @@
                 observed = now;
             }
             self.ask_silent().await;
+            if self.progress.get() == Progress::Preparing {
+                // The step to hold is counted from the newest one.
+                self.refresh_own().await;
+            }
             self.decide();
         }
     }
@@ -547,17 +563,27 @@
         };
         self.note_order(given.order.name(), outcome, Some(given.rank));
         self.switcher.borrow_mut().answered(&given, outcome, self.now());
+        if self.coordinates.get() && self.progress.get() != Progress::Preparing {
+            // A held step stalls the whole group, so the next order does not wait for the beat.
+            self.decide();
+        }
     }
 
     async fn give_own(&self, given: &Given) -> OrderOutcome {
         let engine = self.settings.engine;
         let outcome = self.engines.order(engine, &given.order, given.epoch).await;
+        self.refresh_own().await;
+        outcome
+    }
+
+    /// Reads the own engine's state and takes it in.
+    async fn refresh_own(&self) {
         if self.refresh().await
             && let Some(state) = self.state()
         {
+            let engine = self.settings.engine;
             self.members.borrow_mut().take_state(engine, self.life, &state, self.now());
         }
-        outcome
     }
 
     async fn give_by_agent(&self, given: &Given, engine: SocketAddr) -> OrderOutcome {
--- a/src/ranks/demand.rs
+++ b/src/ranks/demand.rs
@@ -30,15 +30,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     layers: Vec<Layer>,
-    weight_short: f64,
-    weight_long: f64,
 }
 
 impl Demand {
     /// Takes in the counts of the last `elapsed`, by layer.
     pub fn observe(&mut self, counts: &[Vec<f64>], elapsed: Duration) {
         if self.layers.len() != counts.len() {
-            *self = Self { layers: vec![Layer::default(); counts.len()], ..Self::default() };
+            *self = Self { layers: vec![Layer::default(); counts.len()] };
         }
         let fade = |memory: Duration| (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp();
         let (short, long) = (fade(SHORT_MEMORY), fade(LONG_MEMORY));
@@ -46,13 +44,10 @@
             add(&mut layer.short, counts, short);
             add(&mut layer.long, counts, long);
         }
-        self.weight_short = self.weight_short * short + elapsed.as_secs_f64();
-        self.weight_long = self.weight_long * long + elapsed.as_secs_f64();
         if self.distance() > JUMP_DISTANCE {
             for layer in &mut self.layers {
                 layer.long.clone_from(&layer.short);
             }
-            self.weight_long = self.weight_short;
         }
     }
 
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -119,7 +119,7 @@
 }
 
 /// Four losses of a heartbeat in a row are rare, and loads are then at most this old.
-const DEFAULT_HEARTBEAT_MS: u64 = 200;
+const DEFAULT_HEARTBEAT_MS: u64 = 100;
 /// Longer than callers keep idle connections, so that the entry is never the one to close first.
 const DEFAULT_IDLE_MS: u64 = 120_000;
 /// Some hundred times what the store usually takes, so that a slow one is still heard.
--- a/src/settings/rank.rs
+++ b/src/settings/rank.rs
@@ -42,8 +42,8 @@
     pub metrics: SocketAddr,
 }
 
-/// A fifth of the time in which a change of popularity should be answered.
-const DEFAULT_BEAT_MS: u64 = 200;
+/// A tenth of the time in which a change of popularity should be answered.
+const DEFAULT_BEAT_MS: u64 = 100;
 
 fn default_beat_ms() -> u64 {
     DEFAULT_BEAT_MS
--- a/tests/direct/knowledge.rs
+++ b/tests/direct/knowledge.rs
@@ -140,7 +140,7 @@
     let mut peers = Peers::default();
     let loads = vec![Load { target: "t0".to_owned(), requests: 3 }];
     peers.heard(Heartbeat { loads, ..beat("a", 1) }, from(1), Duration::ZERO);
-    let later = Duration::from_secs(2);
+    let later = BEAT * 11;
     assert!(peers.loads(BEAT, later).is_empty());
     let own = Own { addr: from(9), ready: false };
     assert!(addresses::serving(own, &peers, BEAT, later).is_empty());
