--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -46,6 +46,10 @@
     pub may_have_run: bool,
     /// Time that it waited for places.
     pub waited: Duration,
+    /// Time from its arrival to the first event of its answer.
+    pub first_event: Option<Duration>,
+    /// Longest pause between two events of its answer.
+    pub longest_pause: Duration,
     finished: bool,
 }
 
@@ -104,6 +108,8 @@
             arrivals: 0,
             may_have_run: false,
             waited: Duration::ZERO,
+            first_event: None,
+            longest_pause: Duration::ZERO,
             finished: false,
             caller,
         }
@@ -172,7 +178,8 @@
             events::REQUEST_ANSWERED,
             format_args!(
                 "id={} route={} customer={} service={} cause={cause} status={status} targets={} \
-                 sent={} waited_ms={} took_ms={} retry_after_ms={} version={}",
+                 sent={} waited_ms={} first_event_ms={} pause_ms={} took_ms={} retry_after_ms={} \
+                 version={}",
                 self.caller.id,
                 self.route.name,
                 self.customer.as_deref().unwrap_or("-"),
@@ -180,6 +187,8 @@
                 self.tried.join(","),
                 self.sent,
                 self.waited.as_millis(),
+                self.first_event.map_or(0, |first| first.as_millis()),
+                self.longest_pause.as_millis(),
                 took.as_millis(),
                 retry_after.map_or(0, |delay| delay.as_millis()),
                 self.version,
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -34,7 +34,6 @@
     status: u16,
     first: Option<Bytes>,
     last_piece: Duration,
-    longest_pause: Duration,
 }
 
 enum Step {
@@ -45,12 +44,14 @@
 
 impl Relay {
     /// Takes over an answer whose first bytes are there.
-    pub fn start(call: Call, opened: Opened) -> Self {
+    pub fn start(mut call: Call, opened: Opened) -> Self {
         let seen = call.caller.resume_after.as_deref().and_then(|id| id.parse().ok());
         let cutter = call.wants_events().then(|| Cutter::after(seen));
         let now = call.entry.now();
         if cutter.is_some() {
-            call.entry.metrics.first_event(now.saturating_sub(call.caller.arrived));
+            let first_event = now.saturating_sub(call.caller.arrived);
+            call.entry.metrics.first_event(first_event);
+            call.first_event = Some(first_event);
         }
         let Opened { target, connection, place, first, idle_limit } = opened;
         Self {
@@ -63,7 +64,6 @@
             status: 0,
             first: Some(first),
             last_piece: now,
-            longest_pause: Duration::ZERO,
         }
     }
 
@@ -129,7 +129,8 @@
 
     fn note_piece(&mut self) {
         let now = self.call.entry.now();
-        self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last_piece));
+        let pause = now.saturating_sub(self.last_piece);
+        self.call.longest_pause = self.call.longest_pause.max(pause);
         self.last_piece = now;
     }
 
@@ -141,7 +142,7 @@
         }
         let entry = &self.call.entry;
         if self.cutter.is_some() {
-            entry.metrics.pause(self.longest_pause);
+            entry.metrics.pause(self.call.longest_pause);
         }
         if let Some(connection) = self.connection.take() {
             entry.pool.keep(self.target.addr, connection, self.idle_limit);
--- a/src/ranks/engine.rs
+++ b/src/ranks/engine.rs
@@ -35,6 +35,10 @@
 /// How long an engine may take to answer; one on the same host takes a few milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long an engine may take to answer to an order. While a step is held the whole group waits,
+/// and an order that is given twice does no harm.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(40);
+
 /// Engines calls the engines of a group.
 #[derive(Clone)]
 pub struct Engines {
@@ -78,22 +82,27 @@
     /// Gives an order.
     pub async fn order(&self, engine: SocketAddr, order: &Order, epoch: u64) -> OrderOutcome {
         let exchange = (self.protocol.order)(order, epoch);
-        match self.call(engine, exchange).await {
+        match self.call(engine, exchange, ORDER_TIMEOUT).await {
             Ok((status, _)) => (self.protocol.read_outcome)(status.as_u16()),
             Err(_) => OrderOutcome::NoAnswer,
         }
     }
 
     async fn get(&self, engine: SocketAddr, exchange: Exchange) -> Result<Bytes> {
-        match self.call(engine, exchange).await? {
+        match self.call(engine, exchange, CALL_TIMEOUT).await? {
             (StatusCode::OK, body) => Ok(body),
             (status, _) => Err(EngineError::Status(status)),
         }
     }
 
-    async fn call(&self, engine: SocketAddr, exchange: Exchange) -> Result<(StatusCode, Bytes)> {
+    async fn call(
+        &self,
+        engine: SocketAddr,
+        exchange: Exchange,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes)> {
         let call = self.exchange(engine, exchange);
-        time::timeout(CALL_TIMEOUT, call).await.map_err(|_| HttpError::Timeout(CALL_TIMEOUT))?
+        time::timeout(limit, call).await.map_err(|_| HttpError::Timeout(limit))?
     }
 
     async fn exchange(
--- a/src/ranks/orders.rs
+++ b/src/ranks/orders.rs
@@ -18,7 +18,7 @@
 pub const ORDERS_PATH: &str = "/orders";
 
 /// How long an agent may take to carry an order to its engine and back.
-pub const TIMEOUT: Duration = Duration::from_millis(300);
+pub const TIMEOUT: Duration = Duration::from_millis(90);
 
 /// Bytes of the longest answer.
 const MAX_ANSWER: usize = 64 * 1024;
--- a/src/ranks/switch.rs
+++ b/src/ranks/switch.rs
@@ -30,10 +30,10 @@
 
 /// Steps between the last one begun and the one that is held: about the time that two rounds of
 /// orders take.
-const LEAD_STEPS: u64 = 2;
+const LEAD_STEPS: u64 = 3;
 
 /// Time after which an order without an answer is given again.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Pause before an order that did not fit is given again.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(60);
