Entries know which groups are closed and wait for them; places follow the pauses of answers

Cause: after a loss of power entries sent requests to groups that were still forming; each was told 503 twice and refused, and its caller had used its last try.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -8,6 +8,7 @@
 use crate::direct::configuration::{AnswerForm, Configuration, Route};
 use crate::direct::entry::Entry;
 use crate::direct::message::{CallerRequest, Cause, OwnAnswer};
+use crate::direct::pace::Goal;
 use crate::problem::Executed;
 use crate::telemetry::events;
 
@@ -32,6 +33,8 @@
     pub customer: Option<String>,
     /// The requests that a target may have in flight for each of its slots.
     pub fill: f64,
+    /// What the pauses of its answer must keep to, if it is streamed.
+    pub pace: Option<Goal>,
     /// The version of the configuration that it is handled by.
     pub version: u64,
     /// When it must have its final answer, on the entry's clock.
@@ -84,12 +87,14 @@
 
     fn start(entry: &Rc<Entry>, caller: CallerRequest, found: Found) -> Self {
         let Found { configuration, route, service, customer } = found;
-        let is_engine =
-            configuration.service(&service).is_some_and(|service| service.engine.is_some());
-        let fill = match is_engine {
-            true => entry.options.engine_fill,
-            false => entry.options.plain_fill,
+        let engine = configuration.service(&service).and_then(|service| service.engine.as_ref());
+        let fill = match engine {
+            Some(_) => entry.options.engine_fill,
+            None => entry.options.plain_fill,
         };
+        let pace = engine
+            .zip(route.pause_objective)
+            .map(|(engine, objective)| Goal { objective, empty_pass: engine.empty_pass() });
         let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
         let ends = caller.arrived + patience.min(route.timeout);
         entry.earn_retry(&service);
@@ -101,6 +106,7 @@
             service,
             customer,
             fill,
+            pace,
             version: configuration.version,
             ends,
             tried: Vec::new(),
--- a/src/direct/configuration.rs
+++ b/src/direct/configuration.rs
@@ -108,6 +108,14 @@
     pub expert_share: f64,
 }
 
+impl EngineShape {
+    /// Returns the length of a pass that has next to nothing to write.
+    pub fn empty_pass(&self) -> Duration {
+        let seconds = self.step_ms * f64::from(self.stride) / 1_000.0;
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+}
+
 /// Service is a set of targets that run the same work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -21,7 +21,7 @@
 use crate::direct::pool::Reuse;
 use crate::direct::relay::Relay;
 use crate::direct::targets::{NoChoice, Outcome, Target, Wanted};
-use crate::direct::waiting;
+use crate::direct::waiting::{self, Pressure};
 use crate::problem::Executed;
 
 /// How long a connection to a target may take to come up. A target in the same region answers
@@ -170,6 +170,7 @@
         let wanted = Wanted {
             service: &call.service,
             fill: call.fill,
+            pace: call.pace,
             tried: &call.tried,
             draw: rand::random(),
         };
@@ -182,6 +183,10 @@
             Err(why) => why,
         };
         let waited = now.saturating_sub(began);
+        let longest = match why {
+            NoChoice::AllFull | NoChoice::NoTargets => longest,
+            NoChoice::AllPaused => longest.max(waiting::longest_outage_wait(call.time_left())),
+        };
         if waited >= longest {
             break Err(why);
         }
@@ -214,6 +219,9 @@
     let left = call.time_left();
     let draw = entry.draw();
     let come_back = entry.with_pressure(&call.service, |pressure| {
+        if why != NoChoice::AllFull {
+            return Pressure::after_outage(left, draw);
+        }
         pressure.refused();
         pressure.retry_after(left, draw)
     });
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -14,7 +14,7 @@
 
 use crate::direct::facts::Listed;
 use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
-use crate::direct::peers::{Heartbeat, Load, PeerAddr};
+use crate::direct::peers::{Heartbeat, Load, PeerAddr, RankNotice};
 use crate::direct::store::Item;
 use crate::direct::sync::Follower;
 use crate::telemetry::events;
@@ -122,6 +122,7 @@
         loads: own,
         hears,
         leaving: entry.stopping.get(),
+        rank: None,
     }
 }
 
@@ -151,6 +152,10 @@
         return;
     }
     let now = entry.now();
+    if let Some(notice) = &beat.rank {
+        take_notice(follower, notice);
+        return;
+    }
     let name = beat.name.clone();
     let (version, targets_at) = (beat.version, beat.targets_at);
     let news = entry.peers.borrow_mut().heard(beat, from, now);
@@ -171,6 +176,19 @@
     }
 }
 
+fn take_notice(follower: &Follower, notice: &RankNotice) {
+    let entry = &follower.entry;
+    let Ok(engine) = notice.engine.parse::<SocketAddr>() else { return };
+    let changed = entry.targets.borrow_mut().group_state(engine, notice.open, entry.now());
+    if let Some(target) = changed {
+        events::log(
+            events::GROUP_STATE,
+            format_args!("target={target} addr={engine} open={}", notice.open),
+        );
+        entry.places.notify_waiters();
+    }
+}
+
 /// Fetches newer facts from other entries until the process ends.
 pub async fn catch_up(follower: Rc<Follower>) {
     let codecs = Codecs::new();
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -1,7 +1,7 @@
 //! The direct path: an entry that reaches targets itself, without an agent before them.
 //!
 //! Decisions are pure modules ([`configuration`], [`facts`], [`lapses`], [`peers`], [`targets`],
-//! [`waiting`], [`attempts`], [`events`]); the others do the I/O around them. Words of a platform's
+//! [`pace`], [`waiting`], [`attempts`], [`events`]); the others do the I/O around them. Words of a platform's
 //! protocol stay in its adapter, which hands over the functions of
 //! [`message::TargetProtocol`], [`store::Store`] and [`store::Formats`]. See docs/PLATFORM.md.
 
@@ -21,6 +21,7 @@
 pub mod listener;
 pub mod message;
 pub mod metrics;
+pub mod pace;
 pub mod peers;
 pub mod pool;
 pub mod relay;
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -56,6 +56,20 @@
     /// True once the process leaves.
     #[prost(bool, tag = "12")]
     pub leaving: bool,
+    /// The state of a rank, where an agent beside one sends the message.
+    #[prost(message, optional, tag = "13")]
+    pub rank: Option<RankNotice>,
+}
+
+/// RankNotice is what an agent tells entries of its rank.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RankNotice {
+    /// Where the rank's engine listens, as `ip:port`.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// True while the group takes requests.
+    #[prost(bool, tag = "2")]
+    pub open: bool,
 }
 
 /// Load is the requests that an entry has in flight at one target.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -131,6 +131,10 @@
         let now = self.call.entry.now();
         let pause = now.saturating_sub(self.last_piece);
         self.call.longest_pause = self.call.longest_pause.max(pause);
+        if self.cutter.is_some() {
+            let mut targets = self.call.entry.targets.borrow_mut();
+            targets.paused_between_events(&self.target.id, pause, now);
+        }
         self.last_piece = now;
     }
 
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
+use crate::direct::pace::{Goal, Pace};
 
 /// First pause of a target that failed; each further failure in a row doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -19,6 +20,18 @@
 /// Pause of a target whose address another process has, long enough for the list to say so.
 const REPLACED_PAUSE: Duration = Duration::from_secs(10);
 
+/// Pause of a target that said it is full, about the time in which a place comes free.
+const FULL_PAUSE: Duration = Duration::from_millis(40);
+
+/// Pause of a target that takes no work though few requests are there: its group forms anew.
+const FORMING_PAUSE: Duration = Duration::from_millis(250);
+
+/// Age up to which an agent's word that a group is closed counts; agents repeat it each second.
+const MAX_NOTICE_AGE: Duration = Duration::from_millis(2_500);
+
+/// The part of a target's slots up to which it counts as idle.
+const IDLE_PART: f64 = 0.5;
+
 /// Places that a target in another data centre seems fuller by, which keeps traffic near while
 /// loads are about even.
 const REMOTE_HANDICAP: f64 = 0.5;
@@ -80,6 +93,15 @@
     broken_in_row: u32,
     paused_until: Duration,
     full_until: Duration,
+    pace: Pace,
+    closed_at: Option<Duration>,
+}
+
+impl Standing {
+    fn takes_work(&self, now: Duration) -> bool {
+        let closed = self.closed_at.is_some_and(|at| now.saturating_sub(at) < MAX_NOTICE_AGE);
+        !closed && self.paused_until <= now
+    }
 }
 
 /// Choice is the target that a request goes to.
@@ -109,6 +131,8 @@
     pub service: &'a str,
     /// Requests in flight that a target may have for each of its slots.
     pub fill: f64,
+    /// What the pauses of answers must keep to, if the service streams.
+    pub pace: Option<Goal>,
     /// Targets that were tried already.
     pub tried: &'a [String],
     /// A number drawn at random, which spreads entries over equal targets.
@@ -210,12 +234,16 @@
                 continue;
             }
             let standing = self.standing.get(&target.id);
-            if standing.is_some_and(|standing| standing.paused_until > now) {
+            if standing.is_some_and(|standing| !standing.takes_work(now)) {
                 why = worse(why, NoChoice::AllPaused);
                 continue;
             }
             let load = self.load(&target.id);
-            let places = f64::from(target.slots) * wanted.fill;
+            let slots = f64::from(target.slots) * wanted.fill;
+            let places = match (&wanted.pace, standing) {
+                (Some(goal), Some(standing)) => standing.pace.places(goal, slots, load, now),
+                _ => slots,
+            };
             let full = standing.is_some_and(|standing| standing.full_until > now);
             if full || f64::from(load) >= places {
                 why = worse(why, NoChoice::AllFull);
@@ -257,6 +285,8 @@
     /// Takes in what an attempt says of its target. Returns how long the target is paused, where
     /// it was not before.
     pub fn learn(&mut self, id: &str, outcome: Outcome, now: Duration) -> Option<Duration> {
+        let load = self.load(id);
+        let slots = self.listed.get(id).map_or(0, |target| target.slots);
         let standing = self.standing.entry(id.to_owned()).or_default();
         let sample = if outcome == Outcome::Answered { 0.0 } else { 1.0 };
         if outcome != Outcome::Full {
@@ -268,7 +298,8 @@
                 None
             }
             Outcome::Full => {
-                standing.full_until = now + FULL_PAUSE;
+                let idle = f64::from(load) < f64::from(slots) * IDLE_PART;
+                standing.full_until = now + if idle { FORMING_PAUSE } else { FULL_PAUSE };
                 None
             }
             Outcome::Replaced => {
@@ -289,6 +320,28 @@
         }
     }
 
+    /// Takes in whether the group of the target at an address takes requests, as the agent beside
+    /// it says. Returns the target where that is news.
+    pub fn group_state(&mut self, addr: SocketAddr, open: bool, now: Duration) -> Option<String> {
+        let target = self.listed.values().find(|target| target.addr == addr)?;
+        let id = target.id.clone();
+        let standing = self.standing.entry(id.clone()).or_default();
+        let was_open = standing.closed_at.is_none();
+        standing.closed_at = (!open).then_some(now);
+        if open && !was_open {
+            // What failed before says nothing of the group that has formed anew.
+            (standing.paused_until, standing.broken_in_row) = (now, 0);
+        }
+        (was_open != open).then_some(id)
+    }
+
+    /// Takes in a pause between two events of an answer from a target.
+    pub fn paused_between_events(&mut self, id: &str, pause: Duration, now: Duration) {
+        if let Some(standing) = self.standing.get_mut(id) {
+            standing.pace.observe(pause, now);
+        }
+    }
+
     /// Returns when the first paused or full target of a service is tried again.
     pub fn next_chance(&self, service: &str, now: Duration) -> Option<Duration> {
         let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
@@ -300,9 +353,6 @@
     }
 }
 
-/// Pause of a target that said it is full, about the time in which a place comes free.
-const FULL_PAUSE: Duration = Duration::from_millis(40);
-
 fn worse(one: NoChoice, other: NoChoice) -> NoChoice {
     match (one, other) {
         (NoChoice::AllFull, _) | (_, NoChoice::AllFull) => NoChoice::AllFull,
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -11,9 +11,17 @@
 /// The part of a request's objective that it waits for a place.
 const WAIT_PART: f64 = 0.125;
 
+/// Longest wait for targets that are all away. Callers give an attempt up that brings nothing for
+/// two seconds, and the first event takes some of them.
+const MAX_OUTAGE_WAIT: Duration = Duration::from_millis(1_600);
+
 /// Bounds of the time after which a refused caller may come back.
 const MIN_RETURN: Duration = Duration::from_millis(150);
 
+/// Time after which callers come back to a service whose targets were all away; it takes a group
+/// about this long to form anew.
+const OUTAGE_RETURN: Duration = Duration::from_millis(1_000);
+
 /// The part of the caller's remaining time within which it is told to come back.
 const MAX_RETURN_PART: f64 = 0.3;
 
@@ -42,6 +50,13 @@
         self.refused
     }
 
+    /// Returns when a caller may come back that found all targets away: they may need about as
+    /// long again, and then callers come back over a while.
+    pub fn after_outage(time_left: Duration, draw: f64) -> Duration {
+        let longest = time_left.mul_f64(MAX_RETURN_PART);
+        (OUTAGE_RETURN + OUTAGE_RETURN.mul_f64(draw)).min(longest)
+    }
+
     /// Returns when a refused caller may come back. `draw` is drawn evenly from 0 to 1.
     pub fn retry_after(&self, time_left: Duration, draw: f64) -> Duration {
         let longest = time_left.mul_f64(MAX_RETURN_PART);
@@ -50,6 +65,13 @@
     }
 }
 
+/// Returns how long a request may wait while no target takes work at all: targets that failed
+/// together are mostly back together, within about a second, and a caller that is refused
+/// meanwhile has used up one of its few tries.
+pub fn longest_outage_wait(time_left: Duration) -> Duration {
+    MAX_OUTAGE_WAIT.min(time_left / 4)
+}
+
 /// Returns how long a request may wait for a place.
 pub fn longest_wait(objective: Duration, time_left: Duration) -> Duration {
     objective.mul_f64(WAIT_PART).min(time_left / 4)
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -22,6 +22,7 @@
 use crate::direct::fleet::{self, FleetMessage, ShapeMessage};
 use crate::direct::http::Codecs;
 use crate::direct::listener;
+use crate::direct::peers::{Heartbeat, RankNotice};
 use crate::direct::pool::Pool;
 use crate::expert_map::map::Shape;
 use crate::ranks::demand::Demand;
@@ -67,6 +68,9 @@
 /// Pause between two looks at the entries' list of targets.
 const FLEET_EVERY: Duration = Duration::from_secs(1);
 
+/// Pause before another entry is asked after one did not answer.
+const FLEET_RETRY: Duration = Duration::from_millis(150);
+
 /// Pause between two decisions of a coordinator.
 const DECIDE_EVERY: Duration = Duration::from_millis(50);
 
@@ -81,7 +85,7 @@
 
 /// Time after the start in which an agent only listens, so that a restarted one does not take a
 /// group over from a coordinator that it has not heard yet.
-const LISTEN_FIRST: Duration = Duration::from_millis(1_500);
+const LISTEN_FIRST: Duration = Duration::from_millis(600);
 
 /// Idle time of connections from other agents.
 const INTERNAL_IDLE: Duration = Duration::from_secs(5);
@@ -129,6 +133,8 @@
     held: RefCell<Held>,
     members: RefCell<Members>,
     fleet: RefCell<FleetMessage>,
+    entries: RefCell<Vec<SocketAddr>>,
+    told_open: Cell<Option<(bool, Duration)>>,
     switcher: RefCell<Switcher>,
     demand: RefCell<Demand>,
     coordinates: Cell<bool>,
@@ -162,6 +168,8 @@
         held: RefCell::default(),
         members: RefCell::default(),
         fleet: RefCell::default(),
+        entries: RefCell::default(),
+        told_open: Cell::new(None),
         switcher: RefCell::new(Switcher::new(life)),
         demand: RefCell::default(),
         coordinates: Cell::new(false),
@@ -227,6 +235,7 @@
     /// Follows the entries' list of targets until the process ends.
     async fn follow_fleet(self: Rc<Self>) {
         let mut known = self.settings.seed_entries();
+        self.entries.borrow_mut().clone_from(&known);
         let mut lost = false;
         let mut turn: usize = rand::random_range(0..known.len().max(1));
         loop {
@@ -244,6 +253,7 @@
                         turn = place;
                     }
                     *self.fleet.borrow_mut() = message;
+                    self.entries.borrow_mut().clone_from(&known);
                 }
                 Err(error) => {
                     if !lost {
@@ -256,7 +266,7 @@
                     turn += 1;
                 }
             }
-            time::sleep(FLEET_EVERY).await;
+            time::sleep(if lost { FLEET_RETRY } else { FLEET_EVERY }).await;
         }
     }
 
@@ -284,7 +294,9 @@
     async fn look(self: Rc<Self>) {
         let mut sequence = 0;
         loop {
-            if self.refresh().await {
+            let found = self.refresh().await;
+            self.tell_entries();
+            if found {
                 sequence += 1;
                 self.tell(sequence).await;
             }
@@ -344,6 +356,29 @@
         true
     }
 
+    /// Tells the entries whether the rank's group takes requests: at once when that changes, and
+    /// again each second.
+    fn tell_entries(&self) {
+        let open = self.own.borrow().as_ref().is_some_and(|report| report.open);
+        let now = self.now();
+        let told = self.told_open.get();
+        let due = |(before, at): (bool, Duration)| {
+            before != open || now.saturating_sub(at) >= FLEET_EVERY
+        };
+        if !told.is_none_or(due) {
+            return;
+        }
+        self.told_open.set(Some((open, now)));
+        let notice = RankNotice { engine: self.settings.engine.to_string(), open };
+        let name = self.settings.name.clone();
+        let message = Heartbeat { name, rank: Some(notice), ..Heartbeat::default() };
+        let datagram = message.encode_to_vec();
+        for entry in self.entries.borrow().iter() {
+            // One that is lost is made up for by the next.
+            let _lost = self.socket.try_send_to(&datagram, *entry);
+        }
+    }
+
     fn state(&self) -> Option<StateMessage> {
         let own = self.own.borrow();
         let reading = self.reading.get();
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -126,6 +126,9 @@
 /// A target went off the list around an absence of the store and may come back.
 pub const TARGET_LAPSED: LogEvent =
     LogEvent { number: 7012, severity: Severity::Warning, title: "target lapsed" };
+/// The group of a target began or ceased to take requests, as the agent beside it says.
+pub const GROUP_STATE: LogEvent =
+    LogEvent { number: 7013, severity: Severity::Info, title: "group state" };
 /// A newer configuration came into force.
 pub const DIRECT_CONFIG: LogEvent =
     LogEvent { number: 7020, severity: Severity::Info, title: "configuration in force" };
@@ -225,6 +228,7 @@
     TARGET_LISTED,
     TARGET_GONE,
     TARGET_LAPSED,
+    GROUP_STATE,
     DIRECT_CONFIG,
     VALUE_UNREADABLE,
     STORE_LOST,
--- a/tests/direct/placement.rs
+++ b/tests/direct/placement.rs
@@ -26,7 +26,7 @@
 }
 
 fn wanted<'a>(tried: &'a [String], draw: u32) -> Wanted<'a> {
-    Wanted { service: "model", fill: 1.0, tried, draw }
+    Wanted { service: "model", fill: 1.0, pace: None, tried, draw }
 }
 
 #[test]
