--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -308,8 +308,9 @@
 /// Returns how long a target may be silent before the request goes to another one.
 pub fn silence_limit(call: &Call) -> Option<Duration> {
     let more = call.route.may_repeat() && call.sent < call.route.max_targets;
+    let crowded = call.entry.with_pressure(&call.service, |pressure| pressure.is_crowded());
     let limit = call.route.objective * SILENT_OBJECTIVES;
-    more.then_some(limit)
+    (more && !crowded).then_some(limit)
 }
 
 async fn connect(call: &Call, target: &Target) -> Result<Connection, Failure> {
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -52,6 +52,9 @@
             let first_event = now.saturating_sub(call.caller.arrived);
             call.entry.metrics.first_event(first_event);
             call.first_event = Some(first_event);
+            let objectives =
+                first_event.as_secs_f64() / call.route.objective.as_secs_f64().max(1e-3);
+            call.entry.with_pressure(&call.service, |pressure| pressure.first_event(objectives));
         }
         let Opened { target, connection, place, first, idle_limit } = opened;
         Self {
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -28,13 +28,28 @@
 /// Weight of a new request in the share of refused ones.
 const SAMPLE_WEIGHT: f64 = 0.02;
 
-/// Pressure is the share of lately arrived requests that found no place.
+/// Weight of a new answer in the average time to the first event.
+const FIRST_EVENT_WEIGHT: f64 = 0.2;
+
+/// Pressure is how a service lately served an entry's requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pressure {
     refused: f64,
+    first_event: f64,
 }
 
 impl Pressure {
+    /// Notes how long a request waited for the first event of its answer, in its objectives.
+    pub fn first_event(&mut self, objectives: f64) {
+        self.first_event += (objectives - self.first_event) * FIRST_EVENT_WEIGHT;
+    }
+
+    /// Tells whether answers begin late as a rule. A target that is silent then is most likely
+    /// busy, and to ask another one would only add to the crowd.
+    pub fn is_crowded(&self) -> bool {
+        self.first_event > 1.0
+    }
+
     /// Notes that a request found a place.
     pub fn admitted(&mut self) {
         self.refused -= self.refused * SAMPLE_WEIGHT;
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -68,6 +68,9 @@
 /// Pause between two looks at the entries' list of targets.
 const FLEET_EVERY: Duration = Duration::from_secs(1);
 
+/// Pause between two messages to entries that a group is closed; entries may have just started.
+const CLOSED_EVERY: Duration = Duration::from_millis(200);
+
 /// Pause before another entry is asked after one did not answer.
 const FLEET_RETRY: Duration = Duration::from_millis(150);
 
@@ -357,13 +360,14 @@
     }
 
     /// Tells the entries whether the rank's group takes requests: at once when that changes, and
-    /// again each second.
+    /// again each second, or more often while it does not.
     fn tell_entries(&self) {
         let open = self.own.borrow().as_ref().is_some_and(|report| report.open);
         let now = self.now();
         let told = self.told_open.get();
         let due = |(before, at): (bool, Duration)| {
-            before != open || now.saturating_sub(at) >= FLEET_EVERY
+            let again = if open { FLEET_EVERY } else { CLOSED_EVERY };
+            before != open || now.saturating_sub(at) >= again
         };
         if !told.is_none_or(due) {
             return;
