The adapter as a process against stand-ins of the platform; closed groups told from full targets

Cause of the change: a plain target that said it is full was paused as if its group formed anew, and callers refused at once; the new process test found it.

--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -253,7 +253,8 @@
         return Err(not_run(Cause::Unreachable, &answer));
     }
     if answer.not_run {
-        call.entry.learn(&target.id, Outcome::Full);
+        let closed = call.pace.is_some() && call.entry.targets.borrow().is_idle(&target.id);
+        call.entry.learn(&target.id, if closed { Outcome::Closed } else { Outcome::Full });
         call.entry.pool.keep(target.addr, connection, answer.idle_limit);
         return Err(not_run(Cause::TargetFull, &answer));
     }
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -79,6 +79,8 @@
     Failed,
     /// It took no more work, and said so.
     Full,
+    /// It took no work though it has little to do, as a model server whose group forms anew.
+    Closed,
     /// Another process answers at its address, so this incarnation is gone.
     Replaced,
     /// It could not be reached, fell silent, or its answer was cut or spoilt.
@@ -218,6 +220,12 @@
         own + self.others.get(id).copied().unwrap_or(0)
     }
 
+    /// Tells whether a target has little to do, as far as known.
+    pub fn is_idle(&self, id: &str) -> bool {
+        let slots = self.listed.get(id).map_or(0, |target| target.slots);
+        f64::from(self.load(id)) < f64::from(slots) * IDLE_PART
+    }
+
     /// Returns the target for a request.
     ///
     /// # Errors
@@ -285,11 +293,9 @@
     /// Takes in what an attempt says of its target. Returns how long the target is paused, where
     /// it was not before.
     pub fn learn(&mut self, id: &str, outcome: Outcome, now: Duration) -> Option<Duration> {
-        let load = self.load(id);
-        let slots = self.listed.get(id).map_or(0, |target| target.slots);
         let standing = self.standing.entry(id.to_owned()).or_default();
         let sample = if outcome == Outcome::Answered { 0.0 } else { 1.0 };
-        if outcome != Outcome::Full {
+        if !matches!(outcome, Outcome::Full | Outcome::Closed) {
             standing.failures += (sample - standing.failures) * SAMPLE_WEIGHT;
         }
         match outcome {
@@ -298,10 +304,13 @@
                 None
             }
             Outcome::Full => {
-                let idle = f64::from(load) < f64::from(slots) * IDLE_PART;
-                standing.full_until = now + if idle { FORMING_PAUSE } else { FULL_PAUSE };
+                standing.full_until = now + FULL_PAUSE;
                 None
             }
+            Outcome::Closed => {
+                standing.paused_until = now + FORMING_PAUSE;
+                Some(FORMING_PAUSE)
+            }
             Outcome::Replaced => {
                 standing.paused_until = now + REPLACED_PAUSE;
                 Some(REPLACED_PAUSE)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod kv;
 pub mod lagged;
 pub mod pipe;
+pub mod platform;
 pub mod reply;
 pub mod server;
 pub mod service;
--- a/tests/direct/placement.rs
+++ b/tests/direct/placement.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bitternwall::collections::Map;
+use bitternwall::direct::pace::{Goal, Pace};
 use bitternwall::direct::targets::{NoChoice, Outcome, Target, Targets, Wanted};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -118,3 +119,41 @@
     targets.ended("t0");
     assert_eq!(targets.load("t0"), 0);
 }
+
+#[test]
+fn a_group_that_is_closed_gets_nothing_until_its_agent_says_otherwise_or_falls_silent() {
+    let mut targets = table(1);
+    let addr = target("t0", 1_000).addr;
+    assert_eq!(targets.group_state(addr, false, NOW), Some("t0".to_owned()));
+    assert_eq!(targets.group_state(addr, false, NOW), None, "no news");
+    assert_eq!(targets.choose(&wanted(&[], 0), NOW), Err(NoChoice::AllPaused));
+    assert!(targets.choose(&wanted(&[], 0), NOW + Duration::from_secs(3)).is_ok());
+    targets.group_state(addr, false, NOW);
+    targets.learn("t0", Outcome::Broken, NOW);
+    assert_eq!(targets.group_state(addr, true, NOW), Some("t0".to_owned()));
+    assert!(targets.choose(&wanted(&[], 0), NOW).is_ok(), "a new group starts without blame");
+}
+
+#[test]
+fn a_server_whose_answers_pause_too_long_gets_fewer_requests_and_more_again_later() {
+    let goal =
+        Goal { objective: Duration::from_millis(120), empty_pass: Duration::from_millis(30) };
+    let mut targets = table(1);
+    (0..4).for_each(|_| targets.began("t0"));
+    let room = Wanted { pace: Some(goal), fill: 2.0, ..wanted(&[], 0) };
+    assert!(targets.choose(&room, NOW).is_ok());
+    (0..20).for_each(|_| targets.paused_between_events("t0", Duration::from_millis(250), NOW));
+    assert_eq!(targets.choose(&room, NOW), Err(NoChoice::AllFull));
+    (0..20).for_each(|_| targets.paused_between_events("t0", Duration::from_millis(60), NOW));
+    assert!(targets.choose(&room, NOW).is_ok());
+}
+
+#[test]
+fn few_requests_are_sent_in_any_case_so_that_the_pace_stays_known() {
+    let goal =
+        Goal { objective: Duration::from_millis(120), empty_pass: Duration::from_millis(30) };
+    let mut pace = Pace::default();
+    pace.observe(Duration::from_secs(9), NOW);
+    assert!((pace.places(&goal, 12.0, 1, NOW) - 3.0).abs() < 1e-9);
+    assert!((pace.places(&goal, 12.0, 1, NOW + Duration::from_secs(5)) - 12.0).abs() < 1e-9);
+}
