--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -497,15 +497,30 @@
     }
 
     async fn ask(&self, rank: usize, engine: SocketAddr) {
-        if let Ok(report) = self.engines.report(engine).await {
-            let version = report.version;
-            let known = self.members.borrow().get(rank).map(|member| member.held.version);
-            self.members.borrow_mut().asked(rank, report, self.now());
-            if known != Some(version)
-                && let Ok(held) = self.engines.held(engine).await
-            {
-                self.members.borrow_mut().holds(rank, held);
+        let report = match self.engines.report(engine).await {
+            Ok(report) => report,
+            Err(error) => {
+                events::log(
+                    events::RANK_UNREACHABLE,
+                    format_args!("rank={rank} engine={engine} cause=\"{error}\""),
+                );
+                return;
             }
+        };
+        events::log(
+            events::RANK_ASKED,
+            format_args!(
+                "rank={rank} engine={engine} version={} step={} armed={:?} held={:?}",
+                report.version, report.step, report.armed, report.held
+            ),
+        );
+        let version = report.version;
+        let known = self.members.borrow().get(rank).map(|member| member.held.version);
+        self.members.borrow_mut().asked(rank, report, self.now());
+        if known != Some(version)
+            && let Ok(held) = self.engines.held(engine).await
+        {
+            self.members.borrow_mut().holds(rank, held);
         }
     }
 
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -192,6 +192,12 @@
 /// A rank's agent did not answer to an order; it is given again.
 pub const ORDER_UNANSWERED: LogEvent =
     LogEvent { number: 8013, severity: Severity::Warning, title: "order unanswered" };
+/// The engine of a rank whose agent is silent was asked for its state.
+pub const RANK_ASKED: LogEvent =
+    LogEvent { number: 8014, severity: Severity::Info, title: "rank asked" };
+/// The engine of a rank whose agent is silent does not answer either.
+pub const RANK_UNREACHABLE: LogEvent =
+    LogEvent { number: 8015, severity: Severity::Warning, title: "rank unreachable" };
 
 /// Every event, in the order of its number.
 pub const CATALOGUE: &[LogEvent] = &[
@@ -250,6 +256,8 @@
     SWITCH_PROGRESS,
     ORDER_GIVEN,
     ORDER_UNANSWERED,
+    RANK_ASKED,
+    RANK_UNREACHABLE,
 ];
 
 /// Logs one event with its details.
