--- a/src/ranks/rebalance.rs
+++ b/src/ranks/rebalance.rs
@@ -20,10 +20,10 @@
 
 /// The skew of a layer that loading one expert must save on an idle group, where steps are short
 /// anyway.
-const IDLE_LOAD_PRICE: f64 = 0.10;
+const IDLE_LOAD_PRICE: f64 = 0.16;
 
 /// The same on a group whose ranks are full, where shorter steps serve more callers.
-const FULL_LOAD_PRICE: f64 = 0.02;
+const FULL_LOAD_PRICE: f64 = 0.035;
 
 /// Requests of a rank from which on it counts as full.
 const FULL_REQUESTS: f64 = 8.0;
