--- a/src/ranks/rebalance.rs
+++ b/src/ranks/rebalance.rs
@@ -20,16 +20,16 @@
 
 /// The skew of a layer that loading one expert must save on an idle group, where steps are short
 /// anyway.
-const IDLE_LOAD_PRICE: f64 = 0.25;
+const IDLE_LOAD_PRICE: f64 = 0.40;
 
 /// The same on a group whose ranks are full, where shorter steps serve more callers.
-const FULL_LOAD_PRICE: f64 = 0.06;
+const FULL_LOAD_PRICE: f64 = 0.10;
 
 /// Requests of a rank from which on it counts as full.
 const FULL_REQUESTS: f64 = 8.0;
 
 /// Mean skew that a change must save at least, so that chance does not move experts.
-const MIN_SAVED: f64 = 0.1;
+const MIN_SAVED: f64 = 0.15;
 
 /// Returns the skew of a layer that loading one expert must save, by how full the ranks are.
 pub fn load_price(views: &[RankView]) -> f64 {
