--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -179,7 +179,8 @@
 fn take_notice(follower: &Follower, notice: &RankNotice) {
     let entry = &follower.entry;
     let Ok(engine) = notice.engine.parse::<SocketAddr>() else { return };
-    let changed = entry.targets.borrow_mut().group_state(engine, notice.open, entry.now());
+    let now = entry.now();
+    let changed = entry.targets.borrow_mut().group_state(engine, &notice.group, notice.open, now);
     if let Some(target) = changed {
         events::log(
             events::GROUP_STATE,
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -70,6 +70,9 @@
     /// True while the group takes requests.
     #[prost(bool, tag = "2")]
     pub open: bool,
+    /// The group; empty while the engine does not answer.
+    #[prost(string, tag = "3")]
+    pub group: String,
 }
 
 /// Load is the requests that an entry has in flight at one target.
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -79,7 +79,8 @@
     Failed,
     /// It took no more work, and said so.
     Full,
-    /// It took no work though it has little to do, as a model server whose group forms anew.
+    /// It took no work though it has little to do, as a model server whose group forms anew; the
+    /// other ranks of the group take none either.
     Closed,
     /// Another process answers at its address, so this incarnation is gone.
     Replaced,
@@ -97,6 +98,7 @@
     full_until: Duration,
     pace: Pace,
     closed_at: Option<Duration>,
+    group: Option<String>,
 }
 
 impl Standing {
@@ -308,7 +310,7 @@
                 None
             }
             Outcome::Closed => {
-                standing.paused_until = now + FORMING_PAUSE;
+                self.pause_group(id, now + FORMING_PAUSE);
                 Some(FORMING_PAUSE)
             }
             Outcome::Replaced => {
@@ -331,10 +333,19 @@
 
     /// Takes in whether the group of the target at an address takes requests, as the agent beside
     /// it says. Returns the target where that is news.
-    pub fn group_state(&mut self, addr: SocketAddr, open: bool, now: Duration) -> Option<String> {
+    pub fn group_state(
+        &mut self,
+        addr: SocketAddr,
+        group: &str,
+        open: bool,
+        now: Duration,
+    ) -> Option<String> {
         let target = self.listed.values().find(|target| target.addr == addr)?;
         let id = target.id.clone();
         let standing = self.standing.entry(id.clone()).or_default();
+        if !group.is_empty() {
+            standing.group = Some(group.to_owned());
+        }
         let was_open = standing.closed_at.is_none();
         standing.closed_at = (!open).then_some(now);
         if open && !was_open {
@@ -351,6 +362,21 @@
         }
     }
 
+    /// Pauses all ranks of a target's group, and those of its service whose groups are not known.
+    fn pause_group(&mut self, id: &str, until: Duration) {
+        let Some(service) = self.listed.get(id).map(|target| target.service.clone()) else {
+            return;
+        };
+        let group = self.standing.get(id).and_then(|standing| standing.group.clone());
+        for target in self.listed.values().filter(|target| target.service == service) {
+            let standing = self.standing.entry(target.id.clone()).or_default();
+            let other = standing.group.is_some() && group.is_some() && standing.group != group;
+            if !other {
+                standing.paused_until = standing.paused_until.max(until);
+            }
+        }
+    }
+
     /// Returns when the first paused or full target of a service is tried again.
     pub fn next_chance(&self, service: &str, now: Duration) -> Option<Duration> {
         let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -362,7 +362,11 @@
     /// Tells the entries whether the rank's group takes requests: at once when that changes, and
     /// again each second, or more often while it does not.
     fn tell_entries(&self) {
-        let open = self.own.borrow().as_ref().is_some_and(|report| report.open);
+        let (open, group) = {
+            let own = self.own.borrow();
+            let open = own.as_ref().is_some_and(|report| report.open);
+            (open, own.as_ref().map(|report| report.group.clone()).unwrap_or_default())
+        };
         let now = self.now();
         let told = self.told_open.get();
         let due = |(before, at): (bool, Duration)| {
@@ -373,7 +377,7 @@
             return;
         }
         self.told_open.set(Some((open, now)));
-        let notice = RankNotice { engine: self.settings.engine.to_string(), open };
+        let notice = RankNotice { engine: self.settings.engine.to_string(), open, group };
         let name = self.settings.name.clone();
         let message = Heartbeat { name, rank: Some(notice), ..Heartbeat::default() };
         let datagram = message.encode_to_vec();
--- a/tests/direct/placement.rs
+++ b/tests/direct/placement.rs
@@ -124,13 +124,13 @@
 fn a_group_that_is_closed_gets_nothing_until_its_agent_says_otherwise_or_falls_silent() {
     let mut targets = table(1);
     let addr = target("t0", 1_000).addr;
-    assert_eq!(targets.group_state(addr, false, NOW), Some("t0".to_owned()));
-    assert_eq!(targets.group_state(addr, false, NOW), None, "no news");
+    assert_eq!(targets.group_state(addr, "g", false, NOW), Some("t0".to_owned()));
+    assert_eq!(targets.group_state(addr, "g", false, NOW), None, "no news");
     assert_eq!(targets.choose(&wanted(&[], 0), NOW), Err(NoChoice::AllPaused));
     assert!(targets.choose(&wanted(&[], 0), NOW + Duration::from_secs(3)).is_ok());
-    targets.group_state(addr, false, NOW);
+    targets.group_state(addr, "g", false, NOW);
     targets.learn("t0", Outcome::Broken, NOW);
-    assert_eq!(targets.group_state(addr, true, NOW), Some("t0".to_owned()));
+    assert_eq!(targets.group_state(addr, "g", true, NOW), Some("t0".to_owned()));
     assert!(targets.choose(&wanted(&[], 0), NOW).is_ok(), "a new group starts without blame");
 }
 
@@ -157,3 +157,26 @@
     assert!((pace.places(&goal, 12.0, 1, NOW) - 3.0).abs() < 1e-9);
     assert!((pace.places(&goal, 12.0, 1, NOW + Duration::from_secs(5)) - 12.0).abs() < 1e-9);
 }
+
+#[test]
+fn one_closed_rank_speaks_for_its_group_but_not_for_another() {
+    let mut targets = table(4);
+    for (index, group) in ["a", "a", "b", "b"].iter().enumerate() {
+        let port = 1_000 + u16::try_from(index).expect("few");
+        targets.group_state(([127, 0, 0, 1], port).into(), group, true, NOW);
+    }
+    targets.learn("t0", Outcome::Closed, NOW);
+    for draw in 0..20_u32 {
+        let choice = targets.choose(&wanted(&[], draw.wrapping_mul(2_654_435_761)), NOW);
+        let id = choice.expect("the other group is open").target.id;
+        assert!(["t2", "t3"].contains(&id.as_str()), "{id}");
+    }
+}
+
+#[test]
+fn a_closed_rank_whose_group_is_not_known_speaks_for_all_of_its_service() {
+    let mut targets = table(4);
+    targets.learn("t0", Outcome::Closed, NOW);
+    assert_eq!(targets.choose(&wanted(&[], 0), NOW), Err(NoChoice::AllPaused));
+    assert!(targets.choose(&wanted(&[], 0), NOW + Duration::from_millis(300)).is_ok());
+}
