Groups open at once; silence counts only where answers usually begin in time

Cause: the first rank said to be open took all waiting requests while others were refused as full, and fresh entries sent waiting requests to a second busy target and then failed them.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -132,6 +132,11 @@
         self.with_budget(service, |budget| budget.spend(may_overdraw))
     }
 
+    /// Tells whether a repeated send is left in the service's budget.
+    pub fn may_retry(&self, service: &str) -> bool {
+        self.with_budget(service, |budget| budget.has_one())
+    }
+
     fn with_budget<T>(&self, service: &str, use_budget: impl FnOnce(&mut Budget) -> T) -> T {
         let share = self.options.retry_allowance / f64::from(self.peers.borrow().most_entries());
         let now = self.now();
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -311,7 +311,8 @@
     let more = call.route.may_repeat() && call.sent < call.route.max_targets;
     let crowded = call.entry.with_pressure(&call.service, |pressure| pressure.is_crowded());
     let limit = call.route.objective * SILENT_OBJECTIVES;
-    (more && !crowded).then_some(limit)
+    let affordable = call.entry.may_retry(&call.service);
+    (more && !crowded && affordable).then_some(limit)
 }
 
 async fn connect(call: &Call, target: &Target) -> Result<Connection, Failure> {
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -23,8 +23,9 @@
 /// Pause of a target that said it is full, about the time in which a place comes free.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 
-/// Pause of a target that takes no work though few requests are there: its group forms anew.
-const FORMING_PAUSE: Duration = Duration::from_millis(250);
+/// Pause of a target that takes no work though few requests are there: its group forms anew. The
+/// agent beside it says when it is open again, if it lives.
+const FORMING_PAUSE: Duration = Duration::from_millis(600);
 
 /// Age up to which an agent's word that a group is closed counts; agents repeat it each second.
 const MAX_NOTICE_AGE: Duration = Duration::from_millis(2_500);
@@ -349,8 +350,7 @@
         let was_open = standing.closed_at.is_none();
         standing.closed_at = (!open).then_some(now);
         if open && !was_open {
-            // What failed before says nothing of the group that has formed anew.
-            (standing.paused_until, standing.broken_in_row) = (now, 0);
+            self.open_group(&id, group, now);
         }
         (was_open != open).then_some(id)
     }
@@ -362,6 +362,17 @@
         }
     }
 
+    /// All ranks of a group open at once, and what failed before says nothing of a group that has
+    /// formed anew.
+    fn open_group(&mut self, id: &str, group: &str, now: Duration) {
+        for (other, standing) in &mut self.standing {
+            if other == id || (!group.is_empty() && standing.group.as_deref() == Some(group)) {
+                standing.closed_at = None;
+                (standing.paused_until, standing.broken_in_row) = (now, 0);
+            }
+        }
+    }
+
     /// Pauses all ranks of a target's group, and those of its service whose groups are not known.
     fn pause_group(&mut self, id: &str, until: Duration) {
         let Some(service) = self.listed.get(id).map(|target| target.service.clone()) else {
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -35,19 +35,20 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pressure {
     refused: f64,
-    first_event: f64,
+    first_event: Option<f64>,
 }
 
 impl Pressure {
     /// Notes how long a request waited for the first event of its answer, in its objectives.
     pub fn first_event(&mut self, objectives: f64) {
-        self.first_event += (objectives - self.first_event) * FIRST_EVENT_WEIGHT;
+        let average = self.first_event.unwrap_or(objectives);
+        self.first_event = Some(average + (objectives - average) * FIRST_EVENT_WEIGHT);
     }
 
-    /// Tells whether answers begin late as a rule. A target that is silent then is most likely
-    /// busy, and to ask another one would only add to the crowd.
+    /// Tells whether answers begin late as a rule, or whether nothing is known of them yet. A target
+    /// that is silent then is most likely busy, and to ask another one would add to the crowd.
     pub fn is_crowded(&self) -> bool {
-        self.first_event > 1.0
+        self.first_event.is_none_or(|objectives| objectives > 1.0)
     }
 
     /// Notes that a request found a place.
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -61,6 +61,11 @@
         self.left = self.left.min(burst);
     }
 
+    /// Tells whether a retry is left.
+    pub fn has_one(&self) -> bool {
+        self.left >= 1.0
+    }
+
     /// Takes one retry, if there is one left. What keeps an answer whole of which the caller has
     /// a part may overdraw the budget.
     pub fn spend(&mut self, may_overdraw: bool) -> bool {
