--- a/src/direct/facts.rs
+++ b/src/direct/facts.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 
@@ -28,11 +27,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Facts {
     configuration: Option<(Arc<Configuration>, Bytes)>,
-    configuration_confirmed: Duration,
     listed: Map<String, Listed>,
     listed_at: Option<u64>,
     removed: Map<String, u64>,
-    targets_confirmed: Duration,
 }
 
 /// Removed entries whose revisions are kept, so that an older state does not bring them back.
@@ -63,16 +60,6 @@
         newer
     }
 
-    /// Notes that the configuration was known to be the newest at a time.
-    pub fn confirm_configuration(&mut self, now: Duration) {
-        self.configuration_confirmed = now;
-    }
-
-    /// Returns how long ago the configuration was known to be the newest.
-    pub fn configuration_age(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.configuration_confirmed)
-    }
-
     /// Tells whether a list of targets is known.
     pub fn knows_targets(&self) -> bool {
         self.listed_at.is_some()
@@ -83,16 +70,6 @@
         self.listed_at.unwrap_or(0)
     }
 
-    /// Notes that the list was known to be the newest at a time.
-    pub fn confirm_targets(&mut self, now: Duration) {
-        self.targets_confirmed = now;
-    }
-
-    /// Returns how long ago the list was known to be the newest.
-    pub fn targets_age(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.targets_confirmed)
-    }
-
     /// Replaces the list by one that holds at a revision. Tells whether it was taken.
     pub fn replace_targets(&mut self, listed: Vec<(String, Listed)>, at: u64) -> bool {
         if self.listed_at.is_some_and(|known| at < known) {
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -23,6 +23,7 @@
 use crate::direct::targets::{NoChoice, Outcome, Target, Wanted};
 use crate::direct::waiting::{self, Pressure};
 use crate::problem::Executed;
+use crate::telemetry::events;
 
 /// How long a connection to a target may take to come up. A target in the same region answers
 /// within a few milliseconds; a lost opening packet is sent again only after a second.
@@ -299,8 +300,8 @@
 
 fn broken(call: &Call, target: &Target, error: &AttemptError) -> Failure {
     call.entry.learn(&target.id, Outcome::Broken);
-    crate::telemetry::events::log(
-        crate::telemetry::events::TARGET_BROKE,
+    events::log(
+        events::TARGET_BROKE,
         format_args!("id={} target={} cause=\"{error}\"", call.caller.id, target.id),
     );
     Failure { cause: Cause::Broken, executed: Executed::Unknown, retry_after: None }
@@ -368,11 +369,11 @@
     connection: &mut Connection,
 ) -> Result<(TargetAnswer, Body), AttemptError> {
     let answer = own_answer(call, connection).await?;
-    let events = call.wants_events() && answer.status.is_success();
+    let streamed = call.wants_events() && answer.status.is_success();
     let mut held = BytesMut::new();
     while let Some(piece) = connection.piece().await? {
         held.extend_from_slice(&piece);
-        if (events && !held.is_empty()) || held.len() > MAX_HELD_BYTES {
+        if (streamed && !held.is_empty()) || held.len() > MAX_HELD_BYTES {
             return Ok((answer, Body::Begun(held.freeze())));
         }
     }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -11,15 +11,6 @@
 use crate::direct::http;
 use crate::problem::{Executed, Problem};
 
-/// TokenCounts is what a caller says of a generation's size.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct TokenCounts {
-    /// Tokens of the prompt.
-    pub prompt: u32,
-    /// The largest number of tokens of the answer.
-    pub max_answer: u32,
-}
-
 /// CallerRequest is one attempt of a caller, read whole.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -42,8 +33,6 @@
     pub key: Option<String>,
     /// The id of the last event that the caller has seen of an answer that it resumes.
     pub resume_after: Option<String>,
-    /// The size of the generation, if any.
-    pub tokens: Option<TokenCounts>,
     /// When it arrived, on the entry's clock.
     pub arrived: Duration,
 }
@@ -138,8 +127,6 @@
     Full,
     /// A target took no more work.
     TargetFull,
-    /// The request crashed targets before.
-    Crashing,
     /// The time of the caller or of the route is over.
     TimedOut,
     /// No target could be reached.
@@ -161,7 +148,6 @@
             Self::TargetsPaused => "targets_paused",
             Self::Full => "full",
             Self::TargetFull => "target_full",
-            Self::Crashing => "crashing",
             Self::TimedOut => "timed_out",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
@@ -179,7 +165,6 @@
             Self::TargetsPaused => "All targets failed lately",
             Self::Full => "All places are taken",
             Self::TargetFull => "The target is full",
-            Self::Crashing => "The request crashes targets",
             Self::TimedOut => "Time is over",
             Self::Unreachable => "No target could be reached",
             Self::Broken => "The answer broke off",
@@ -197,7 +182,6 @@
             Self::TargetsPaused => "/problems/targets-paused",
             Self::Full => "/problems/full",
             Self::TargetFull => "/problems/target-full",
-            Self::Crashing => "/problems/crashing-request",
             Self::TimedOut => "/problems/timed-out",
             Self::Unreachable => "/problems/unreachable",
             Self::Broken => "/problems/answer-broken",
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -161,11 +161,6 @@
         News { joined: !same_life, loads }
     }
 
-    /// Notes an address that may be an entry's.
-    pub fn expect(&mut self, addr: SocketAddr, now: Duration) {
-        self.known.entry(addr).or_insert(now);
-    }
-
     /// Returns the addresses that heartbeats go to, and forgets those that are silent for long.
     /// Addresses in `always` are kept.
     pub fn audience(&mut self, always: &[SocketAddr], now: Duration) -> Vec<SocketAddr> {
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -100,9 +100,4 @@
             wanted(*addr) && !list.is_empty()
         });
     }
-
-    /// Returns the number of idle connections to an address.
-    pub fn idle_count(&self, addr: SocketAddr) -> usize {
-        self.idle.borrow().get(&addr).map_or(0, Vec::len)
-    }
 }
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -16,7 +16,7 @@
 /// StoreError is why a call gave no result.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum StoreError {
-    /// The store did not answer in time, or cannot be reached. A write may have been done.
+    /// The store did not answer in time, or cannot be reached.
     #[error("the store does not answer: {0}")]
     Unreachable(String),
     /// The store refuses calls for now; nothing was done.
@@ -25,12 +25,6 @@
     /// The history that a watch asked for is gone.
     #[error("the store has dropped the history of the watch")]
     Compacted,
-    /// The condition of a write does not hold.
-    #[error("the condition of the write does not hold")]
-    Conflict,
-    /// The lease has ended.
-    #[error("the lease has ended")]
-    LeaseEnded,
     /// The answer cannot be read.
     #[error("the answer of the store cannot be read: {0}")]
     Unreadable(String),
@@ -43,8 +37,6 @@
     Configuration,
     /// The targets, one item each.
     Targets,
-    /// The entries, one leased item each.
-    Entries,
 }
 
 impl Collection {
@@ -53,7 +45,6 @@
         match self {
             Self::Configuration => "configuration",
             Self::Targets => "targets",
-            Self::Entries => "entries",
         }
     }
 }
@@ -101,38 +92,14 @@
     pub at: u64,
 }
 
-/// Freshness says how new a read must be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Freshness {
-    /// The newest state.
-    Latest,
-    /// Possibly seconds old, at a lower price.
-    MayLag,
-}
-
-/// Lease is a granted lease.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Lease {
-    /// Its number.
-    pub id: u64,
-    /// How long it holds from each renewal.
-    pub ttl: Duration,
-}
-
 type Call<A, T> = Box<dyn Fn(A) -> LocalBoxFuture<'static, Result<T>>>;
 
 /// Store is the calls that entries make.
 pub struct Store {
     /// Reads a collection whole.
-    pub list: Call<(Collection, Freshness), Listing>,
+    pub list: Call<Collection, Listing>,
     /// Waits for changes of a collection after a revision, for a time at the longest.
     pub watch: Call<(Collection, u64, Duration), Changes>,
-    /// Takes a lease of the given length.
-    pub grant: Call<Duration, Lease>,
-    /// Renews a lease.
-    pub renew: Call<u64, ()>,
-    /// Writes an item of a collection under a lease, whatever stands there.
-    pub put: Call<(Collection, String, Bytes, u64), ()>,
 }
 
 /// Formats reads the values of the store.
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -15,9 +15,7 @@
 use crate::direct::entry::Entry;
 use crate::direct::facts::Listed;
 use crate::direct::lapses::{Lapses, Removal};
-use crate::direct::store::{
-    Change, Changes, Collection, Formats, Freshness, Item, Store, StoreError,
-};
+use crate::direct::store::{Change, Changes, Collection, Formats, Item, Store, StoreError};
 use crate::telemetry::events;
 
 /// How long a watch waits for changes. A connection that has gone silent is found after this time
@@ -75,7 +73,7 @@
 
     /// Reads a collection whole. Returns the revision to watch from.
     async fn read(&self, collection: Collection, failures: &mut u32) -> Option<u64> {
-        match (self.store.list)((collection, Freshness::Latest)).await {
+        match (self.store.list)(collection).await {
             Ok(listing) => {
                 self.store_answered(collection, failures);
                 self.take_listing(collection, listing.items, listing.at);
@@ -124,12 +122,6 @@
         }
         *failures = 0;
         self.entry.store_answers.set(true);
-        let mut facts = self.entry.facts.borrow_mut();
-        match collection {
-            Collection::Configuration => facts.confirm_configuration(now),
-            Collection::Targets => facts.confirm_targets(now),
-            Collection::Entries => {}
-        }
     }
 
     async fn store_failed(&self, collection: Collection, failures: &mut u32, error: &StoreError) {
@@ -160,7 +152,6 @@
                 listed.extend(self.lapsed(&listed, at));
                 self.take_targets(listed, at, "store");
             }
-            Collection::Entries => {}
         }
     }
 
@@ -177,7 +168,7 @@
                 (Collection::Targets, Change::Removed { key, revision }) => {
                     self.remove_target(&key, revision);
                 }
-                (Collection::Configuration | Collection::Entries, _) => {}
+                (Collection::Configuration, Change::Removed { .. }) => {}
             }
         }
         if collection == Collection::Targets {
--- a/src/ranks/orders.rs
+++ b/src/ranks/orders.rs
@@ -133,7 +133,7 @@
 
     fn map(&self) -> Option<ExpertMap> {
         let ranks = super::wide(self.ranks);
-        if ranks == 0 || self.held.len() % ranks != 0 {
+        if ranks == 0 || !self.held.len().is_multiple_of(ranks) {
             return None;
         }
         let layers = self.held.chunks(ranks).map(|ranks| Layer {
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -113,7 +113,6 @@
         Cause::TimedOut,
         Cause::Unreachable,
         Cause::Broken,
-        Cause::Crashing,
     ];
     for cause in causes {
         let status = |executed| OwnAnswer { cause, executed, retry_after: None }.status().as_u16();
--- a/tests/rank_switch.rs
+++ b/tests/rank_switch.rs
@@ -41,7 +41,7 @@
         3 => (0usize..2, 1u64..500).prop_map(|(who, ticks)| Fault::Pause(who, ticks)),
         2 => (0usize..2).prop_map(Fault::Restart),
         4 => (0usize..2, any::<bool>()).prop_map(|(who, believes)| Fault::Believe(who, believes)),
-        1 => (0usize..4).prop_map(Fault::KillRank),
+        1 => Just(Fault::KillRank),
         1 => (1u64..300).prop_map(Fault::Idle),
         3 => any_network().prop_map(Fault::Network),
     ]
--- a/tests/rank_switch/world.rs
+++ b/tests/rank_switch/world.rs
@@ -50,7 +50,7 @@
     /// A coordinator believes, or not, that it coordinates.
     Believe(usize, bool),
     /// A rank dies; the group forms anew.
-    KillRank(usize),
+    KillRank,
     /// No requests run, so no step begins.
     Idle(u64),
     Network(Network),
@@ -161,7 +161,7 @@
             Fault::Believe(index, believes) => {
                 self.coordinators[index % 2].believes = believes;
             }
-            Fault::KillRank(_) => self.form(),
+            Fault::KillRank => self.form(),
             Fault::Idle(ticks) => self.idle_until = self.tick + ticks,
             Fault::Network(network) => self.network = network,
         }
