--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -30,6 +30,7 @@
 use crate::ranks::orders::{self, OrderAnswer, OrderMessage};
 use crate::ranks::rebalance::{self, Limits};
 use crate::ranks::report::{EngineProtocol, Held, Order, OrderOutcome, Picks, RankReport};
+use crate::ranks::stall::Stall;
 use crate::ranks::status::{COUNTS_PER_MESSAGE, CountsMessage, Members, RankMessage, StateMessage};
 use crate::ranks::switch::{Given, Progress, Switcher};
 use crate::settings;
@@ -132,6 +133,8 @@
     metrics: Metrics,
     engine_answers: Cell<Option<bool>>,
     reading: Cell<u64>,
+    stall: RefCell<Stall>,
+    stands_still: Cell<bool>,
     own: RefCell<Option<RankReport>>,
     held: RefCell<Held>,
     members: RefCell<Members>,
@@ -167,6 +170,8 @@
         metrics,
         engine_answers: Cell::new(None),
         reading: Cell::new(0),
+        stall: RefCell::default(),
+        stands_still: Cell::new(false),
         own: RefCell::default(),
         held: RefCell::default(),
         members: RefCell::default(),
@@ -336,6 +341,16 @@
         }
         self.metrics.map_version.set(i64::try_from(report.version).unwrap_or(i64::MAX));
         self.reading.set(self.reading.get() + 1);
+        let stands_still = self.stall.borrow_mut().observe(&report, self.now());
+        if stands_still != self.stands_still.replace(stands_still) {
+            events::log(
+                events::GROUP_STALLED,
+                format_args!(
+                    "group={} rank={} step={} active={} held={:?} stalled={stands_still}",
+                    report.group, report.rank, report.step, report.active, report.held
+                ),
+            );
+        }
         if report.prepared.is_some() {
             self.loading.set(false);
         }
@@ -364,7 +379,7 @@
     fn tell_entries(&self) {
         let (open, group) = {
             let own = self.own.borrow();
-            let open = own.as_ref().is_some_and(|report| report.open);
+            let open = own.as_ref().is_some_and(|report| report.open) && !self.stands_still.get();
             (open, own.as_ref().map(|report| report.group.clone()).unwrap_or_default())
         };
         let now = self.now();
--- a/src/ranks/mod.rs
+++ b/src/ranks/mod.rs
@@ -1,7 +1,7 @@
 //! Agents beside the ranks of a group whose engines take orders themselves: they measure which
 //! experts are asked for, plan where experts go, and switch the map on all ranks at one step.
 //!
-//! [`demand`], [`rebalance`], [`switch`] and [`status`] are pure; [`daemon`] does the I/O. See
+//! [`demand`], [`rebalance`], [`switch`], [`stall`] and [`status`] are pure; [`daemon`] does the I/O. See
 //! docs/EXPERT_MAPS.md.
 
 pub mod daemon;
@@ -10,6 +10,7 @@
 pub mod orders;
 pub mod rebalance;
 pub mod report;
+pub mod stall;
 pub mod status;
 pub mod switch;
 
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -198,6 +198,9 @@
 /// The engine of a rank whose agent is silent does not answer either.
 pub const RANK_UNREACHABLE: LogEvent =
     LogEvent { number: 8015, severity: Severity::Warning, title: "rank unreachable" };
+/// The rank's group began or ceased to stand still with requests in hand; entries are told so.
+pub const GROUP_STALLED: LogEvent =
+    LogEvent { number: 8016, severity: Severity::Warning, title: "group stalled" };
 
 /// Every event, in the order of its number.
 pub const CATALOGUE: &[LogEvent] = &[
@@ -258,6 +261,7 @@
     ORDER_UNANSWERED,
     RANK_ASKED,
     RANK_UNREACHABLE,
+    GROUP_STALLED,
 ];
 
 /// Logs one event with its details.
--- a/tests/direct/experts.rs
+++ b/tests/direct/experts.rs
@@ -5,6 +5,8 @@
 use bitternwall::expert_map::map::{ExpertMap, Shape};
 use bitternwall::ranks::demand::Demand;
 use bitternwall::ranks::rebalance::{self, Limits};
+use bitternwall::ranks::report::RankReport;
+use bitternwall::ranks::stall::Stall;
 
 const SHAPE: Shape = Shape { ranks: 8, layers: 2, experts: 64, slots_per_rank: 11 };
 const BEAT: Duration = Duration::from_millis(250);
@@ -71,3 +73,18 @@
     let even = vec![vec![1.0 / 64.0; 64]; SHAPE.layers];
     assert!(rebalance::propose(&SHAPE, &contiguous(), &even, &limits(0.01)).is_none());
 }
+
+#[test]
+fn a_group_stands_still_when_it_makes_no_step_with_requests_there() {
+    let report =
+        |step: u64, active: u32| RankReport { epoch: 1, step, active, ..RankReport::default() };
+    let at = Duration::from_millis;
+    let mut stall = Stall::default();
+    assert!(!stall.observe(&report(5, 3), at(0)));
+    assert!(!stall.observe(&report(5, 3), at(600)));
+    assert!(stall.observe(&report(5, 3), at(800)));
+    assert!(!stall.observe(&report(6, 3), at(900)));
+    assert!(!stall.observe(&report(6, 0), at(5_000)), "an idle group makes no steps");
+    assert!(!stall.observe(&report(6, 2), at(5_100)), "it has just got a request");
+    assert!(stall.observe(&report(6, 2), at(6_000)));
+}
