--- a/tests/documentation/problems.rs
+++ b/tests/documentation/problems.rs
@@ -76,3 +76,15 @@
         assert!(agent.contains(name), "{name}");
     }
 }
+
+/// docs/OPERATIONS.md lists the metrics of the platform's programs, and no others.
+#[test]
+fn every_metric_of_the_direct_path_is_on_the_page_of_operations() {
+    let mut registered = literals("src/direct/metrics.rs", "bitternwall_direct_");
+    registered.append(&mut literals("src/ranks/daemon.rs", "bitternwall_rank_"));
+    assert!(registered.len() > 10, "{registered:?}");
+    let page = read("docs/OPERATIONS.md");
+    let rows = table_rows(&page).into_iter().map(|row| row[0].trim_matches('`').to_owned());
+    let listed: BTreeSet<String> = rows.filter(|name| name.starts_with("bitternwall_")).collect();
+    assert_eq!(listed, registered);
+}
--- a/tests/documentation/proofs.rs
+++ b/tests/documentation/proofs.rs
@@ -42,6 +42,7 @@
     let page = read("docs/PROOFS.md");
     let mut known = BTreeSet::new();
     test_functions(&repository_file("tests"), &mut known);
+    test_functions(&repository_file("platform/tests"), &mut known);
     let names: Vec<&str> = code_spans(&page).filter(|span| is_test_name(span)).collect();
     assert!(names.len() > 50, "{names:?}");
     for name in names {
