--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -11,7 +11,7 @@
 
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::Registry;
 use prost::Message as _;
 use tokio::net::UdpSocket;
 use tokio::time;
@@ -22,17 +22,15 @@
 use crate::direct::fleet::{self, FleetMessage, ShapeMessage};
 use crate::direct::http::Codecs;
 use crate::direct::listener;
-use crate::direct::peers::{Heartbeat, RankNotice};
 use crate::direct::pool::Pool;
-use crate::expert_map::map::Shape;
 use crate::ranks::demand::Demand;
 use crate::ranks::engine::Engines;
+use crate::ranks::metrics::Metrics;
 use crate::ranks::orders::{self, OrderAnswer, OrderMessage};
-use crate::ranks::rebalance::{self, Limits};
-use crate::ranks::report::{EngineProtocol, Held, Order, OrderOutcome, Picks, RankReport};
+use crate::ranks::report::{EngineProtocol, Held, Order, OrderOutcome, RankReport};
 use crate::ranks::stall::Stall;
-use crate::ranks::status::{COUNTS_PER_MESSAGE, CountsMessage, Members, RankMessage, StateMessage};
-use crate::ranks::switch::{Given, Progress, Switcher};
+use crate::ranks::status::Members;
+use crate::ranks::switch::{Progress, Switcher};
 use crate::settings;
 use crate::settings::rank::RankSettings;
 use crate::telemetry::{admin, events, logs};
@@ -67,85 +65,44 @@
 }
 
 /// Pause between two looks at the entries' list of targets.
-const FLEET_EVERY: Duration = Duration::from_secs(1);
-
-/// Pause between two messages to entries that a group is closed; entries may have just started.
-const CLOSED_EVERY: Duration = Duration::from_millis(200);
+pub(super) const FLEET_EVERY: Duration = Duration::from_secs(1);
 
 /// Pause before another entry is asked after one did not answer.
 const FLEET_RETRY: Duration = Duration::from_millis(150);
 
 /// Pause between two decisions of a coordinator.
-const DECIDE_EVERY: Duration = Duration::from_millis(50);
-
-/// Decisions between two plans.
-const DECISIONS_PER_PLAN: u32 = 2;
-
-/// Every how many looks all agents of the service are told, not only those that may coordinate.
-const TELL_ALL_EVERY: u64 = 4;
+pub(super) const DECIDE_EVERY: Duration = Duration::from_millis(50);
 
 /// Pause between two looks at an engine that loads experts, since the whole group waits for it.
 const LOADING_BEAT: Duration = Duration::from_millis(40);
 
-/// Time after the start in which an agent only listens, so that a restarted one does not take a
-/// group over from a coordinator that it has not heard yet.
-const LISTEN_FIRST: Duration = Duration::from_millis(600);
-
 /// Idle time of connections from other agents.
 const INTERNAL_IDLE: Duration = Duration::from_secs(5);
 
-/// Metrics counts what an agent does.
-struct Metrics {
-    orders: IntCounterVec,
-    switches: IntCounter,
-    map_version: IntGauge,
-    skew_percent: IntGauge,
-}
-
-impl Metrics {
-    fn register(registry: &Registry) -> result::Result<Self, prometheus::Error> {
-        let opts = Opts::new("bitternwall_rank_orders_total", "Orders to engines by outcome.");
-        let orders = IntCounterVec::new(opts, &["order", "outcome"])?;
-        let switches =
-            IntCounter::new("bitternwall_rank_switches_total", "Changes of the map begun here.")?;
-        let map_version =
-            IntGauge::new("bitternwall_rank_map_version", "The version of the map in use.")?;
-        let skew_percent = IntGauge::new(
-            "bitternwall_rank_skew_percent",
-            "The busiest rank's expected work against the mean rank's, in percent.",
-        )?;
-        registry.register(Box::new(orders.clone()))?;
-        registry.register(Box::new(switches.clone()))?;
-        registry.register(Box::new(map_version.clone()))?;
-        registry.register(Box::new(skew_percent.clone()))?;
-        Ok(Self { orders, switches, map_version, skew_percent })
-    }
-}
-
 /// Agent is the state that the tasks of one process share.
-struct Agent {
-    clock: Clock,
-    settings: RankSettings,
-    life: u64,
-    engines: Engines,
-    codecs: Codecs,
-    socket: UdpSocket,
-    metrics: Metrics,
-    engine_answers: Cell<Option<bool>>,
-    reading: Cell<u64>,
-    stall: RefCell<Stall>,
-    stands_still: Cell<bool>,
-    own: RefCell<Option<RankReport>>,
-    held: RefCell<Held>,
-    members: RefCell<Members>,
-    fleet: RefCell<FleetMessage>,
-    entries: RefCell<Vec<SocketAddr>>,
-    told_open: Cell<Option<(bool, Duration)>>,
-    switcher: RefCell<Switcher>,
-    demand: RefCell<Demand>,
-    coordinates: Cell<bool>,
-    loading: Cell<bool>,
-    progress: Cell<Progress>,
+pub(super) struct Agent {
+    pub(super) clock: Clock,
+    pub(super) settings: RankSettings,
+    pub(super) life: u64,
+    pub(super) engines: Engines,
+    pub(super) codecs: Codecs,
+    pub(super) socket: UdpSocket,
+    pub(super) metrics: Metrics,
+    pub(super) engine_answers: Cell<Option<bool>>,
+    pub(super) reading: Cell<u64>,
+    pub(super) stall: RefCell<Stall>,
+    pub(super) stands_still: Cell<bool>,
+    pub(super) own: RefCell<Option<RankReport>>,
+    pub(super) held: RefCell<Held>,
+    pub(super) members: RefCell<Members>,
+    pub(super) fleet: RefCell<FleetMessage>,
+    pub(super) entries: RefCell<Vec<SocketAddr>>,
+    pub(super) told_open: Cell<Option<(bool, Duration)>>,
+    pub(super) switcher: RefCell<Switcher>,
+    pub(super) demand: RefCell<Demand>,
+    pub(super) coordinates: Cell<bool>,
+    pub(super) loading: Cell<bool>,
+    pub(super) progress: Cell<Progress>,
 }
 
 /// Runs an agent until it is told to stop.
@@ -236,12 +193,12 @@
 }
 
 impl Agent {
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.clock.monotonic()
     }
 
     /// Follows the entries' list of targets until the process ends.
-    async fn follow_fleet(self: Rc<Self>) {
+    pub(super) async fn follow_fleet(self: Rc<Self>) {
         let mut known = self.settings.seed_entries();
         self.entries.borrow_mut().clone_from(&known);
         let mut lost = false;
@@ -279,7 +236,7 @@
     }
 
     /// Returns the shape of the own service's groups.
-    fn shape(&self) -> Option<ShapeMessage> {
+    pub(super) fn shape(&self) -> Option<ShapeMessage> {
         let fleet = self.fleet.borrow();
         let engine = self.settings.engine.to_string();
         let own = fleet.targets.iter().find(|target| target.addr == engine)?;
@@ -287,19 +244,19 @@
     }
 
     /// Returns the hosts of the service's other ranks.
-    fn others(&self) -> Vec<SocketAddr> {
+    pub(super) fn others(&self) -> Vec<SocketAddr> {
         let fleet = self.fleet.borrow();
         let own = self.settings.engine;
         let engines = fleet.targets.iter().filter_map(|target| target.addr.parse().ok());
         engines.filter(|engine| *engine != own).collect()
     }
 
-    fn agent_of(&self, engine: SocketAddr) -> SocketAddr {
+    pub(super) fn agent_of(&self, engine: SocketAddr) -> SocketAddr {
         SocketAddr::new(engine.ip(), self.settings.listen.peers.port())
     }
 
     /// Looks at the own engine and tells the other agents until the process ends.
-    async fn look(self: Rc<Self>) {
+    pub(super) async fn look(self: Rc<Self>) {
         let mut sequence = 0;
         loop {
             let found = self.refresh().await;
@@ -314,7 +271,7 @@
     }
 
     /// Reads the own engine's state. Tells whether it answers.
-    async fn refresh(&self) -> bool {
+    pub(super) async fn refresh(&self) -> bool {
         let engine = self.settings.engine;
         let report = match self.engines.report(engine).await {
             Ok(report) => report,
@@ -336,8 +293,11 @@
             let held = self.held.borrow();
             held.version != report.version || held.layers.is_empty()
         };
-        if stale && let Ok(held) = self.engines.held(engine).await {
-            *self.held.borrow_mut() = held;
+        if stale {
+            match self.engines.held(engine).await {
+                Ok(held) => *self.held.borrow_mut() = held,
+                Err(error) => self.note_unread("held", &error),
+            }
         }
         self.metrics.map_version.set(i64::try_from(report.version).unwrap_or(i64::MAX));
         self.reading.set(self.reading.get() + 1);
@@ -374,326 +334,8 @@
         true
     }
 
-    /// Tells the entries whether the rank's group takes requests: at once when that changes, and
-    /// again each second, or more often while it does not.
-    fn tell_entries(&self) {
-        let (open, group) = {
-            let own = self.own.borrow();
-            let open = own.as_ref().is_some_and(|report| report.open) && !self.stands_still.get();
-            (open, own.as_ref().map(|report| report.group.clone()).unwrap_or_default())
-        };
-        let now = self.now();
-        let told = self.told_open.get();
-        let due = |(before, at): (bool, Duration)| {
-            let again = if open { FLEET_EVERY } else { CLOSED_EVERY };
-            before != open || now.saturating_sub(at) >= again
-        };
-        if !told.is_none_or(due) {
-            return;
-        }
-        self.told_open.set(Some((open, now)));
-        let notice = RankNotice { engine: self.settings.engine.to_string(), open, group };
-        let name = self.settings.name.clone();
-        let message = Heartbeat { name, rank: Some(notice), ..Heartbeat::default() };
-        let datagram = message.encode_to_vec();
-        for entry in self.entries.borrow().iter() {
-            // One that is lost is made up for by the next.
-            let _lost = self.socket.try_send_to(&datagram, *entry);
-        }
-    }
-
-    fn state(&self) -> Option<StateMessage> {
-        let own = self.own.borrow();
-        let reading = self.reading.get();
-        own.as_ref().map(|report| StateMessage::of(report, &self.held.borrow(), reading))
-    }
-
-    async fn tell(&self, sequence: u64) {
-        let Some(state) = self.state() else { return };
-        let picks = self.engines.picks(self.settings.engine).await.unwrap_or_default();
-        let now = self.now();
-        let candidates = self.members.borrow().candidates(now);
-        let everyone = candidates.len() < 2 || sequence.is_multiple_of(TELL_ALL_EVERY);
-        let message = RankMessage {
-            engine: self.settings.engine.to_string(),
-            life: self.life,
-            state: Some(state),
-            counts: None,
-        };
-        let audience = if everyone { self.others() } else { candidates.clone() };
-        self.send(&message, &audience);
-        for counts in parts(&picks) {
-            let message = RankMessage { state: None, counts: Some(counts), ..message.clone() };
-            self.send(&message, &candidates);
-        }
-    }
-
-    /// Sends a message to agents, and takes it in where the own one is among them. One that is
-    /// not sent counts as lost; the next one makes up for it.
-    fn send(&self, message: &RankMessage, audience: &[SocketAddr]) {
-        let own = self.settings.engine;
-        let datagram = message.encode_to_vec();
-        for engine in audience.iter().filter(|engine| **engine != own) {
-            let _lost = self.socket.try_send_to(&datagram, self.agent_of(*engine));
-        }
-        self.take(message);
-    }
-
-    fn take(&self, message: &RankMessage) {
-        let own = self.own.borrow();
-        let Some(group) = own.as_ref().map(|report| report.group.as_str()) else { return };
-        self.members.borrow_mut().heard(group, message, self.now());
-    }
-
-    /// Takes the messages of other agents until the process ends.
-    async fn listen(self: Rc<Self>) {
-        let mut buf = vec![0_u8; 64 * 1024];
-        loop {
-            match self.socket.recv_from(&mut buf).await {
-                Ok((length, from)) => match RankMessage::decode(&buf[..length]) {
-                    Ok(message) => self.take(&message),
-                    Err(error) => events::log(
-                        events::HEARTBEAT_UNREADABLE,
-                        format_args!("from={from} cause=\"{error}\""),
-                    ),
-                },
-                Err(error) => {
-                    events::log(events::HEARTBEAT_UNREADABLE, format_args!("cause=\"{error}\""));
-                    time::sleep(DECIDE_EVERY).await;
-                }
-            }
-        }
-    }
-
-    /// Coordinates the group while that is this agent's part, until the process ends.
-    async fn coordinate(self: Rc<Self>) {
-        time::sleep(LISTEN_FIRST).await;
-        let mut decisions = 0_u32;
-        let mut observed = self.now();
-        loop {
-            time::sleep(DECIDE_EVERY).await;
-            let now = self.now();
-            let Some(own) = self.own.borrow().clone() else { continue };
-            let coordinates = self.members.borrow().coordinator(now) == Some(own.rank);
-            if coordinates != self.coordinates.replace(coordinates) {
-                events::log(
-                    events::COORDINATOR_CHANGED,
-                    format_args!("group={} rank={} here={coordinates}", own.group, own.rank),
-                );
-            }
-            if !coordinates {
-                continue;
-            }
-            decisions += 1;
-            if decisions.is_multiple_of(DECISIONS_PER_PLAN) {
-                self.plan(now.saturating_sub(observed));
-                observed = now;
-            }
-            self.ask_silent().await;
-            if self.progress.get() == Progress::Preparing {
-                // The step to hold is counted from the newest one.
-                self.refresh_own().await;
-            }
-            self.decide();
-        }
-    }
-
-    /// Asks the engines of ranks whose agents are silent, while a switch may hang on them.
-    async fn ask_silent(&self) {
-        let silent = self.members.borrow().silent(self.now());
-        let due = self.progress.get() != Progress::Idle;
-        for (rank, engine) in silent {
-            let age = {
-                let members = self.members.borrow();
-                members.get(rank).map(|member| self.now().saturating_sub(member.view.heard))
-            };
-            let stale = age.is_some_and(|age| age > FLEET_EVERY / 4);
-            let parked = age.is_some_and(|age| age > FLEET_EVERY);
-            if (due && stale) || parked {
-                self.ask(rank, engine).await;
-            }
-        }
-    }
-
-    async fn ask(&self, rank: usize, engine: SocketAddr) {
-        let report = match self.engines.report(engine).await {
-            Ok(report) => report,
-            Err(error) => {
-                events::log(
-                    events::RANK_UNREACHABLE,
-                    format_args!("rank={rank} engine={engine} cause=\"{error}\""),
-                );
-                return;
-            }
-        };
-        events::log(
-            events::RANK_ASKED,
-            format_args!(
-                "rank={rank} engine={engine} version={} step={} armed={:?} held={:?}",
-                report.version, report.step, report.armed, report.held
-            ),
-        );
-        let version = report.version;
-        let known = self.members.borrow().get(rank).map(|member| member.held.version);
-        self.members.borrow_mut().asked(rank, report, self.now());
-        if known != Some(version)
-            && let Ok(held) = self.engines.held(engine).await
-        {
-            self.members.borrow_mut().holds(rank, held);
-        }
-    }
-
-    /// Measures demand and wants a new map where one pays.
-    fn plan(&self, elapsed: Duration) {
-        let Some(shape) = self.shape() else { return };
-        let layers = super::wide(shape.layers);
-        let counts = self.members.borrow_mut().take_counts(layers);
-        if counts.iter().all(|layer| !layer.is_empty()) {
-            self.demand.borrow_mut().observe(&counts, elapsed);
-        }
-        let demand = self.demand.borrow();
-        let (views, present) = {
-            let members = self.members.borrow();
-            (members.views(), members.present())
-        };
-        let (Some(views), Some(present)) = (views, present) else { return };
-        if !demand.is_known() || !self.switcher.borrow().is_idle() {
-            return;
-        }
-        let group = Shape {
-            ranks: views.len(),
-            layers,
-            experts: super::wide(shape.experts),
-            slots_per_rank: super::wide(shape.places),
-        };
-        if present.check(&group).is_err() {
-            return;
-        }
-        let shares = demand.shares();
-        let limits = Limits {
-            new_per_rank: super::wide(shape.new_per_rank),
-            load_price: rebalance::load_price(&views),
-        };
-        let skew = rebalance::skew(&present, &shares, group.ranks);
-        #[allow(clippy::as_conversions, reason = "a skew is a small positive number")]
-        self.metrics.skew_percent.set((skew * 100.0) as i64);
-        let Some(proposal) = rebalance::propose(&group, &present, &shares, &limits) else { return };
-        let wanted = self.switcher.borrow_mut().want(proposal.map, &views, self.now());
-        if let Some(version) = wanted {
-            self.metrics.switches.inc();
-            events::log(
-                events::MAP_WANTED,
-                format_args!(
-                    "version={version} before={} skew={:.2} planned={:.2} loads={} distance={:.3}",
-                    views[0].report.version,
-                    proposal.present_skew,
-                    proposal.planned_skew,
-                    proposal.loads,
-                    demand.distance()
-                ),
-            );
-        }
-    }
-
-    /// Gives the orders that are due.
-    fn decide(self: &Rc<Self>) {
-        let (views, present) = {
-            let members = self.members.borrow();
-            (members.views(), members.present())
-        };
-        let Some(views) = views else { return };
-        let now = self.now();
-        let (progress, orders) = self.switcher.borrow_mut().tick(&views, present.as_ref(), now);
-        if progress != self.progress.replace(progress) {
-            let version = self.switcher.borrow().version().unwrap_or(0);
-            events::log(
-                events::SWITCH_PROGRESS,
-                format_args!(
-                    "progress={progress:?} version={version} step={}",
-                    views[0].report.step
-                ),
-            );
-        }
-        for given in orders {
-            actix_rt::spawn(Rc::clone(self).give(given));
-        }
-    }
-
-    /// Gives one order, by the rank's agent where it lives.
-    async fn give(self: Rc<Self>, given: Given) {
-        let member = self.members.borrow().get(given.rank).cloned();
-        let Some(member) = member else { return };
-        let silent = self.members.borrow().silent(self.now());
-        let by_agent = !silent.iter().any(|(rank, _)| *rank == given.rank);
-        let outcome = if member.engine == self.settings.engine {
-            self.give_own(&given).await
-        } else if by_agent {
-            self.give_by_agent(&given, member.engine).await
-        } else {
-            let outcome = self.engines.order(member.engine, &given.order, given.epoch).await;
-            self.ask(given.rank, member.engine).await;
-            outcome
-        };
-        self.note_order(given.order.name(), outcome, Some(given.rank));
-        self.switcher.borrow_mut().answered(&given, outcome, self.now());
-        if self.coordinates.get() && self.progress.get() != Progress::Preparing {
-            // A held step stalls the whole group, so the next order does not wait for the beat.
-            self.decide();
-        }
-    }
-
-    async fn give_own(&self, given: &Given) -> OrderOutcome {
-        let engine = self.settings.engine;
-        let outcome = self.engines.order(engine, &given.order, given.epoch).await;
-        self.refresh_own().await;
-        outcome
-    }
-
-    /// Reads the own engine's state and takes it in.
-    async fn refresh_own(&self) {
-        if self.refresh().await
-            && let Some(state) = self.state()
-        {
-            let engine = self.settings.engine;
-            self.members.borrow_mut().take_state(engine, self.life, &state, self.now());
-        }
-    }
-
-    async fn give_by_agent(&self, given: &Given, engine: SocketAddr) -> OrderOutcome {
-        let agent = self.agent_of(engine);
-        match orders::send(agent, &self.codecs, &given.order, given.epoch).await {
-            Ok(answer) => {
-                if let Some(state) = &answer.state {
-                    let now = self.now();
-                    self.members.borrow_mut().take_state(engine, answer.life, state, now);
-                }
-                answer.outcome()
-            }
-            Err(error) => {
-                events::log(
-                    events::ORDER_UNANSWERED,
-                    format_args!(
-                        "order={} rank={} agent={agent} cause=\"{error}\"",
-                        given.order.name(),
-                        given.rank
-                    ),
-                );
-                OrderOutcome::NoAnswer
-            }
-        }
-    }
-
-    fn note_order(&self, order: &str, outcome: OrderOutcome, rank: Option<usize>) {
-        self.metrics.orders.with_label_values(&[order, &format!("{outcome:?}")]).inc();
-        let rank = rank.map_or("own".to_owned(), |rank| rank.to_string());
-        events::log(
-            events::ORDER_GIVEN,
-            format_args!("order={order} rank={rank} outcome={outcome:?}"),
-        );
-    }
-
     /// Ends a switch that is under way before the process exits, within its time.
-    async fn finish(&self) {
+    pub(super) async fn finish(&self) {
         let deadline = self.now() + Duration::from_secs_f64(self.settings.grace_s / 2.0);
         while self.coordinates.get() && self.now() < deadline {
             let arming = matches!(self.progress.get(), Progress::Arming | Progress::Switching);
@@ -704,16 +346,3 @@
         }
     }
 }
-
-/// Cuts counts into messages.
-fn parts(picks: &Picks) -> Vec<CountsMessage> {
-    let total = super::narrow(picks.counts.len());
-    let chunks = picks.counts.chunks(COUNTS_PER_MESSAGE).enumerate();
-    let parts = chunks.map(|(index, counts)| CountsMessage {
-        epoch: picks.epoch,
-        first: super::narrow(index * COUNTS_PER_MESSAGE),
-        total,
-        counts: counts.to_vec(),
-    });
-    parts.collect()
-}
--- a/src/ranks/mod.rs
+++ b/src/ranks/mod.rs
@@ -1,18 +1,21 @@
 //! Agents beside the ranks of a group whose engines take orders themselves: they measure which
 //! experts are asked for, plan where experts go, and switch the map on all ranks at one step.
 //!
-//! [`demand`], [`rebalance`], [`switch`], [`stall`] and [`status`] are pure; [`daemon`] does the I/O. See
+//! [`demand`], [`rebalance`], [`switch`], [`stall`] and [`status`] are pure; [`daemon`] and the private modules beside it do the I/O. See
 //! docs/EXPERT_MAPS.md.
 
+mod coordinating;
 pub mod daemon;
 pub mod demand;
 pub mod engine;
+pub mod metrics;
 pub mod orders;
 pub mod rebalance;
 pub mod report;
 pub mod stall;
 pub mod status;
 pub mod switch;
+mod telling;
 
 use crate::expert_map::float;
 
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -201,6 +201,9 @@
 /// The rank's group began or ceased to stand still with requests in hand; entries are told so.
 pub const GROUP_STALLED: LogEvent =
     LogEvent { number: 8016, severity: Severity::Warning, title: "group stalled" };
+/// Counts or experts held could not be read from the engine; the next look asks again.
+pub const ENGINE_UNREAD: LogEvent =
+    LogEvent { number: 8017, severity: Severity::Warning, title: "engine not read" };
 
 /// Every event, in the order of its number.
 pub const CATALOGUE: &[LogEvent] = &[
@@ -262,6 +265,7 @@
     RANK_ASKED,
     RANK_UNREACHABLE,
     GROUP_STALLED,
+    ENGINE_UNREAD,
 ];
 
 /// Logs one event with its details.
