--- a/src/direct/http.rs
+++ b/src/direct/http.rs
@@ -23,6 +23,8 @@
 use tokio::time;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::telemetry::events;
+
 /// The result of using a connection.
 pub type Result<T> = result::Result<T, HttpError>;
 
@@ -105,6 +107,20 @@
     stage: Stage,
     buf: BytesMut,
     keep_alive: bool,
+    /// True from a request's sending to the end of its answer.
+    in_exchange: bool,
+}
+
+impl Drop for Connection {
+    /// Resets a connection whose exchange is given up. A request that is still held up on its way
+    /// then reaches nobody; after an ordinary close it would arrive once the way is free again.
+    fn drop(&mut self) {
+        if self.in_exchange
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            events::log(events::RESET_FAILED, format_args!("cause=\"{error}\""));
+        }
+    }
 }
 
 impl Connection {
@@ -121,7 +137,7 @@
         stream.set_nodelay(true)?;
         let codec = ClientCodec::new(codecs.0.clone());
         let stage = Stage::Idle(Box::new(codec));
-        Ok(Self { stream, stage, buf: BytesMut::new(), keep_alive: true })
+        Ok(Self { stream, stage, buf: BytesMut::new(), keep_alive: true, in_exchange: false })
     }
 
     /// Tells whether the connection may carry another exchange: the last answer has ended, and
@@ -147,6 +163,7 @@
     /// Returns an error where the peer has gone or reads nothing.
     pub async fn send(&mut self, exchange: &Exchange) -> Result<()> {
         let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
+        self.in_exchange = true;
         let mut head = RequestHead::default();
         head.method = exchange.method.clone();
         head.uri = exchange.uri.clone();
@@ -187,6 +204,7 @@
 
     fn enter_body(&mut self, head: &ResponseHead) {
         let Stage::Idle(codec) = std::mem::replace(&mut self.stage, Stage::Broken) else { return };
+        self.in_exchange = true;
         self.keep_alive = codec.keep_alive();
         let has_body = codec.message_type() != MessageType::None;
         self.stage = if is_unframed(head) {
@@ -209,6 +227,7 @@
             match std::mem::replace(&mut self.stage, Stage::Broken) {
                 Stage::Idle(codec) => {
                     self.stage = Stage::Idle(codec);
+                    self.in_exchange = false;
                     return Ok(None);
                 }
                 Stage::Payload(mut codec) => match codec.decode(&mut self.buf)? {
@@ -218,6 +237,7 @@
                     }
                     Some(None) => {
                         self.stage = Stage::Idle(Box::new(codec.into_message_codec()));
+                        self.in_exchange = false;
                         return Ok(None);
                     }
                     None => self.stage = Stage::Payload(codec),
@@ -233,7 +253,10 @@
         if self.buf.is_empty() {
             match self.fill().await {
                 Ok(()) => {}
-                Err(HttpError::Closed) => return Ok(None),
+                Err(HttpError::Closed) => {
+                    self.in_exchange = false;
+                    return Ok(None);
+                }
                 Err(error) => return Err(error),
             }
         }
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -117,6 +117,9 @@
 /// An answer broke off after its beginning was passed on.
 pub const ANSWER_BROKE: LogEvent =
     LogEvent { number: 7005, severity: Severity::Warning, title: "answer broke off" };
+/// A connection whose exchange was given up could not be reset and is closed instead.
+pub const RESET_FAILED: LogEvent =
+    LogEvent { number: 7006, severity: Severity::Warning, title: "connection not reset" };
 /// A target came on the list or its entry changed.
 pub const TARGET_LISTED: LogEvent =
     LogEvent { number: 7010, severity: Severity::Info, title: "target listed" };
@@ -237,6 +240,7 @@
     TARGET_PAUSED,
     TARGET_BROKE,
     ANSWER_BROKE,
+    RESET_FAILED,
     TARGET_LISTED,
     TARGET_GONE,
     TARGET_LAPSED,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -4,6 +4,8 @@
 mod answers;
 #[path = "direct/budget.rs"]
 mod budget;
+#[path = "direct/connections.rs"]
+mod connections;
 #[path = "direct/experts.rs"]
 mod experts;
 #[path = "direct/knowledge.rs"]
