--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -196,16 +196,6 @@
         self.listed.values()
     }
 
-    /// Returns the number of listed targets.
-    pub fn len(&self) -> usize {
-        self.listed.len()
-    }
-
-    /// Tells whether no target is listed.
-    pub fn is_empty(&self) -> bool {
-        self.listed.is_empty()
-    }
-
     /// Sets the requests that the other entries have in flight at each target.
     pub fn set_others(&mut self, others: Map<String, u32>) {
         self.others = others;
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -61,11 +61,6 @@
         self.refused += (1.0 - self.refused) * SAMPLE_WEIGHT;
     }
 
-    /// Returns the share, from 0 to 1.
-    pub fn share(&self) -> f64 {
-        self.refused
-    }
-
     /// Returns when a caller may come back that found all targets away: they may need about as
     /// long again, and then callers come back over a while.
     pub fn after_outage(time_left: Duration, draw: f64) -> Duration {
--- a/src/ranks/status.rs
+++ b/src/ranks/status.rs
@@ -248,11 +248,6 @@
         self.by_rank.insert(rank, member);
     }
 
-    /// Returns the life of a rank's agent.
-    pub fn life(&self, rank: usize) -> u64 {
-        self.by_rank.get(&rank).map_or(0, |member| member.life)
-    }
-
     /// Takes in a report that another host's engine gave, which shows a state of a moment ago.
     pub fn asked(&mut self, rank: usize, report: RankReport, now: Duration) {
         let as_of = now.saturating_sub(REPORT_LAG);
@@ -326,11 +321,6 @@
         live.into_iter().map(|(_, engine)| engine).collect()
     }
 
-    /// Returns the engines of all ranks heard.
-    pub fn engines(&self) -> Vec<SocketAddr> {
-        self.by_rank.values().map(|member| member.engine).collect()
-    }
-
     /// Returns the ranks whose agents are silent.
     pub fn silent(&self, now: Duration) -> Vec<(usize, SocketAddr)> {
         let silent = self.by_rank.iter().filter(|(_, member)| !is_live(member, now));
