Heartbeats and counts are bounded for each process, whatever the fleet's size

Each of 58 entries wrote to all others at every beat, and 64 agents sent 1,536 counts ten times a second to two ranks, more than the 8 Mbit/s of a rank's host. A heartbeat's list of other entries would also not fit a packet at 130 entries and was then left out for good. Ruled out: forwarded answers (bytes of answers are a tenth of it), facts (fetched only on change). Change: a heartbeat goes to at most 16 entries in turn, to all at once when facts change; it introduces at most 32 others; silence is judged by turns. Counts of groups of more than 8 ranks are sent more rarely, and states go to the own group once it is known whole.

--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -14,7 +14,7 @@
 
 use crate::direct::facts::Listed;
 use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
-use crate::direct::peers::{Heartbeat, Load, PeerAddr, RankNotice};
+use crate::direct::peers::{self, Heartbeat, Load, RankNotice};
 use crate::direct::store::Item;
 use crate::direct::sync::Follower;
 use crate::telemetry::events;
@@ -22,9 +22,6 @@
 /// Bytes of the longest datagram, under what common links carry in one packet after its headers.
 const MAX_DATAGRAM: usize = 1_400;
 
-/// Every how many heartbeats the addresses of the other entries are told.
-const HEARS_EVERY: u64 = 5;
-
 /// How long another entry may take to hand over its facts.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -72,9 +69,11 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-/// Sends heartbeats until the process ends: at each beat, and at once when the facts change.
+/// Sends heartbeats until the process ends: at each beat to those whose turn it is, and at once to
+/// all when the facts change.
 pub async fn send(follower: Rc<Follower>, socket: Rc<UdpSocket>, identity: Identity) {
     let mut sequence = 0;
+    let mut changed = true;
     loop {
         sequence += 1;
         let now = follower.entry.now();
@@ -83,14 +82,19 @@
         if datagram.len() > MAX_DATAGRAM {
             datagram = Heartbeat { hears: Vec::new(), ..beat }.encode_to_vec();
         }
-        let audience = follower.entry.peers.borrow_mut().audience(&identity.seeds, now);
-        for addr in audience.into_iter().filter(|addr| *addr != identity.peer_addr) {
+        let (audience, turns) = {
+            let mut peers = follower.entry.peers.borrow_mut();
+            let audience = peers.audience(&identity.seeds, now);
+            (audience, if changed { 1 } else { peers.turns() })
+        };
+        let share = peers::share(&audience, sequence, turns);
+        for addr in share.filter(|addr| *addr != identity.peer_addr) {
             // A datagram that is not sent counts as lost; the next heartbeat makes up for it.
             let _lost = socket.try_send_to(&datagram, addr);
         }
         tokio::select! {
-            () = time::sleep(follower.beat_every) => {}
-            () = follower.changed.notified() => {}
+            () = time::sleep(follower.beat_every) => changed = false,
+            () = follower.changed.notified() => changed = true,
         }
     }
 }
@@ -104,10 +108,7 @@
     };
     let now = entry.now();
     let peers = entry.peers.borrow();
-    let hears = match sequence % HEARS_EVERY {
-        1 => peers.live(follower.beat_every, now).filter_map(|p| PeerAddr::of(p.addr)).collect(),
-        _ => Vec::new(),
-    };
+    let hears = peers.introduced(follower.beat_every, now, sequence);
     let facts = entry.facts.borrow();
     Heartbeat {
         name: entry.options.name.clone(),
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -1,8 +1,10 @@
 //! The other entries, as their heartbeats tell.
 //!
 //! Heartbeats carry what each entry has in flight and which facts it holds. They tell who lives,
-//! spread the load that each target has, and let few entries read the store for all.
+//! spread the load that each target has, and let few entries read the store for all. What one entry
+//! sends and hears is bounded: in a large fleet each heartbeat goes to some of the others, in turn.
 
+use std::cmp;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
@@ -11,6 +13,19 @@
 /// Heartbeats that an entry may miss before its load and address no longer count.
 const MISSED_BEATS: u32 = 10;
 
+/// The same for entries whose heartbeats come in turns. Four losses in a row are rare.
+const MISSED_TURNS: u32 = 4;
+
+/// Entries that one heartbeat goes to. More would cost more than fresher loads are worth: entries
+/// of a large fleet have little in flight each.
+pub const FANOUT: usize = 16;
+
+/// Addresses of entries in one heartbeat, which keeps it within one packet.
+pub const INTRODUCED: usize = 32;
+
+/// Heartbeats to an entry of which one introduces others.
+const INTRODUCE_EVERY: u64 = 5;
+
 /// An entry that was not heard for this long is forgotten and no longer written to.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -161,19 +176,44 @@
         News { joined: !same_life, loads }
     }
 
-    /// Returns the addresses that heartbeats go to, and forgets those that are silent for long.
-    /// Addresses in `always` are kept.
+    /// Returns the addresses that heartbeats go to in order, and forgets those that are silent for
+    /// long. Addresses in `always` are kept.
     pub fn audience(&mut self, always: &[SocketAddr], now: Duration) -> Vec<SocketAddr> {
         self.known.retain(|_, heard| now.saturating_sub(*heard) < FORGET_AFTER);
         self.peers.retain(|_, peer| now.saturating_sub(peer.heard) < FORGET_AFTER);
         let mut audience: Set<SocketAddr> = self.known.keys().copied().collect();
         audience.extend(always);
-        audience.into_iter().collect()
+        let mut audience: Vec<SocketAddr> = audience.into_iter().collect();
+        audience.sort_unstable();
+        audience
+    }
+
+    /// Returns the heartbeats in which every known entry gets one.
+    pub fn turns(&self) -> u64 {
+        let turns = self.known.len().div_ceil(FANOUT).max(1);
+        u64::try_from(turns).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the addresses of live entries that a heartbeat tells, if it is one that does.
+    pub fn introduced(&self, beat_every: Duration, now: Duration, sequence: u64) -> Vec<PeerAddr> {
+        let turns = self.turns();
+        let round = sequence / turns;
+        let every = INTRODUCE_EVERY.div_ceil(turns);
+        if !round.is_multiple_of(every) {
+            return Vec::new();
+        }
+        let mut live: Vec<SocketAddr> = self.live(beat_every, now).map(|peer| peer.addr).collect();
+        live.sort_unstable();
+        let part =
+            round / every % u64::try_from(live.len().div_ceil(INTRODUCED).max(1)).unwrap_or(1);
+        let first = usize::try_from(part).unwrap_or(0) * INTRODUCED;
+        live.into_iter().skip(first).take(INTRODUCED).filter_map(PeerAddr::of).collect()
     }
 
     /// Returns the entries that were heard within a few heartbeats.
     pub fn live(&self, beat_every: Duration, now: Duration) -> impl Iterator<Item = &Peer> {
-        let limit = beat_every * MISSED_BEATS;
+        let turns = u32::try_from(self.turns()).unwrap_or(u32::MAX);
+        let limit = beat_every * cmp::max(MISSED_BEATS, MISSED_TURNS.saturating_mul(turns));
         self.peers.values().filter(move |peer| now.saturating_sub(peer.heard) <= limit)
     }
 
@@ -227,6 +267,17 @@
     }
 }
 
+/// Returns those of an audience that a heartbeat goes to.
+pub fn share(
+    audience: &[SocketAddr],
+    sequence: u64,
+    turns: u64,
+) -> impl Iterator<Item = SocketAddr> {
+    let turns = usize::try_from(turns).unwrap_or(usize::MAX).max(1);
+    let turn = usize::try_from(sequence).unwrap_or(0) % turns;
+    audience.iter().copied().skip(turn).step_by(turns)
+}
+
 fn rank(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
--- a/src/ranks/status.rs
+++ b/src/ranks/status.rs
@@ -15,6 +15,10 @@
 /// Counts in one datagram, so that it fits common links' packets.
 pub const COUNTS_PER_MESSAGE: usize = 240;
 
+/// Ranks whose counts a coordinator takes in at each beat. The ranks of a larger group send theirs
+/// more rarely, so that the coordinator's link carries the same at any size.
+pub const COUNTED_PER_BEAT: usize = 8;
+
 /// An agent that was not heard for this long does not coordinate.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 
@@ -277,6 +281,12 @@
         (0..ranks).map(|rank| self.by_rank.get(&rank).map(|member| member.view.clone())).collect()
     }
 
+    /// Returns the hosts of the group's ranks; none where one is missing.
+    pub fn hosts(&self) -> Option<Vec<SocketAddr>> {
+        let ranks = self.by_rank.values().map(|member| member.view.report.ranks).max()?;
+        (0..ranks).map(|rank| self.by_rank.get(&rank).map(|member| member.engine)).collect()
+    }
+
     /// Returns the map that all ranks use, where they told its experts.
     pub fn present(&self) -> Option<Arc<ExpertMap>> {
         let ranks = self.by_rank.values().map(|member| member.view.report.ranks).max()?;
@@ -376,3 +386,8 @@
 fn is_live(member: &Member, now: Duration) -> bool {
     member.agent_heard.is_some_and(|heard| now.saturating_sub(heard) <= SILENT_AFTER)
 }
+
+/// Returns every how many looks an agent sends its counts in a group of `ranks`.
+pub fn counts_every(ranks: usize) -> u64 {
+    u64::try_from(ranks.div_ceil(COUNTED_PER_BEAT)).unwrap_or(u64::MAX).max(1)
+}
--- a/src/ranks/telling.rs
+++ b/src/ranks/telling.rs
@@ -11,11 +11,11 @@
 use crate::ranks::daemon::{Agent, DECIDE_EVERY, FLEET_EVERY};
 use crate::ranks::engine::EngineError;
 use crate::ranks::report::Picks;
-use crate::ranks::status::{COUNTS_PER_MESSAGE, CountsMessage, RankMessage, StateMessage};
+use crate::ranks::status::{self, COUNTS_PER_MESSAGE, CountsMessage, RankMessage, StateMessage};
 use crate::telemetry::events;
 
-/// Every how many looks all agents of the service are told, not only those that may coordinate.
-const TELL_ALL_EVERY: u64 = 4;
+/// Every how many looks all agents of the group are told, not only those that may coordinate.
+const TELL_GROUP_EVERY: u64 = 4;
 
 /// Pause between two messages to entries that a group is closed; entries may have just started.
 const CLOSED_EVERY: Duration = Duration::from_millis(200);
@@ -66,28 +66,38 @@
 
     pub(super) async fn tell(&self, sequence: u64) {
         let Some(state) = self.state() else { return };
-        let picks = match self.engines.picks(self.settings.engine).await {
-            Ok(picks) => picks,
-            Err(error) => {
-                // Counts are sums, so the next ones make up for these.
-                self.note_unread("picks", &error);
-                Picks::default()
-            }
-        };
         let now = self.now();
-        let candidates = self.members.borrow().candidates(now);
-        let everyone = candidates.len() < 2 || sequence.is_multiple_of(TELL_ALL_EVERY);
+        let (candidates, group) = {
+            let members = self.members.borrow();
+            (members.candidates(now), members.hosts())
+        };
+        let everyone = candidates.len() < 2 || sequence.is_multiple_of(TELL_GROUP_EVERY);
+        let ranks = super::wide(state.ranks);
         let message = RankMessage {
             engine: self.settings.engine.to_string(),
             life: self.life,
             state: Some(state),
             counts: None,
         };
-        let audience = if everyone { self.others() } else { candidates.clone() };
+        let audience = match (everyone, group) {
+            (false, _) => candidates.clone(),
+            (true, Some(group)) => group,
+            (true, None) => self.others(),
+        };
         self.send(&message, &audience);
-        for counts in parts(&picks) {
-            let message = RankMessage { state: None, counts: Some(counts), ..message.clone() };
-            self.send(&message, &candidates);
+        if !sequence.is_multiple_of(status::counts_every(ranks)) {
+            return;
+        }
+        match self.engines.picks(self.settings.engine).await {
+            Ok(picks) => {
+                for counts in parts(&picks) {
+                    let message =
+                        RankMessage { state: None, counts: Some(counts), ..message.clone() };
+                    self.send(&message, &candidates);
+                }
+            }
+            // Counts are sums, so the next ones make up for these.
+            Err(error) => self.note_unread("picks", &error),
         }
     }
 
--- a/tests/direct/experts.rs
+++ b/tests/direct/experts.rs
@@ -7,6 +7,7 @@
 use bitternwall::ranks::rebalance::{self, Limits};
 use bitternwall::ranks::report::RankReport;
 use bitternwall::ranks::stall::Stall;
+use bitternwall::ranks::status::{self, COUNTED_PER_BEAT};
 
 const SHAPE: Shape = Shape { ranks: 8, layers: 2, experts: 64, slots_per_rank: 11 };
 const BEAT: Duration = Duration::from_millis(250);
@@ -88,3 +89,12 @@
     assert!(!stall.observe(&report(6, 2), at(5_100)), "it has just got a request");
     assert!(stall.observe(&report(6, 2), at(6_000)));
 }
+
+#[test]
+fn what_a_coordinator_hears_of_counts_does_not_grow_with_its_group() {
+    for ranks in [1, 2, 8, 16, 32, 64, 256] {
+        let every = usize::try_from(status::counts_every(ranks)).expect("few looks");
+        assert!(ranks.div_ceil(every) <= COUNTED_PER_BEAT, "{ranks} ranks, every {every} looks");
+    }
+    assert_eq!(status::counts_every(8), 1, "a small group's counts are as fresh as its states");
+}
--- a/tests/direct/knowledge.rs
+++ b/tests/direct/knowledge.rs
@@ -1,12 +1,15 @@
 //! What an entry knows only moves forward, and outlives an absence of the store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bitternwall::direct::addresses::{self, Own};
 use bitternwall::direct::facts::{Facts, Listed};
 use bitternwall::direct::lapses::{Lapses, Removal};
-use bitternwall::direct::peers::{Heartbeat, Load, PeerAddr, Peers, READERS};
+use bitternwall::direct::peers::{
+    self, FANOUT, Heartbeat, INTRODUCED, Load, PeerAddr, Peers, READERS,
+};
 use bitternwall::direct::targets::Target;
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -195,3 +198,50 @@
     assert_eq!(audience, [from(1), from(7), from(8)]);
     assert_eq!(peers.audience(&[from(8)], Duration::from_secs(60)), [from(8)]);
 }
+
+fn fleet(entries: u8) -> Peers {
+    let mut peers = Peers::default();
+    for host in 1..=entries {
+        peers.heard(beat(&format!("entry-{host}"), 1), from(host), Duration::ZERO);
+    }
+    peers
+}
+
+#[test]
+fn a_heartbeat_goes_to_a_bounded_number_of_entries_and_all_get_one_in_turn() {
+    for entries in [5, 13, 58, 200] {
+        let mut peers = fleet(entries);
+        let audience = peers.audience(&[], Duration::ZERO);
+        let turns = peers.turns();
+        let mut written: Vec<SocketAddr> = Vec::new();
+        for sequence in 40..40 + turns {
+            let share: Vec<_> = peers::share(&audience, sequence, turns).collect();
+            assert!(share.len() <= FANOUT, "{} of {entries}", share.len());
+            written.extend(share);
+        }
+        written.sort_unstable();
+        assert_eq!(written, audience);
+    }
+}
+
+#[test]
+fn an_entry_of_a_large_fleet_is_silent_only_after_several_of_its_turns() {
+    let peers = fleet(120);
+    let turn = BEAT * u32::try_from(peers.turns()).expect("few turns");
+    assert_eq!(peers.live(BEAT, turn * 4).count(), 120);
+    assert_eq!(peers.live(BEAT, turn * 5).count(), 0);
+}
+
+#[test]
+fn each_entry_is_told_of_all_others_over_a_few_heartbeats() {
+    let peers = fleet(120);
+    let turns = peers.turns();
+    for turn in 0..turns {
+        let own_turns = (0..400).filter(|sequence| sequence % turns == turn);
+        let told = own_turns.flat_map(|sequence| peers.introduced(BEAT, Duration::ZERO, sequence));
+        let told: BTreeSet<SocketAddr> = told.filter_map(PeerAddr::addr).collect();
+        assert_eq!(told.len(), 120, "turn {turn} of {turns}");
+    }
+    let most = (0..400).map(|sequence| peers.introduced(BEAT, Duration::ZERO, sequence).len());
+    assert!(most.max() <= Some(INTRODUCED));
+}
