A large configuration is handed on from entry to entry

All entries behind asked the same entry, the one with the highest version last in the table, whose 28 Mbit/s took seconds for 47 copies; each fetch was given up after 400 ms and begun anew. Every change of the list of targets moved the whole configuration as well. Ruled out: the store (its readers had the version within 0.2 s), heartbeats lost (versions were known). Change: an entry asks any entry that has newer facts, of its own data centre first, and says what it knows; it is handed only what is newer. An entry hands facts to two others at a time and refuses more, who then ask elsewhere. Tests: spread of a large configuration over 13, 58 and 200 entries within 2 s.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -4,11 +4,12 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::result;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use actix_web::web;
 use prometheus::Registry;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time;
 
 use crate::clock::Clock;
@@ -119,6 +120,7 @@
         changed: Rc::new(Notify::new()),
         outdated: Rc::new(Notify::new()),
         lapses: Lapses::default(),
+        hand_overs: Arc::new(Semaphore::new(gossip::HAND_OVERS)),
     });
     start_heartbeats(&follower, &settings, &clock).await?;
     serve(&entry, &follower, &settings, adapter, &registry).await?;
--- a/src/direct/facts.rs
+++ b/src/direct/facts.rs
@@ -23,6 +23,15 @@
     pub target: Option<Target>,
 }
 
+/// Known is how far an entry's facts are.
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
+pub struct Known {
+    /// The version of its configuration; 0 without one.
+    pub version: u64,
+    /// The store's revision of its list of targets; 0 without one.
+    pub targets_at: u64,
+}
+
 /// Facts holds the newest of both parts.
 #[derive(Clone, Debug, Default)]
 pub struct Facts {
@@ -51,6 +60,11 @@
         self.configuration().map_or(0, |configuration| configuration.version)
     }
 
+    /// Returns how far the facts are.
+    pub fn known(&self) -> Known {
+        Known { version: self.version(), targets_at: self.targets_at() }
+    }
+
     /// Takes a configuration if it is newer than the one in force. Tells whether it is.
     pub fn offer_configuration(&mut self, offered: Configuration, raw: Bytes) -> bool {
         let newer = offered.version > self.version() || self.configuration.is_none();
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -1,18 +1,23 @@
 //! Sends and takes heartbeats, and fetches facts from entries that have newer ones.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use actix_http::uri::InvalidUri;
 use actix_http::{Method, StatusCode, Uri};
+use actix_web::body::SizedStream;
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
+use futures_util::stream;
 use prost::Message as _;
 use tokio::net::UdpSocket;
 use tokio::time;
 
-use crate::direct::facts::Listed;
+use crate::direct::facts::{Facts, Known, Listed};
 use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
 use crate::direct::peers::{self, Heartbeat, Load, RankNotice};
 use crate::direct::store::Item;
@@ -22,8 +27,19 @@
 /// Bytes of the longest datagram, under what common links carry in one packet after its headers.
 const MAX_DATAGRAM: usize = 1_400;
 
-/// How long another entry may take to hand over its facts.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long another entry may take to hand over its facts: two of the largest values that common
+/// stores take, over the link of a small host.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Least pause before facts are asked for again after an entry was busy or did not answer.
+const FETCH_RETRY: Duration = Duration::from_millis(30);
+
+/// Entries that are handed facts at once. Each of them hands them on, so a fleet has them after a
+/// few rounds.
+pub const HAND_OVERS: usize = 2;
+
+/// Bytes of facts that are given to the connection at once.
+const PIECE_BYTES: usize = 16 * 1024;
 
 /// Bytes of the facts of one entry, above the store's limit for a value.
 const MAX_FACTS: usize = 8 * 1024 * 1024;
@@ -196,44 +212,58 @@
     let codecs = Codecs::new();
     loop {
         follower.outdated.notified().await;
-        let source = {
-            let entry = &follower.entry;
-            let facts = entry.facts.borrow();
-            let peers = entry.peers.borrow();
-            let (version, at) = (facts.version(), facts.targets_at());
-            let ahead = peers.ahead(version, at, follower.beat_every, entry.now());
-            ahead.map(|peer| (peer.beat.name.clone(), peer.addr))
-        };
-        let Some((name, addr)) = source else { continue };
-        match time::timeout(FETCH_TIMEOUT, fetch(addr, &codecs)).await {
-            Ok(Ok(facts)) => take_facts(&follower, facts, &name),
-            Ok(Err(error)) => {
-                events::log(events::PEER_FAILED, format_args!("entry={name} cause=\"{error}\""));
-                time::sleep(follower.beat_every).await;
-            }
-            Err(_elapsed) => {
-                events::log(events::PEER_FAILED, format_args!("entry={name} cause=timeout"));
+        while let Some((name, addr)) = source(&follower) {
+            let known = follower.entry.facts.borrow().known();
+            let fetched = time::timeout(FETCH_TIMEOUT, fetch(addr, known, &codecs)).await;
+            match fetched.unwrap_or(Err(FetchError::Timeout(FETCH_TIMEOUT))) {
+                Ok(facts) => {
+                    take_facts(&follower, facts, &name);
+                    break;
+                }
+                Err(FetchError::Status(StatusCode::TOO_MANY_REQUESTS)) => {}
+                Err(error) => {
+                    events::log(events::PEER_FAILED, format_args!("entry={name} cause=\"{error}\""))
+                }
             }
+            time::sleep(FETCH_RETRY.mul_f64(1.0 + follower.entry.draw())).await;
         }
     }
 }
 
+/// Returns the name and the address of an entry that has newer facts.
+fn source(follower: &Follower) -> Option<(String, SocketAddr)> {
+    let entry = &follower.entry;
+    let known = entry.facts.borrow().known();
+    let near = &entry.options.data_centre;
+    let peers = entry.peers.borrow();
+    let ahead = peers.ahead(known, near, rand::random(), follower.beat_every, entry.now());
+    ahead.map(|peer| (peer.beat.name.clone(), peer.addr))
+}
+
 /// FetchError is why another entry's facts could not be had.
 #[derive(Debug, thiserror::Error)]
 enum FetchError {
     #[error(transparent)]
     Http(#[from] HttpError),
+    #[error(transparent)]
+    Uri(#[from] InvalidUri),
     #[error("the entry answers with status {0}")]
     Status(StatusCode),
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
     #[error("the facts cannot be read: {0}")]
     Unreadable(#[from] prost::DecodeError),
 }
 
-async fn fetch(addr: SocketAddr, codecs: &Codecs) -> Result<FactsMessage, FetchError> {
+async fn fetch(
+    addr: SocketAddr,
+    known: Known,
+    codecs: &Codecs,
+) -> Result<FactsMessage, FetchError> {
     let mut connection = Connection::open(addr, FETCH_TIMEOUT, codecs).await?;
     let exchange = Exchange {
         method: Method::GET,
-        uri: Uri::from_static(FACTS_PATH),
+        uri: facts_uri(known)?,
         headers: http::host(addr),
         body: Bytes::new(),
     };
@@ -246,6 +276,10 @@
     Ok(FactsMessage::decode(body)?)
 }
 
+fn facts_uri(known: Known) -> Result<Uri, InvalidUri> {
+    format!("{FACTS_PATH}?version={}&targets_at={}", known.version, known.targets_at).parse()
+}
+
 fn take_facts(follower: &Follower, facts: FactsMessage, source: &str) {
     if !facts.configuration.is_empty() {
         follower.take_configuration(&facts.configuration, source);
@@ -266,19 +300,39 @@
     cfg.route(FACTS_PATH, web::get().to(hand_over));
 }
 
-async fn hand_over(follower: web::Data<Rc<Follower>>) -> HttpResponse {
-    let facts = follower.entry.facts.borrow();
-    let targets = facts.listed().map(|(key, listed)| ListedMessage {
-        key: key.clone(),
-        value: listed.raw.clone(),
-        revision: listed.revision,
+/// Hands over the facts that are newer than those that the asking entry knows. Few are served at
+/// once, since a large configuration takes an entry's link a while; the others ask elsewhere.
+async fn hand_over(follower: web::Data<Rc<Follower>>, known: web::Query<Known>) -> HttpResponse {
+    let Ok(turn) = Arc::clone(&follower.hand_overs).try_acquire_owned() else {
+        return HttpResponse::TooManyRequests().finish();
+    };
+    let message = newer_facts(&follower.entry.facts.borrow(), *known);
+    let bytes = Bytes::from(message.encode_to_vec());
+    let size = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+    // Pieces are taken as the link takes them, so the turn ends about when the answer is sent.
+    let pieces = stream::unfold((bytes, turn), |(mut rest, turn)| async move {
+        let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+        (!piece.is_empty()).then_some((Ok::<_, Infallible>(piece), (rest, turn)))
     });
-    let message = FactsMessage {
-        configuration: facts.configuration_raw().cloned().unwrap_or_default(),
-        targets: targets.collect(),
-        targets_at: facts.targets_at(),
+    HttpResponse::Ok().body(SizedStream::new(size, Box::pin(pieces)))
+}
+
+fn newer_facts(facts: &Facts, known: Known) -> FactsMessage {
+    let configuration = facts.configuration_raw().filter(|_| facts.version() > known.version);
+    let mut message = FactsMessage {
+        configuration: configuration.cloned().unwrap_or_default(),
+        ..FactsMessage::default()
     };
-    HttpResponse::Ok().body(message.encode_to_vec())
+    if facts.targets_at() > known.targets_at {
+        let targets = facts.listed().map(|(key, listed)| ListedMessage {
+            key: key.clone(),
+            value: listed.raw.clone(),
+            revision: listed.revision,
+        });
+        message.targets = targets.collect();
+        message.targets_at = facts.targets_at();
+    }
+    message
 }
 
 /// Opens the socket for heartbeats.
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
+use crate::direct::facts::Known;
 
 /// Heartbeats that an entry may miss before its load and address no longer count.
 const MISSED_BEATS: u32 = 10;
@@ -253,17 +254,28 @@
         ahead < READERS
     }
 
-    /// Returns the live entry with the newest facts that are newer than those given.
+    /// Returns a live entry that has newer facts than those known, one of the data centre `near`
+    /// where there is one. `draw` is any number; it spreads those that ask over those that have the
+    /// facts, so that a change reaches a fleet sooner than one entry could hand it to all.
     pub fn ahead(
         &self,
-        version: u64,
-        targets_at: u64,
+        known: Known,
+        near: &str,
+        draw: u64,
         beat_every: Duration,
         now: Duration,
     ) -> Option<&Peer> {
-        let newer = |peer: &&Peer| peer.beat.version > version || peer.beat.targets_at > targets_at;
-        let live = self.live(beat_every, now).filter(newer);
-        live.max_by_key(|peer| (peer.beat.version, peer.beat.targets_at))
+        let pick = |newer: &dyn Fn(&Heartbeat) -> bool| {
+            let mut ahead: Vec<&Peer> =
+                self.live(beat_every, now).filter(|peer| newer(&peer.beat)).collect();
+            if ahead.iter().any(|peer| peer.beat.data_centre == near) {
+                ahead.retain(|peer| peer.beat.data_centre == near);
+            }
+            let index = draw.checked_rem(u64::try_from(ahead.len()).ok()?)?;
+            ahead.get(usize::try_from(index).ok()?).copied()
+        };
+        pick(&|beat| beat.version > known.version)
+            .or_else(|| pick(&|beat| beat.targets_at > known.targets_at))
     }
 }
 
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -5,10 +5,11 @@
 //! has them. See docs/PLATFORM.md.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time;
 
 use crate::collections::Set;
@@ -50,6 +51,8 @@
     pub outdated: Rc<Notify>,
     /// Whether removals are believed at once.
     pub lapses: Lapses,
+    /// The entries that may be handed facts at once.
+    pub hand_overs: Arc<Semaphore>,
 }
 
 impl Follower {
--- a/tests/direct/knowledge.rs
+++ b/tests/direct/knowledge.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bitternwall::direct::addresses::{self, Own};
-use bitternwall::direct::facts::{Facts, Listed};
+use bitternwall::direct::facts::{Facts, Known, Listed};
+use bitternwall::direct::gossip;
 use bitternwall::direct::lapses::{Lapses, Removal};
 use bitternwall::direct::peers::{
     self, FANOUT, Heartbeat, INTRODUCED, Load, PeerAddr, Peers, READERS,
@@ -245,3 +246,64 @@
     let most = (0..400).map(|sequence| peers.introduced(BEAT, Duration::ZERO, sequence).len());
     assert!(most.max() <= Some(INTRODUCED));
 }
+
+/// A configuration of a thousand routes takes the link of a small entry about this long.
+const HAND_OVER: Duration = Duration::from_millis(180);
+
+/// Plays how a new configuration spreads from one entry, and returns how long it takes.
+fn spread(entries: usize, data_centres: usize) -> Duration {
+    let data_centre = |index: usize| format!("dc{}", index % data_centres);
+    let mut has: BTreeSet<usize> = BTreeSet::from([0]);
+    let mut draw = 7_u64;
+    let mut took = Duration::ZERO;
+    while has.len() < entries {
+        let mut peers = Peers::default();
+        for index in 0..entries {
+            let beat = Heartbeat {
+                version: u64::from(has.contains(&index)) + 1,
+                data_centre: data_centre(index),
+                ..beat(&format!("entry-{index}"), 1)
+            };
+            peers.heard(beat, from(u8::try_from(index).expect("few")), Duration::ZERO);
+        }
+        let mut asked = vec![0; entries];
+        let mut got = Vec::new();
+        for index in (0..entries).filter(|index| !has.contains(index)) {
+            draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
+            let known = Known { version: 1, targets_at: 0 };
+            let near = data_centre(index);
+            let source = peers.ahead(known, &near, draw >> 33, BEAT, Duration::ZERO);
+            let source = source.expect("one is ahead").addr;
+            let place =
+                (0..entries).find(|index| from(u8::try_from(*index).expect("few")) == source);
+            let asked = &mut asked[place.expect("a known entry")];
+            *asked += 1;
+            if *asked <= gossip::HAND_OVERS {
+                got.push(index);
+            }
+        }
+        has.extend(got);
+        took += HAND_OVER;
+    }
+    took
+}
+
+#[test]
+fn a_large_configuration_reaches_a_large_fleet_within_two_seconds() {
+    let took = [spread(13, 3), spread(58, 4), spread(200, 4)];
+    assert!(took.iter().all(|took| *took <= Duration::from_secs(2)), "{took:?}");
+}
+
+#[test]
+fn who_has_the_configuration_but_lags_in_targets_asks_for_targets() {
+    let mut peers = Peers::default();
+    let ahead = Heartbeat { version: 3, targets_at: 9, ..beat("a", 1) };
+    peers.heard(ahead, from(1), Duration::ZERO);
+    let source = |version, targets_at| {
+        let known = Known { version, targets_at };
+        peers.ahead(known, "dc", 0, BEAT, Duration::ZERO).map(|peer| peer.beat.name.as_str())
+    };
+    assert_eq!(source(2, 9), Some("a"));
+    assert_eq!(source(3, 8), Some("a"));
+    assert_eq!(source(3, 9), None);
+}
