What loading an expert must save is counted in ranks

One load among 32 ranks saves a fourth of the skew that it saves among 8, but serves the requests of four times as many ranks; the price of a load ignored that. Ruled out: the limit of new experts per rank (2 x 32 a layer, far from reached), late counts (the distance of short and long demand is small), the search (it reaches 1.24 on the test's demand). Change: the price of a load is in ranks' capacity, 3.2 on an idle and 0.8 on a full group, which is what groups of 8 had. Test: a group of 32 ranks is planned below the same skew as one of 8; it failed with 1.72 before. Groups of 8 ranks decide as before.

--- a/src/ranks/rebalance.rs
+++ b/src/ranks/rebalance.rs
@@ -18,12 +18,13 @@
     pub load_price: f64,
 }
 
-/// The skew of a layer that loading one expert must save on an idle group, where steps are short
-/// anyway.
-const IDLE_LOAD_PRICE: f64 = 0.40;
+/// The capacity, in ranks, that loading one expert must save in its layer on an idle group, where
+/// steps are short anyway. A load costs the same in a group of any size, and what it saves serves
+/// the requests of all ranks.
+const IDLE_LOAD_PRICE: f64 = 3.2;
 
 /// The same on a group whose ranks are full, where shorter steps serve more callers.
-const FULL_LOAD_PRICE: f64 = 0.10;
+const FULL_LOAD_PRICE: f64 = 0.8;
 
 /// Requests of a rank from which on it counts as full.
 const FULL_REQUESTS: f64 = 8.0;
@@ -34,9 +35,9 @@
 /// Returns the skew of a layer that loading one expert must save, by how full the ranks are.
 pub fn load_price(views: &[RankView]) -> f64 {
     let requests = views.iter().map(|view| f64::from(view.report.active + view.report.queued));
-    let mean = requests.sum::<f64>() / super::float(views.len().max(1));
-    let full = (mean / FULL_REQUESTS).min(1.0);
-    IDLE_LOAD_PRICE + (FULL_LOAD_PRICE - IDLE_LOAD_PRICE) * full
+    let ranks = super::float(views.len().max(1));
+    let full = (requests.sum::<f64>() / ranks / FULL_REQUESTS).min(1.0);
+    (IDLE_LOAD_PRICE + (FULL_LOAD_PRICE - IDLE_LOAD_PRICE) * full) / ranks
 }
 
 /// Proposal is a better map.
--- a/tests/direct/experts.rs
+++ b/tests/direct/experts.rs
@@ -8,6 +8,7 @@
 use bitternwall::ranks::report::RankReport;
 use bitternwall::ranks::stall::Stall;
 use bitternwall::ranks::status::{self, COUNTED_PER_BEAT};
+use bitternwall::ranks::switch::RankView;
 
 const SHAPE: Shape = Shape { ranks: 8, layers: 2, experts: 64, slots_per_rank: 11 };
 const BEAT: Duration = Duration::from_millis(250);
@@ -98,3 +99,33 @@
     }
     assert_eq!(status::counts_every(8), 1, "a small group's counts are as fresh as its states");
 }
+
+/// Experts that are asked for with shares that fall as one over their place, as on a group of usual
+/// size, where each rank holds a few.
+fn uneven(shape: &Shape) -> Vec<Vec<f64>> {
+    let layer = |layer: usize| {
+        let place = |expert: usize| (expert * 37 + layer * 11) % shape.experts;
+        let weight =
+            |expert: usize| 1.0 / f64::from(u32::try_from(place(expert) + 2).expect("few"));
+        let sum: f64 = (0..shape.experts).map(weight).sum();
+        (0..shape.experts).map(|expert| weight(expert) / sum).collect()
+    };
+    (0..shape.layers).map(layer).collect()
+}
+
+#[test]
+fn a_large_group_is_levelled_as_far_as_a_small_one() {
+    let planned = |shape: Shape| {
+        let busy = RankReport { active: 8, ..RankReport::default() };
+        let view = RankView { report: busy, heard: Duration::ZERO };
+        let limits =
+            Limits { new_per_rank: 2, load_price: rebalance::load_price(&vec![view; shape.ranks]) };
+        let present = ExpertMap::contiguous(&shape).expect("the group holds its experts");
+        let proposal = rebalance::propose(&shape, &present, &uneven(&shape), &limits);
+        proposal.expect("a better map").planned_skew
+    };
+    let small = planned(Shape { ranks: 8, layers: 2, experts: 64, slots_per_rank: 11 });
+    let large = planned(Shape { ranks: 32, layers: 2, experts: 128, slots_per_rank: 5 });
+    assert!(small < 1.35, "{small}");
+    assert!(large < 1.35, "{large}");
+}
