A group that a slow rank holds up is asked last

Each target's own pace still allowed a quarter of its slots, and full slots once 1.5 s had passed without an event. Ruled out: the slow rank alone (all ranks of its group show the same pauses), lost answers (their 7004 lines are apart). Change: pauses are noted by group as well; a group whose pauses are twice the objective is asked only where no other target has a place. Test: of two groups, the slow one gets requests only once the other is full.

--- a/src/direct/pace.rs
+++ b/src/direct/pace.rs
@@ -5,9 +5,14 @@
 //! is late as a whole, so that a few requests too many spoil all of them. The pauses of answers
 //! that are under way show the length of passes; where it nears the objective, fewer requests are
 //! sent, in proportion to the part of a pass that they cause.
+//!
+//! Ranks of a group make their passes together, so one slow rank slows all of them, and fewer
+//! requests do not help. Other groups are asked first while a group's passes are that long.
 
 use std::time::Duration;
 
+use crate::collections::Map;
+
 /// The part of the objective that passes may take; the rest covers passes that read long prompts.
 const GOAL_PART: f64 = 0.8;
 
@@ -20,6 +25,10 @@
 /// The part of a server's slots that are filled in any case, so that its pace stays known.
 const MIN_FILL: f64 = 0.25;
 
+/// Pauses, in objectives, from which on a group counts as slow: more than its load or an uneven map
+/// explains.
+const SLOW_OBJECTIVES: f64 = 2.0;
+
 /// Goal is what a service's answers must keep to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Goal {
@@ -63,3 +72,35 @@
         kept.clamp(slots * MIN_FILL, slots)
     }
 }
+
+/// GroupPaces is the length of the passes of groups.
+#[derive(Clone, Debug, Default)]
+pub struct GroupPaces {
+    by_group: Map<String, Pace>,
+}
+
+impl GroupPaces {
+    /// Takes in a pause between two events of an answer from a rank of a group.
+    pub fn observe(&mut self, group: &str, pause: Duration, now: Duration) {
+        if let Some(pace) = self.by_group.get_mut(group) {
+            pace.observe(pause, now);
+            return;
+        }
+        let mut pace = Pace::default();
+        pace.observe(pause, now);
+        self.by_group.insert(group.to_owned(), pace);
+    }
+
+    /// Forgets a group, which has formed anew.
+    pub fn forget(&mut self, group: &str) {
+        self.by_group.remove(group);
+    }
+
+    /// Returns the groups whose answers cannot be on time.
+    pub fn slow(&self, goal: &Goal, now: Duration) -> Vec<&str> {
+        let limit = goal.objective.as_secs_f64() * SLOW_OBJECTIVES;
+        let slow = |pace: &Pace| pace.recent(now).is_some_and(|pause| pause > limit);
+        let groups = self.by_group.iter().filter(|(_, pace)| slow(pace));
+        groups.map(|(group, _)| group.as_str()).collect()
+    }
+}
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
-use crate::direct::pace::{Goal, Pace};
+use crate::direct::pace::{Goal, GroupPaces, Pace};
 
 /// First pause of a target that failed; each further failure in a row doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -48,6 +48,10 @@
 /// Places that a target whose requests all fail seems fuller by.
 const FAILURE_HANDICAP: f64 = 12.0;
 
+/// Places that a target seems fuller by whose group is slow: more than any target has, so that it is
+/// asked only where no other one has a place.
+const SLOW_HANDICAP: f64 = 1_000.0;
+
 /// Failures' share below which a target is not avoided; plain services fail some requests by
 /// themselves.
 const TOLERATED_FAILURES: f64 = 0.25;
@@ -150,6 +154,7 @@
     listed: Map<String, Target>,
     standing: Map<String, Standing>,
     others: Map<String, u32>,
+    group_paces: GroupPaces,
     data_centre: String,
 }
 
@@ -227,6 +232,7 @@
     pub fn choose(&self, wanted: &Wanted<'_>, now: Duration) -> Result<Choice, NoChoice> {
         let mut why = NoChoice::NoTargets;
         let mut best: Option<(f64, &Target, u32)> = None;
+        let slow = wanted.pace.map(|goal| self.group_paces.slow(&goal, now)).unwrap_or_default();
         for target in self.listed.values() {
             if target.service != wanted.service || target.leaving {
                 continue;
@@ -250,7 +256,12 @@
                 why = worse(why, NoChoice::AllFull);
                 continue;
             }
-            let rank = self.rank(target, standing, load, wanted.draw);
+            let group = standing.and_then(|standing| standing.group.as_deref());
+            let handicap = match group.is_some_and(|group| slow.contains(&group)) {
+                true => SLOW_HANDICAP,
+                false => 0.0,
+            };
+            let rank = self.rank(target, standing, load, wanted.draw) + handicap;
             if best.is_none_or(|(least, _, _)| rank < least) {
                 best = Some((rank, target, load));
             }
@@ -349,12 +360,16 @@
     pub fn paused_between_events(&mut self, id: &str, pause: Duration, now: Duration) {
         if let Some(standing) = self.standing.get_mut(id) {
             standing.pace.observe(pause, now);
+            if let Some(group) = &standing.group {
+                self.group_paces.observe(group, pause, now);
+            }
         }
     }
 
     /// All ranks of a group open at once, and what failed before says nothing of a group that has
     /// formed anew.
     fn open_group(&mut self, id: &str, group: &str, now: Duration) {
+        self.group_paces.forget(group);
         for (other, standing) in &mut self.standing {
             if other == id || (!group.is_empty() && standing.group.as_deref() == Some(group)) {
                 standing.closed_at = None;
--- a/tests/direct/placement.rs
+++ b/tests/direct/placement.rs
@@ -204,3 +204,29 @@
     (0..10).for_each(|_| pressure.first_event(3.0));
     assert!(pressure.is_crowded());
 }
+
+#[test]
+fn a_group_that_one_slow_rank_holds_up_is_asked_only_where_the_others_are_full() {
+    let goal =
+        Goal { objective: Duration::from_millis(120), empty_pass: Duration::from_millis(10) };
+    let mut targets = table(4);
+    for (index, group) in ["a", "a", "b", "b"].iter().enumerate() {
+        let port = 1_000 + u16::try_from(index).expect("few");
+        targets.group_state(([127, 0, 0, 1], port).into(), group, true, NOW);
+    }
+    (0..3).for_each(|_| targets.paused_between_events("t0", Duration::from_millis(760), NOW));
+    let mut answered_by = Vec::new();
+    for request in 0..12_u32 {
+        let wanted =
+            Wanted { pace: Some(goal), ..wanted(&[], request.wrapping_mul(2_654_435_761)) };
+        let Ok(choice) = targets.choose(&wanted, NOW) else { break };
+        targets.began(&choice.target.id);
+        answered_by.push(choice.target.id);
+    }
+    assert!(answered_by[..8].iter().all(|id| ["t2", "t3"].contains(&id.as_str())));
+    assert!(answered_by[8..].iter().all(|id| ["t0", "t1"].contains(&id.as_str())));
+    assert!(answered_by.len() > 8, "the slow group serves what no other one has a place for");
+    let wanted = Wanted { pace: Some(goal), ..wanted(&[], 0) };
+    let later = targets.choose(&wanted, NOW + Duration::from_secs(2)).expect("a place");
+    assert!(["t0", "t1"].contains(&later.target.id.as_str()), "nothing is known of it any more");
+}
