The operator's program prints one request's story from the logs

Cause: from a request's id to its cause took grep over the logs of all processes, by hand and out of order, and what had befallen its targets stood under other ids. Change: 'bitternwall trace ID FILE...' puts the lines of the request in order across processes, with those of the same process that tell of its targets while it was on its way. No code of the path of requests is touched.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -21,6 +21,7 @@
         .subcommand(change())
         .subcommand(drain())
         .subcommand(explain())
+        .subcommand(trace())
         .subcommand(check())
         .subcommand(hash_key())
 }
@@ -146,6 +147,21 @@
         )
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Prints what the daemons' logs say of one request, in order")
+        .arg(Arg::new("id").value_name("ID").required(true).help("The request's id"))
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .value_parser(value_parser!(std::path::PathBuf))
+                .action(ArgAction::Append)
+                .num_args(1..)
+                .required(true)
+                .help("Logs in JSON, one for each process or collected"),
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Checks a settings file without starting anything")
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -67,6 +67,14 @@
         /// The group's name.
         name: String,
     },
+    /// No log that was given knows the request.
+    #[error("None of the {lines} log lines that could be read names the request {id:?}.")]
+    UnknownRequest {
+        /// The request's id.
+        id: String,
+        /// Lines that could be read.
+        lines: usize,
+    },
     /// The input cannot be read.
     #[error("The input cannot be read.")]
     Input {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod loads;
 pub mod options;
 mod show;
+mod trace;
 mod watch;
 
 use std::io::{self, Read, Write};
@@ -31,6 +32,7 @@
     match action {
         Action::HashKey => return hash_key(io::stdin().lock(), out),
         Action::Check { role, file } => return check_file(role, &file, out),
+        Action::Trace { id, files } => return trace::trace(&id, &files, output, out),
         _ => {}
     }
     let client = Client::new(connection)?;
@@ -52,7 +54,7 @@
         Action::ExplainGroup { name, loads } => {
             explain::group(&client, &name, loads.as_deref(), output, out).await
         }
-        Action::HashKey | Action::Check { .. } => Ok(()),
+        Action::HashKey | Action::Check { .. } | Action::Trace { .. } => Ok(()),
     }
 }
 
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -102,6 +102,13 @@
         /// The settings file.
         file: PathBuf,
     },
+    /// `trace`
+    Trace {
+        /// The request's id.
+        id: String,
+        /// The log files.
+        files: Vec<PathBuf>,
+    },
     /// `hash-key`
     HashKey,
 }
@@ -148,15 +155,16 @@
             Action::Drain { target: text(matches, "target")?, drain: !matches.get_flag("undo") }
         }
         "explain" => explain(matches)?,
+        "trace" => Action::Trace { id: text(matches, "id")?, files: paths(matches, "file")? },
         "check" => Action::Check { role: role(matches)?, file: path(matches, "file")? },
         _ => Action::HashKey,
     })
 }
 
 fn apply(matches: &ArgMatches) -> Result<ApplyOptions> {
-    let files = matches.get_many::<PathBuf>("file").ok_or_else(|| missing("file"))?;
+    let files = paths(matches, "file")?;
     let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
-    let (files, timeout) = (files.cloned().collect(), Duration::from_secs(seconds));
+    let timeout = Duration::from_secs(seconds);
     Ok(ApplyOptions { files, wait: matches.get_flag("wait"), timeout })
 }
 
@@ -220,6 +228,11 @@
     matches.get_one::<PathBuf>(argument).cloned().ok_or_else(|| missing(argument))
 }
 
+fn paths(matches: &ArgMatches, argument: &'static str) -> Result<Vec<PathBuf>> {
+    let paths = matches.get_many::<PathBuf>(argument).ok_or_else(|| missing(argument))?;
+    Ok(paths.cloned().collect())
+}
+
 fn missing(argument: &'static str) -> CliError {
     CliError::Argument { argument, value: String::new(), allowed: "a value" }
 }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,3 +3,4 @@
 pub mod admin;
 pub mod events;
 pub mod logs;
+pub mod story;
