--- a/src/direct/facts.rs
+++ b/src/direct/facts.rs
@@ -25,6 +25,7 @@
 
 /// Known is how far an entry's facts are.
 #[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
+#[serde(default)]
 pub struct Known {
     /// The version of its configuration; 0 without one.
     pub version: u64,
--- a/src/direct/fleet.rs
+++ b/src/direct/fleet.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::{Method, StatusCode, Uri};
+use actix_http::{Method, Uri};
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
 use prost::Message as _;
-use tokio::time;
 
-use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
+use crate::direct::http::Codecs;
+use crate::direct::internal::{self, Question};
 use crate::direct::sync::Follower;
 
 /// The path at which an entry tells it.
@@ -71,42 +71,20 @@
     pub addr: String,
 }
 
-/// FleetError is why an entry told nothing.
-#[derive(Debug, thiserror::Error)]
-pub enum FleetError {
-    /// The exchange failed.
-    #[error(transparent)]
-    Http(#[from] HttpError),
-    /// The entry refused.
-    #[error("the entry answers with status {0}")]
-    Status(StatusCode),
-    /// The answer cannot be read.
-    #[error("the answer cannot be read: {0}")]
-    Unreadable(#[from] prost::DecodeError),
-}
-
 /// Asks an entry.
 ///
 /// # Errors
 ///
 /// Returns why there is no answer.
-pub async fn ask(entry: SocketAddr, codecs: &Codecs) -> Result<FleetMessage, FleetError> {
-    let exchange = Exchange {
+pub async fn ask(entry: SocketAddr, codecs: &Codecs) -> internal::Result<FleetMessage> {
+    let question = Question {
         method: Method::GET,
         uri: Uri::from_static(FLEET_PATH),
-        headers: http::host(entry),
         body: Bytes::new(),
+        timeout: TIMEOUT,
+        max_answer: MAX_ANSWER,
     };
-    let call = async {
-        let mut connection = Connection::open(entry, TIMEOUT, codecs).await?;
-        connection.send(&exchange).await?;
-        let head = connection.head().await?;
-        if head.status != StatusCode::OK {
-            return Err(FleetError::Status(head.status));
-        }
-        Ok(FleetMessage::decode(connection.body(MAX_ANSWER).await?)?)
-    };
-    time::timeout(TIMEOUT, call).await.map_err(|_| HttpError::Timeout(TIMEOUT))?
+    internal::ask(entry, question, codecs).await
 }
 
 /// Adds the route at which agents ask.
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -18,10 +18,11 @@
 use crate::direct::message::{
     Answer, AttemptError, CallerRequest, Cause, Head, OwnAnswer, TargetAnswer, TargetRequest,
 };
+use crate::direct::placing;
 use crate::direct::pool::Reuse;
 use crate::direct::relay::Relay;
-use crate::direct::targets::{NoChoice, Outcome, Target, Wanted};
-use crate::direct::waiting::{self, Pressure};
+use crate::direct::targets::{Outcome, Target};
+use crate::direct::waiting;
 use crate::problem::Executed;
 use crate::telemetry::events;
 
@@ -103,7 +104,7 @@
     let mut fallback = None;
     loop {
         let wait = waiting::longest_wait(call.route.objective, call.time_left());
-        let (target, place) = match place(call, wait).await {
+        let (target, place) = match placing::place(call, wait).await {
             Ok(found) => found,
             Err(own) => return last_resort(fallback, own),
         };
@@ -158,78 +159,6 @@
     answer.status.is_server_error()
 }
 
-/// Finds a target and takes a place there, waiting for one for a while.
-///
-/// # Errors
-///
-/// Returns the entry's own answer where none comes free in time.
-pub async fn place(call: &mut Call, longest: Duration) -> Result<(Target, Place), OwnAnswer> {
-    let entry = Rc::clone(&call.entry);
-    let began = entry.now();
-    let result = loop {
-        let now = entry.now();
-        let wanted = Wanted {
-            service: &call.service,
-            fill: call.fill,
-            pace: call.pace,
-            tried: &call.tried,
-            draw: rand::random(),
-        };
-        let chosen = entry.targets.borrow().choose(&wanted, now);
-        let why = match chosen {
-            Ok(choice) => {
-                let place = Place::take(&entry, &choice.target.id);
-                break Ok((choice.target, place));
-            }
-            Err(why) => why,
-        };
-        let waited = now.saturating_sub(began);
-        let longest = match why {
-            NoChoice::AllFull | NoChoice::NoTargets => longest,
-            NoChoice::AllPaused => longest.max(waiting::longest_outage_wait(call.time_left())),
-        };
-        if waited >= longest {
-            break Err(why);
-        }
-        let chance = entry.targets.borrow().next_chance(&call.service, now);
-        let nap = chance.map_or(longest, |at| at.saturating_sub(now)).min(longest - waited);
-        tokio::select! {
-            () = entry.places.notified() => {}
-            () = time::sleep(nap) => {}
-        }
-    };
-    let waited = entry.now().saturating_sub(began);
-    call.waited += waited;
-    entry.metrics.waited(waited);
-    match result {
-        Ok(found) => {
-            entry.with_pressure(&call.service, |pressure| pressure.admitted());
-            Ok(found)
-        }
-        Err(why) => Err(no_place(call, why)),
-    }
-}
-
-fn no_place(call: &Call, why: NoChoice) -> OwnAnswer {
-    let cause = match why {
-        NoChoice::NoTargets => Cause::NoTarget,
-        NoChoice::AllPaused => Cause::TargetsPaused,
-        NoChoice::AllFull => Cause::Full,
-    };
-    let entry = &call.entry;
-    let left = call.time_left();
-    let draw = entry.draw();
-    let come_back = entry.with_pressure(&call.service, |pressure| {
-        if why != NoChoice::AllFull {
-            return Pressure::after_outage(left, draw);
-        }
-        pressure.refused();
-        pressure.retry_after(left, draw)
-    });
-    let executed = if call.may_have_run { Executed::Unknown } else { Executed::No };
-    OwnAnswer { cause, executed, retry_after: Some(come_back) }
-}
-
 /// Sends the request to a target and reads its answer up to the first piece.
 async fn attempt(
     call: &mut Call,
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::uri::InvalidUri;
 use actix_http::{Method, StatusCode, Uri};
 use actix_web::body::SizedStream;
 use actix_web::{HttpResponse, web};
@@ -18,7 +17,8 @@
 use tokio::time;
 
 use crate::direct::facts::{Facts, Known, Listed};
-use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
+use crate::direct::http::Codecs;
+use crate::direct::internal::{self, ExchangeError, Question};
 use crate::direct::peers::{self, Heartbeat, Load, RankNotice};
 use crate::direct::store::Item;
 use crate::direct::sync::Follower;
@@ -214,13 +214,12 @@
         follower.outdated.notified().await;
         while let Some((name, addr)) = source(&follower) {
             let known = follower.entry.facts.borrow().known();
-            let fetched = time::timeout(FETCH_TIMEOUT, fetch(addr, known, &codecs)).await;
-            match fetched.unwrap_or(Err(FetchError::Timeout(FETCH_TIMEOUT))) {
+            match fetch(addr, known, &codecs).await {
                 Ok(facts) => {
                     take_facts(&follower, facts, &name);
                     break;
                 }
-                Err(FetchError::Status(StatusCode::TOO_MANY_REQUESTS)) => {}
+                Err(ExchangeError::Status(StatusCode::TOO_MANY_REQUESTS)) => {}
                 Err(error) => {
                     events::log(events::PEER_FAILED, format_args!("entry={name} cause=\"{error}\""))
                 }
@@ -240,44 +239,21 @@
     ahead.map(|peer| (peer.beat.name.clone(), peer.addr))
 }
 
-/// FetchError is why another entry's facts could not be had.
-#[derive(Debug, thiserror::Error)]
-enum FetchError {
-    #[error(transparent)]
-    Http(#[from] HttpError),
-    #[error(transparent)]
-    Uri(#[from] InvalidUri),
-    #[error("the entry answers with status {0}")]
-    Status(StatusCode),
-    #[error("no answer within {0:?}")]
-    Timeout(Duration),
-    #[error("the facts cannot be read: {0}")]
-    Unreadable(#[from] prost::DecodeError),
-}
-
-async fn fetch(
-    addr: SocketAddr,
-    known: Known,
-    codecs: &Codecs,
-) -> Result<FactsMessage, FetchError> {
-    let mut connection = Connection::open(addr, FETCH_TIMEOUT, codecs).await?;
-    let exchange = Exchange {
+async fn fetch(addr: SocketAddr, known: Known, codecs: &Codecs) -> internal::Result<FactsMessage> {
+    let question = Question {
         method: Method::GET,
-        uri: facts_uri(known)?,
-        headers: http::host(addr),
+        uri: facts_uri(known),
         body: Bytes::new(),
+        timeout: FETCH_TIMEOUT,
+        max_answer: MAX_FACTS,
     };
-    connection.send(&exchange).await?;
-    let head = connection.head().await?;
-    if head.status != StatusCode::OK {
-        return Err(FetchError::Status(head.status));
-    }
-    let body = connection.body(MAX_FACTS).await?;
-    Ok(FactsMessage::decode(body)?)
+    internal::ask(addr, question, codecs).await
 }
 
-fn facts_uri(known: Known) -> Result<Uri, InvalidUri> {
-    format!("{FACTS_PATH}?version={}&targets_at={}", known.version, known.targets_at).parse()
+/// Returns the path at which what is newer is handed over; the whole where it cannot be written.
+fn facts_uri(known: Known) -> Uri {
+    let uri = format!("{FACTS_PATH}?version={}&targets_at={}", known.version, known.targets_at);
+    uri.parse().unwrap_or(Uri::from_static(FACTS_PATH))
 }
 
 fn take_facts(follower: &Follower, facts: FactsMessage, source: &str) {
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -15,6 +15,7 @@
 use crate::direct::forward::{self, Opened};
 use crate::direct::http::{Connection, HttpError};
 use crate::direct::message::{Answer, BrokenOff, Cause, Head};
+use crate::direct::placing;
 use crate::direct::targets::{Outcome, Target};
 use crate::problem::Executed;
 use crate::telemetry::events;
@@ -190,7 +191,7 @@
             if next != Next::Again || !self.call.entry.spend_retry(&service, true) {
                 return Err(self.break_off());
             }
-            let Ok((target, place)) = forward::place(&mut self.call, RESUME_WAIT).await else {
+            let Ok((target, place)) = placing::place(&mut self.call, RESUME_WAIT).await else {
                 return Err(self.break_off());
             };
             let id = last_id.to_string();
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -9,27 +9,13 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
-use crate::direct::pace::{Goal, GroupPaces, Pace};
-
-/// First pause of a target that failed; each further failure in a row doubles it.
-const FIRST_PAUSE: Duration = Duration::from_millis(300);
-
-/// Longest pause of a target that keeps failing, so that one that is back is found soon.
-const MAX_PAUSE: Duration = Duration::from_secs(3);
-
-/// Pause of a target whose address another process has, long enough for the list to say so.
-const REPLACED_PAUSE: Duration = Duration::from_secs(10);
-
-/// Pause of a target that said it is full, about the time in which a place comes free.
-const FULL_PAUSE: Duration = Duration::from_millis(40);
+use crate::direct::pace::{Goal, GroupPaces};
+use crate::direct::standing::Standing;
 
 /// Pause of a target that takes no work though few requests are there: its group forms anew. The
 /// agent beside it says when it is open again, if it lives.
 const FORMING_PAUSE: Duration = Duration::from_millis(600);
 
-/// Age up to which an agent's word that a group is closed counts; agents repeat it each second.
-const MAX_NOTICE_AGE: Duration = Duration::from_millis(2_500);
-
 /// The part of a target's slots up to which it counts as idle.
 const IDLE_PART: f64 = 0.5;
 
@@ -42,9 +28,6 @@
 /// the same one.
 const LOAD_SPREAD: f64 = 2.0;
 
-/// Weight of a new sample in the moving averages of a target.
-const SAMPLE_WEIGHT: f64 = 0.15;
-
 /// Places that a target whose requests all fail seems fuller by.
 const FAILURE_HANDICAP: f64 = 12.0;
 
@@ -93,26 +76,6 @@
     Broken,
 }
 
-/// Standing is what an entry knows of a target besides the list.
-#[derive(Clone, Debug, Default)]
-struct Standing {
-    own: u32,
-    failures: f64,
-    broken_in_row: u32,
-    paused_until: Duration,
-    full_until: Duration,
-    pace: Pace,
-    closed_at: Option<Duration>,
-    group: Option<String>,
-}
-
-impl Standing {
-    fn takes_work(&self, now: Duration) -> bool {
-        let closed = self.closed_at.is_some_and(|at| now.saturating_sub(at) < MAX_NOTICE_AGE);
-        !closed && self.paused_until <= now
-    }
-}
-
 /// Choice is the target that a request goes to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Choice {
@@ -297,40 +260,11 @@
     /// Takes in what an attempt says of its target. Returns how long the target is paused, where
     /// it was not before.
     pub fn learn(&mut self, id: &str, outcome: Outcome, now: Duration) -> Option<Duration> {
-        let standing = self.standing.entry(id.to_owned()).or_default();
-        let sample = if outcome == Outcome::Answered { 0.0 } else { 1.0 };
-        if !matches!(outcome, Outcome::Full | Outcome::Closed) {
-            standing.failures += (sample - standing.failures) * SAMPLE_WEIGHT;
-        }
-        match outcome {
-            Outcome::Answered | Outcome::Failed => {
-                standing.broken_in_row = 0;
-                None
-            }
-            Outcome::Full => {
-                standing.full_until = now + FULL_PAUSE;
-                None
-            }
-            Outcome::Closed => {
-                self.pause_group(id, now + FORMING_PAUSE);
-                Some(FORMING_PAUSE)
-            }
-            Outcome::Replaced => {
-                standing.paused_until = now + REPLACED_PAUSE;
-                Some(REPLACED_PAUSE)
-            }
-            Outcome::Broken => {
-                let paused = standing.paused_until > now;
-                if paused {
-                    return None;
-                }
-                let doublings = standing.broken_in_row.min(8);
-                standing.broken_in_row += 1;
-                let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE);
-                standing.paused_until = now + pause;
-                Some(pause)
-            }
+        if outcome == Outcome::Closed {
+            self.pause_group(id, now + FORMING_PAUSE);
+            return Some(FORMING_PAUSE);
         }
+        self.standing.entry(id.to_owned()).or_default().learn(outcome, now)
     }
 
     /// Takes in whether the group of the target at an address takes requests, as the agent beside
--- a/src/ranks/orders.rs
+++ b/src/ranks/orders.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::{Method, StatusCode, Uri};
+use actix_http::{Method, Uri};
 use bytes::Bytes;
 use prost::Message as _;
-use tokio::time;
 
-use crate::direct::http::{self, Codecs, Connection, Exchange, HttpError};
+use crate::direct::http::Codecs;
+use crate::direct::internal::{self, Question};
 use crate::expert_map::map::{ExpertMap, Layer};
 use crate::ranks::report::{Order, OrderOutcome, Switch};
 use crate::ranks::status::{LayerMessage, StateMessage};
@@ -171,20 +171,6 @@
     }
 }
 
-/// SendError is why an agent gave no answer to an order.
-#[derive(Debug, thiserror::Error)]
-pub enum SendError {
-    /// The exchange failed.
-    #[error(transparent)]
-    Http(#[from] HttpError),
-    /// The agent refused.
-    #[error("the agent answers with status {0}")]
-    Status(StatusCode),
-    /// The answer cannot be read.
-    #[error("the answer cannot be read: {0}")]
-    Unreadable(#[from] prost::DecodeError),
-}
-
 /// Sends an order to an agent.
 ///
 /// # Errors
@@ -195,23 +181,13 @@
     codecs: &Codecs,
     order: &Order,
     epoch: u64,
-) -> Result<OrderAnswer, SendError> {
-    let body = OrderMessage::of(order, epoch).encode_to_vec();
-    let exchange = Exchange {
+) -> internal::Result<OrderAnswer> {
+    let question = Question {
         method: Method::POST,
         uri: Uri::from_static(ORDERS_PATH),
-        headers: http::host(agent),
-        body: Bytes::from(body),
-    };
-    let call = async {
-        let mut connection = Connection::open(agent, TIMEOUT, codecs).await?;
-        connection.send(&exchange).await?;
-        let head = connection.head().await?;
-        if head.status != StatusCode::OK {
-            return Err(SendError::Status(head.status));
-        }
-        let body = connection.body(MAX_ANSWER).await?;
-        Ok(OrderAnswer::decode(body)?)
+        body: Bytes::from(OrderMessage::of(order, epoch).encode_to_vec()),
+        timeout: TIMEOUT,
+        max_answer: MAX_ANSWER,
     };
-    time::timeout(TIMEOUT, call).await.map_err(|_| HttpError::Timeout(TIMEOUT))?
+    internal::ask(agent, question, codecs).await
 }
