--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -219,6 +219,7 @@
                     take_facts(&follower, facts, &name);
                     break;
                 }
+                // It is busy with others, which is no failure; another entry is asked.
                 Err(ExchangeError::Status(StatusCode::TOO_MANY_REQUESTS)) => {}
                 Err(error) => {
                     events::log(events::PEER_FAILED, format_args!("entry={name} cause=\"{error}\""))
