The two daemons and all metrics share what they wrote alike

The daemons of entries and of agents beside ranks had an error enum each that differed in one variant, and opened datagram sockets and served the pages for operators in the same way: direct::process serves both, with the same messages. Four modules registered each metric by hand or by closures of their own: telemetry::metrics::register does it. No behaviour changes.

--- a/src/agent/metrics.rs
+++ b/src/agent/metrics.rs
@@ -1,11 +1,8 @@
 //! The agent's metrics; docs/OPERATING.md lists them.
 
-use std::result;
-
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
-/// The result of setting up or writing metrics.
-pub type Result<T> = result::Result<T, prometheus::Error>;
+use crate::telemetry::metrics::{self, Result};
 
 /// Metrics are the agent's counters and gauges.
 #[derive(Clone, Debug)]
@@ -45,19 +42,10 @@
     /// Returns an error where two metrics share a name.
     pub fn new() -> Result<Self> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str| -> Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
+        let counter = |name, help| metrics::register(&registry, IntCounter::new(name, help));
+        let gauge = |name, help| metrics::register(&registry, IntGauge::new(name, help));
         let refused = Opts::new("bitternwall_agent_refused_total", "Attempts refused.");
-        let refused = IntCounterVec::new(refused, &["reason"])?;
-        registry.register(Box::new(refused.clone()))?;
+        let refused = metrics::register(&registry, IntCounterVec::new(refused, &["reason"]))?;
         Ok(Self {
             attempts: counter("bitternwall_agent_attempts_total", "Attempts that arrived.")?,
             handed_on: counter("bitternwall_agent_handed_on_total", "Requests handed on.")?,
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -3,9 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::result;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use actix_web::web;
 use prometheus::Registry;
@@ -21,41 +20,13 @@
 use crate::direct::listener;
 use crate::direct::message::TargetProtocol;
 use crate::direct::metrics::Metrics;
+use crate::direct::process::{self, Result};
 use crate::direct::stopping::{Step, Stopping};
 use crate::direct::store::{Collection, Formats, Store};
 use crate::direct::sync::Follower;
 use crate::settings;
 use crate::settings::direct::{DirectSettings, Listen};
-use crate::telemetry::{admin, events, logs};
-
-/// The result of running an entry.
-pub type Result<T> = result::Result<T, DaemonError>;
-
-/// DaemonError is why an entry cannot run.
-#[derive(Debug, thiserror::Error)]
-pub enum DaemonError {
-    /// The log cannot be set up.
-    #[error(transparent)]
-    Log(#[from] logs::LogError),
-    /// The metrics cannot be registered.
-    #[error("The metrics cannot be registered.")]
-    Metrics(#[from] prometheus::Error),
-    /// An address cannot be listened on.
-    #[error(transparent)]
-    Listen(#[from] listener::ListenError),
-    /// The address for heartbeats cannot be used.
-    #[error("The address {address} cannot be used for heartbeats.")]
-    Heartbeats {
-        /// The address.
-        address: SocketAddr,
-        /// Why not.
-        #[source]
-        source: std::io::Error,
-    },
-    /// Signals cannot be waited for.
-    #[error(transparent)]
-    Signals(#[from] signals::SignalError),
-}
+use crate::telemetry::{events, logs};
 
 /// Adapter is what translates between the direct path and one platform.
 #[derive(Clone, Copy)]
@@ -90,9 +61,6 @@
 /// a stop in progress.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
 
-/// Idle time of connections to the pages for operators and other entries.
-const INTERNAL_IDLE: Duration = Duration::from_secs(5);
-
 /// Runs an entry until it is told to stop.
 ///
 /// # Errors
@@ -147,11 +115,9 @@
     clock: &Clock,
 ) -> Result<()> {
     let address = settings.listen.peers;
-    let socket = gossip::open(address)
-        .await
-        .map_err(|source| DaemonError::Heartbeats { address, source })?;
+    let socket = Rc::new(process::open_datagrams(address, "heartbeats").await?);
     let identity = Identity {
-        life: life(clock.wall()),
+        life: process::life(clock.wall()),
         callers_addr: settings.listen.callers,
         peer_addr: address,
         seeds: settings.seed_peers(),
@@ -162,13 +128,6 @@
     Ok(())
 }
 
-/// Returns a number that differs in each life of a process.
-pub fn life(now: SystemTime) -> u64 {
-    let since = now.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    let micros = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
-    micros ^ (rand::random::<u64>() << 52)
-}
-
 async fn serve(
     entry: &Rc<Entry>,
     follower: &Rc<Follower>,
@@ -199,16 +158,11 @@
     })
     .await?;
     let facts = web::Data::new(Rc::clone(follower));
-    listener::serve(listen.peers, INTERNAL_IDLE, move |cfg| {
+    listener::serve(listen.peers, process::INTERNAL_IDLE, move |cfg| {
         cfg.app_data(facts.clone()).configure(gossip::configure).configure(fleet::configure);
     })
     .await?;
-    let pages = web::Data::new(admin::Admin::new(registry.clone()));
-    listener::serve(listen.metrics, INTERNAL_IDLE, move |cfg| {
-        cfg.app_data(pages.clone()).configure(admin::configure);
-    })
-    .await?;
-    Ok(())
+    process::serve_pages(listen.metrics, registry).await
 }
 
 /// Looks after what changes without an event until the process may exit.
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -1,7 +1,6 @@
 //! Sends and takes heartbeats, and fetches facts from entries that have newer ones.
 
 use std::convert::Infallible;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -311,12 +310,3 @@
     }
     message
 }
-
-/// Opens the socket for heartbeats.
-///
-/// # Errors
-///
-/// Returns an error where the address cannot be bound.
-pub async fn open(addr: SocketAddr) -> io::Result<Rc<UdpSocket>> {
-    Ok(Rc::new(UdpSocket::bind(addr).await?))
-}
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -1,12 +1,10 @@
 //! The counters and histograms of the direct path; docs/OPERATIONS.md lists them.
 
-use std::result;
 use std::time::Duration;
 
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
-/// The result of registering metrics.
-pub type Result<T> = result::Result<T, prometheus::Error>;
+use crate::telemetry::metrics::{self, Result};
 
 /// Bounds of the histograms in seconds, around the objectives of first events and documents.
 const SECONDS: &[f64] =
@@ -36,26 +34,14 @@
     ///
     /// Returns an error where a name is registered already.
     pub fn register(registry: &Registry) -> Result<Self> {
-        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec> {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok(counters)
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            metrics::register(registry, IntCounterVec::new(Opts::new(name, help), labels))
         };
-        let counter = |name: &str, help: &str| -> Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let seconds = |name: &str, help: &str| -> Result<Histogram> {
+        let counter = |name, help| metrics::register(registry, IntCounter::new(name, help));
+        let gauge = |name, help| metrics::register(registry, IntGauge::new(name, help));
+        let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
-            let histogram = Histogram::with_opts(opts)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
+            metrics::register(registry, Histogram::with_opts(opts))
         };
         Ok(Self {
             answers: counters(
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -26,6 +26,7 @@
 pub mod peers;
 pub mod placing;
 pub mod pool;
+pub mod process;
 pub mod relay;
 mod standing;
 pub mod stopping;
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,14 +1,10 @@
 //! The entry's metrics; docs/OPERATING.md lists them.
 
-use std::result;
-
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use crate::entry::core::events::Refusal;
 use crate::entry::refusals;
-
-/// The result of registering metrics.
-pub type Result<T> = result::Result<T, prometheus::Error>;
+use crate::telemetry::metrics::{self, Result};
 
 /// EntryMetrics counts what an entry did.
 #[derive(Clone)]
@@ -31,24 +27,22 @@
     ///
     /// Returns an error where a name is registered already.
     pub fn register(registry: &Registry) -> Result<Self> {
-        let requests =
-            IntCounter::new("bitternwall_entry_requests_total", "Requests that callers sent.")?;
-        let attempts =
-            IntCounter::new("bitternwall_entry_attempts_total", "Attempts sent to agents.")?;
+        let counter = |name, help| metrics::register(registry, IntCounter::new(name, help));
+        let gauge = |name, help| metrics::register(registry, IntGauge::new(name, help));
         let opts = Opts::new("bitternwall_entry_refusals_total", "Requests that were refused.");
-        let refusals = IntCounterVec::new(opts, &["type"])?;
-        let targets_taking_work = IntGauge::new(
-            "bitternwall_entry_targets_taking_work",
-            "Targets that would get work now.",
-        )?;
-        let open_requests =
-            IntGauge::new("bitternwall_entry_open_requests", "Requests without a final answer.")?;
-        registry.register(Box::new(targets_taking_work.clone()))?;
-        registry.register(Box::new(open_requests.clone()))?;
-        registry.register(Box::new(requests.clone()))?;
-        registry.register(Box::new(attempts.clone()))?;
-        registry.register(Box::new(refusals.clone()))?;
-        Ok(Self { requests, attempts, targets_taking_work, open_requests, refusals })
+        Ok(Self {
+            requests: counter("bitternwall_entry_requests_total", "Requests that callers sent.")?,
+            attempts: counter("bitternwall_entry_attempts_total", "Attempts sent to agents.")?,
+            targets_taking_work: gauge(
+                "bitternwall_entry_targets_taking_work",
+                "Targets that would get work now.",
+            )?,
+            open_requests: gauge(
+                "bitternwall_entry_open_requests",
+                "Requests without a final answer.",
+            )?,
+            refusals: metrics::register(registry, IntCounterVec::new(opts, &["type"]))?,
+        })
     }
 
     /// Counts a refusal by its type.
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -2,11 +2,9 @@
 //! its group while it has the lowest rank of those whose agents live.
 
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::result;
 use std::time::Duration;
 
 use actix_web::{HttpResponse, web};
@@ -18,11 +16,11 @@
 
 use crate::clock::Clock;
 use crate::daemon::{reload, signals};
-use crate::direct::daemon::life;
 use crate::direct::fleet::{self, FleetMessage, ShapeMessage};
 use crate::direct::http::Codecs;
 use crate::direct::listener;
 use crate::direct::pool::Pool;
+use crate::direct::process::{self, Result};
 use crate::ranks::demand::Demand;
 use crate::ranks::engine::Engines;
 use crate::ranks::metrics::Metrics;
@@ -33,36 +31,7 @@
 use crate::ranks::switch::{Progress, Switcher};
 use crate::settings;
 use crate::settings::rank::RankSettings;
-use crate::telemetry::{admin, events, logs};
-
-/// The result of running an agent.
-pub type Result<T> = result::Result<T, AgentError>;
-
-/// AgentError is why an agent cannot run.
-#[derive(Debug, thiserror::Error)]
-pub enum AgentError {
-    /// The log cannot be set up.
-    #[error(transparent)]
-    Log(#[from] logs::LogError),
-    /// The metrics cannot be registered.
-    #[error("The metrics cannot be registered.")]
-    Metrics(#[from] prometheus::Error),
-    /// An address cannot be listened on.
-    #[error(transparent)]
-    Listen(#[from] listener::ListenError),
-    /// The address for states cannot be used.
-    #[error("The address {address} cannot be used for states.")]
-    States {
-        /// The address.
-        address: SocketAddr,
-        /// Why not.
-        #[source]
-        source: io::Error,
-    },
-    /// Signals cannot be waited for.
-    #[error(transparent)]
-    Signals(#[from] signals::SignalError),
-}
+use crate::telemetry::{events, logs};
 
 /// Pause between two looks at the entries' list of targets.
 pub(super) const FLEET_EVERY: Duration = Duration::from_secs(1);
@@ -76,9 +45,6 @@
 /// Pause between two looks at an engine that loads experts, since the whole group waits for it.
 const LOADING_BEAT: Duration = Duration::from_millis(40);
 
-/// Idle time of connections from other agents.
-const INTERNAL_IDLE: Duration = Duration::from_secs(5);
-
 /// Agent is the state that the tasks of one process share.
 pub(super) struct Agent {
     pub(super) clock: Clock,
@@ -117,9 +83,8 @@
     let registry = Registry::new();
     let metrics = Metrics::register(&registry)?;
     let address = settings.listen.peers;
-    let socket =
-        UdpSocket::bind(address).await.map_err(|source| AgentError::States { address, source })?;
-    let life = life(clock.wall());
+    let socket = process::open_datagrams(address, "states").await?;
+    let life = process::life(clock.wall());
     let agent = Rc::new(Agent {
         engines: Engines { protocol, pool: Pool::new(clock.clone()) },
         codecs: Codecs::new(),
@@ -163,17 +128,12 @@
 
 async fn serve(agent: &Rc<Agent>, registry: &Registry) -> Result<()> {
     let data = web::Data::new(Rc::clone(agent));
-    listener::serve(agent.settings.listen.peers, INTERNAL_IDLE, move |cfg| {
+    listener::serve(agent.settings.listen.peers, process::INTERNAL_IDLE, move |cfg| {
         cfg.app_data(data.clone());
         cfg.route(orders::ORDERS_PATH, web::post().to(take_order));
     })
     .await?;
-    let pages = web::Data::new(admin::Admin::new(registry.clone()));
-    listener::serve(agent.settings.listen.metrics, INTERNAL_IDLE, move |cfg| {
-        cfg.app_data(pages.clone()).configure(admin::configure);
-    })
-    .await?;
-    Ok(())
+    process::serve_pages(agent.settings.listen.metrics, registry).await
 }
 
 /// Carries an order of the coordinator to the own engine.
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,4 +3,5 @@
 pub mod admin;
 pub mod events;
 pub mod logs;
+pub mod metrics;
 pub mod story;
