A group's map is put together only where it is needed

At every decision and after each order's answer a coordinator copied and sorted the experts of all ranks, though only a switch that was left needs them: the switcher now asks for the map. Plans that cannot be made are dropped before the ranks are copied. Looking up whether a group is whole was written three times in ranks::status. Sums of loads copy a target's name once instead of for each entry. The property test hands the same map over as a closure; its checks are as they were.

--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -223,7 +223,12 @@
         let mut loads: Map<String, u32> = Map::default();
         for peer in self.live(beat_every, now) {
             for load in &peer.beat.loads {
-                *loads.entry(load.target.clone()).or_default() += load.requests;
+                match loads.get_mut(&load.target) {
+                    Some(sum) => *sum += load.requests,
+                    None => {
+                        loads.insert(load.target.clone(), load.requests);
+                    }
+                }
             }
         }
         loads
--- a/src/ranks/coordinating.rs
+++ b/src/ranks/coordinating.rs
@@ -109,14 +109,14 @@
             self.demand.borrow_mut().observe(&counts, elapsed);
         }
         let demand = self.demand.borrow();
+        if !demand.is_known() || !self.switcher.borrow().is_idle() {
+            return;
+        }
         let (views, present) = {
             let members = self.members.borrow();
             (members.views(), members.present())
         };
         let (Some(views), Some(present)) = (views, present) else { return };
-        if !demand.is_known() || !self.switcher.borrow().is_idle() {
-            return;
-        }
         let group = Shape {
             ranks: views.len(),
             layers,
@@ -154,13 +154,10 @@
 
     /// Gives the orders that are due.
     pub(super) fn decide(self: &Rc<Self>) {
-        let (views, present) = {
-            let members = self.members.borrow();
-            (members.views(), members.present())
-        };
-        let Some(views) = views else { return };
+        let Some(views) = self.members.borrow().views() else { return };
         let now = self.now();
-        let (progress, orders) = self.switcher.borrow_mut().tick(&views, present.as_ref(), now);
+        let present = || self.members.borrow().present();
+        let (progress, orders) = self.switcher.borrow_mut().tick(&views, &present, now);
         if progress != self.progress.replace(progress) {
             let version = self.switcher.borrow().version().unwrap_or(0);
             events::log(
--- a/src/ranks/status.rs
+++ b/src/ranks/status.rs
@@ -1,7 +1,7 @@
 //! What the agents of a group's ranks tell each other.
 //!
 //! Each agent reads its own rank's engine, which is free and fresh, and tells all agents of the
-//! group the rank's state, and those that may coordinate also the experts that were chosen.
+//! group the rank's state, and those that may coordinate also how often requests chose each expert.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,7 +37,7 @@
     /// The rank's state.
     #[prost(message, optional, tag = "3")]
     pub state: Option<StateMessage>,
-    /// Experts chosen since the rank's start, a part of them.
+    /// How often requests chose each expert since the rank's start, a part of the sums.
     #[prost(message, optional, tag = "4")]
     pub counts: Option<CountsMessage>,
 }
@@ -190,7 +190,8 @@
     counts: Counts,
 }
 
-/// Counts is the chosen experts of one rank: as last told, and as last taken.
+/// Counts is how often the requests of one rank chose each expert: the newest sums, and those up to
+/// which the planner has taken them.
 #[derive(Clone, Debug, Default)]
 struct Counts {
     epoch: u64,
@@ -275,24 +276,25 @@
         self.by_rank.get(&rank)
     }
 
+    /// Returns all ranks in order; none where one is missing.
+    fn whole(&self) -> Option<Vec<&Member>> {
+        let ranks = self.by_rank.values().map(|member| member.view.report.ranks).max()?;
+        (0..ranks).map(|rank| self.by_rank.get(&rank)).collect()
+    }
+
     /// Returns the views of all ranks in order; none where one is missing.
     pub fn views(&self) -> Option<Vec<RankView>> {
-        let ranks = self.by_rank.values().map(|member| member.view.report.ranks).max()?;
-        (0..ranks).map(|rank| self.by_rank.get(&rank).map(|member| member.view.clone())).collect()
+        Some(self.whole()?.into_iter().map(|member| member.view.clone()).collect())
     }
 
     /// Returns the hosts of the group's ranks; none where one is missing.
     pub fn hosts(&self) -> Option<Vec<SocketAddr>> {
-        let ranks = self.by_rank.values().map(|member| member.view.report.ranks).max()?;
-        (0..ranks).map(|rank| self.by_rank.get(&rank).map(|member| member.engine)).collect()
+        Some(self.whole()?.into_iter().map(|member| member.engine).collect())
     }
 
     /// Returns the map that all ranks use, where they told its experts.
     pub fn present(&self) -> Option<Arc<ExpertMap>> {
-        let ranks = self.by_rank.values().map(|member| member.view.report.ranks).max()?;
-        let members: Option<Vec<&Member>> =
-            (0..ranks).map(|rank| self.by_rank.get(&rank)).collect();
-        let members = members?;
+        let members = self.whole()?;
         let version = members.first()?.view.report.version;
         let known = members
             .iter()
@@ -337,8 +339,8 @@
         silent.map(|(rank, member)| (*rank, member.engine)).collect()
     }
 
-    /// Takes the experts chosen since the last call, by layer, where all counts of a rank are
-    /// there.
+    /// Returns how often requests chose each expert since the last call, by layer, over the ranks
+    /// whose counts are complete.
     pub fn take_counts(&mut self, layers: usize) -> Vec<Vec<f64>> {
         let mut sums: Vec<Vec<f64>> = vec![Vec::new(); layers];
         for member in self.by_rank.values_mut() {
--- a/src/ranks/switch.rs
+++ b/src/ranks/switch.rs
@@ -162,11 +162,12 @@
         version
     }
 
-    /// Decides what to order now. `present` is the map that all ranks use, where it is known.
+    /// Decides what to order now. `present` returns the map that all ranks use, where it is known;
+    /// it is asked only where a switch that was left has to be finished.
     pub fn tick(
         &mut self,
         views: &[RankView],
-        present: Option<&Arc<ExpertMap>>,
+        present: &dyn Fn() -> Option<Arc<ExpertMap>>,
         now: Duration,
     ) -> (Progress, Vec<Given>) {
         self.lines.resize(views.len(), Line::default());
@@ -203,7 +204,7 @@
         armed: &[Switch],
         held: Option<u64>,
         views: &[RankView],
-        present: Option<&Arc<ExpertMap>>,
+        present: &dyn Fn() -> Option<Arc<ExpertMap>>,
         now: Duration,
     ) -> (Progress, Vec<Given>) {
         let begun = |view: &RankView| view.report.version == first.version;
@@ -249,14 +250,14 @@
         &mut self,
         first: Switch,
         views: &[RankView],
-        present: Option<&Arc<ExpertMap>>,
+        present: &dyn Fn() -> Option<Arc<ExpertMap>>,
         now: Duration,
     ) -> Vec<Given> {
         if self.abandoned != Some(first) {
             self.abandoned = Some(first);
             self.plan = None;
-            if let Some(present) = present {
-                self.begin(Arc::clone(present), Some(first.step), views, now);
+            if let Some(present) = present() {
+                self.begin(present, Some(first.step), views, now);
             }
         }
         let armed = views.iter().enumerate().filter_map(|(rank, view)| {
@@ -271,13 +272,13 @@
         &mut self,
         step: u64,
         views: &[RankView],
-        present: Option<&Arc<ExpertMap>>,
+        present: &dyn Fn() -> Option<Arc<ExpertMap>>,
         now: Duration,
     ) -> (Progress, Vec<Given>) {
         if self.plan.is_none() {
             // Whoever held the step may have given arm orders that are still on their way.
-            let Some(present) = present else { return (Progress::Arming, Vec::new()) };
-            self.begin(Arc::clone(present), Some(step), views, now);
+            let Some(present) = present() else { return (Progress::Arming, Vec::new()) };
+            self.begin(present, Some(step), views, now);
         }
         let Some(plan) = &mut self.plan else { return (Progress::Idle, Vec::new()) };
         plan.step = Some(step);
--- a/tests/rank_switch/world.rs
+++ b/tests/rank_switch/world.rs
@@ -301,7 +301,7 @@
         let coordinator = &mut self.coordinators[index];
         let now = coordinator.clock;
         let (progress, orders) =
-            coordinator.switcher.tick(&coordinator.views, present.as_ref(), now);
+            coordinator.switcher.tick(&coordinator.views, &|| present.clone(), now);
         coordinator.progress = progress;
         for given in orders {
             self.send(index, given);
