Log the fingerprint of requests on the direct path

What on-call saw: a request that its caller sends again has a new id each time, and no line connects the attempts, so the logs cannot tell a crashing request from a drained retry budget.

Lines 7001 and 7002 now carry the hash of method, path, customer and body; the own interface and the direct path share the function.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -9,6 +9,7 @@
 use crate::direct::entry::Entry;
 use crate::direct::message::{CallerRequest, Cause, LocalAnswer};
 use crate::direct::pass_time::PauseGoal;
+use crate::fingerprint;
 use crate::problem::Executed;
 use crate::telemetry::events;
 
@@ -37,6 +38,8 @@
     pub pause_goal: Option<PauseGoal>,
     /// The version of the configuration that it is handled by.
     pub version: u64,
+    /// The hash that identifies the request when the customer sends it again in a new attempt.
+    pub fingerprint: u64,
     /// When its final answer is due, on the entry's clock.
     pub deadline: Duration,
     /// The ids of the targets that were tried, also those that were not reached.
@@ -97,6 +100,7 @@
             .map(|(engine, objective)| PauseGoal { objective, empty_pass: engine.empty_pass() });
         let timeout = caller.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let deadline = caller.arrived + timeout.min(route.timeout);
+        let fingerprint = fingerprint(&caller, customer.as_deref());
         entry.earn_retry(&service);
         entry.in_progress.set(entry.in_progress.get() + 1);
         entry.metrics.in_progress(entry.in_progress.get());
@@ -108,6 +112,7 @@
             fill,
             pause_goal,
             version: configuration.version,
+            fingerprint,
             deadline,
             tried: Vec::new(),
             sent: 0,
@@ -149,12 +154,14 @@
         events::log(
             events::ATTEMPT_FAILED,
             format_args!(
-                "id={} target={target} cause={} executed={:?} sent={} left_ms={}",
+                "id={} target={target} cause={} executed={:?} sent={} left_ms={} \
+                 fingerprint={:016x}",
                 self.caller.id,
                 failure.cause.name(),
                 failure.executed,
                 self.sent,
-                self.time_left().as_millis()
+                self.time_left().as_millis(),
+                self.fingerprint
             ),
         );
         self.entry.metrics.attempt(failure.cause.name());
@@ -185,7 +192,7 @@
             format_args!(
                 "id={} route={} customer={} service={} cause={cause} status={status} targets={} \
                  sent={} waited_ms={} first_event_ms={} pause_ms={} took_ms={} retry_after_ms={} \
-                 version={}",
+                 version={} fingerprint={:016x}",
                 self.caller.id,
                 self.route.name,
                 self.customer.as_deref().unwrap_or("-"),
@@ -198,6 +205,7 @@
                 took.as_millis(),
                 retry_after.map_or(0, |delay| delay.as_millis()),
                 self.version,
+                self.fingerprint,
             ),
         );
     }
@@ -215,6 +223,13 @@
     }
 }
 
+/// Returns the fingerprint of a caller's request. Requests of different customers differ, so that
+/// what is learned about one customer's request does not affect another's.
+fn fingerprint(caller: &CallerRequest, customer: Option<&str>) -> u64 {
+    let path = format!("{} {}", customer.unwrap_or_default(), caller.uri);
+    fingerprint::of_request(caller.method.as_str(), &path, &caller.body)
+}
+
 struct Matched {
     configuration: Arc<Configuration>,
     route: Route,
--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -16,12 +16,12 @@
 use sha2::{Digest as _, Sha256};
 use tokio::sync::mpsc;
 use tokio::time;
-use xxhash_rust::xxh3;
 
 use crate::config::view;
 use crate::entry::core::events::{NewRequest, Refusal, Route};
 use crate::entry::core::tables::RequestId;
 use crate::entry::{actor, chat, outbound, refusals, relay};
+use crate::fingerprint;
 use crate::problem::{self, Executed};
 
 /// The response header with the name of this entry.
@@ -87,7 +87,7 @@
         timeout: timeout(&req)?,
         estimated_tokens: parsed.estimated_tokens,
         affinity: parsed.affinity,
-        fingerprint: fingerprint("POST", &path, &body),
+        fingerprint: fingerprint::of_request("POST", &path, &body),
         resumable: parsed.stream,
     };
     serve(&api, &req, request, path, body).await
@@ -106,7 +106,8 @@
         "" => path.clone(),
         query => format!("{path}?{query}"),
     };
-    let fingerprint = fingerprint(&method, &format!("{service}{path_and_query}"), &body);
+    let fingerprint =
+        fingerprint::of_request(&method, &format!("{service}{path_and_query}"), &body);
     let request = NewRequest {
         id: next_id(&api),
         key_hash: bearer_hash(&req),
@@ -236,11 +237,6 @@
     Sha256::digest(key.as_bytes()).into()
 }
 
-fn fingerprint(method: &str, path: &str, body: &[u8]) -> u64 {
-    let seed = xxh3::xxh3_64(format!("{method} {path}").as_bytes());
-    xxh3::xxh3_64_with_seed(body, seed)
-}
-
 fn timeout(req: &HttpRequest) -> Result<Option<Duration>, problem::Problem> {
     let Some(value) = req.headers().get(TIMEOUT_HEADER) else { return Ok(None) };
     let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod entry;
 pub mod expert_map;
 pub mod external;
+pub mod fingerprint;
 pub mod members;
 pub mod problem;
 pub mod ranks;
