--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -60,8 +61,16 @@
 struct State {
     faults: VecDeque<Fault>,
     executed_requests: Vec<ExecutedRequest>,
+    /// A request with this body crashes the server.
+    crashing_body: Option<Vec<u8>>,
+    /// The tasks that accept and serve connections; empty once the server has crashed.
+    tasks: Vec<JoinHandle<()>>,
 }
 
+/// Time from the end of a crashing server's listener to the end of its connections, so that a client
+/// that sees its connection end finds the port closed, as after the end of a process.
+const CRASH_DELAY: Duration = Duration::from_millis(5);
+
 /// A running server; clones share its state.
 #[derive(Clone)]
 pub struct PlatformServer {
@@ -81,15 +90,37 @@
         let address = listener.local_addr()?;
         let server = Self { id: id.to_owned(), state: Arc::default() };
         let acceptor = server.clone();
-        actix_rt::spawn(async move {
+        let accepting = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let server = acceptor.clone();
-                actix_rt::spawn(async move { server.serve(stream).await });
+                let serving = actix_rt::spawn(async move { server.serve(stream).await });
+                acceptor.with(|state| state.tasks.push(serving));
             }
         });
+        server.with(|state| state.tasks.insert(0, accepting));
         Ok((server, address))
     }
 
+    /// Makes every request with this body crash the server when it begins to execute it.
+    pub fn crash_on(&self, body: &[u8]) {
+        self.with(|state| state.crashing_body = Some(body.to_vec()));
+    }
+
+    /// Closes the listener and then all connections, without a response.
+    pub async fn crash(&self) {
+        let mut tasks = self.with(|state| std::mem::take(&mut state.tasks)).into_iter();
+        if let Some(accepting) = tasks.next() {
+            accepting.abort();
+        }
+        actix_rt::time::sleep(CRASH_DELAY).await;
+        tasks.for_each(|serving| serving.abort());
+    }
+
+    /// Returns true once the server has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.with(|state| state.tasks.is_empty())
+    }
+
     /// Queues faults. Each of the next requests takes one, except those that expect another
     /// instance.
     pub fn queue_faults(&self, faults: &[Fault]) {
@@ -128,6 +159,10 @@
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
         self.with(|state| state.executed_requests.push(req.clone()));
+        if self.with(|state| state.crashing_body.as_ref().is_some_and(|body| *body == req.body)) {
+            self.crash().await;
+            return false;
+        }
         let id = req.header("Bitternwall-Attempt-Id").unwrap_or_default().to_owned();
         if req.head.contains("/events/") {
             return self.send_stream(stream, req, &id, fault).await;
