Entries on the direct path remember which requests crash targets

Cause: the memory of crashes belongs to the agents before targets and to the core of the own interface. On the direct path no agent stands in between, and nothing took its place: each attempt was admitted as if it were the first, at each entry. docs/PLATFORM.md listed it as open.

Change: an entry that loses a connection before an answer was complete connects once more; a host that refuses shows that the target has ended, as does the target list later. Requests that were lost there get a crash on their record, which entries exchange on heartbeats at once. After two crashes that no answer has cleared the request is refused as not run, with the remaining time as retry-after. The bound is the one that agents use.

Why it works: a retry waits for the probe, so the second send knows of the first crash; the third finds the record at whichever entry it comes. Harmless requests beside the crashing one are not refused, since crashes count only in sequence and an answer clears them.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -6,9 +6,12 @@
 
 use crate::direct::attempts::{Failure, History};
 use crate::direct::configuration::{AnswerForm, Configuration, Route};
+use crate::direct::crash_history::Dispatch;
+use crate::direct::crash_probe;
 use crate::direct::entry::Entry;
 use crate::direct::message::{CallerRequest, Cause, LocalAnswer};
 use crate::direct::pass_time::PauseGoal;
+use crate::direct::targets::Target;
 use crate::fingerprint;
 use crate::problem::Executed;
 use crate::telemetry::events;
@@ -56,6 +59,8 @@
     pub first_event: Option<Duration>,
     /// The longest pause between two events of its answer so far.
     pub longest_pause: Duration,
+    /// The attempt that a target is running, as far as known.
+    dispatch: Option<Dispatch>,
     finished: bool,
 }
 
@@ -121,6 +126,7 @@
             waited: Duration::ZERO,
             first_event: None,
             longest_pause: Duration::ZERO,
+            dispatch: None,
             finished: false,
             caller,
         }
@@ -148,6 +154,32 @@
         }
     }
 
+    /// Records that the request is about to be sent to a target.
+    pub fn record_dispatched(&mut self, target: &str) {
+        let now = self.entry.now();
+        self.dispatch = Some(self.entry.crashes.borrow().dispatch(self.fingerprint, target, now));
+    }
+
+    /// Records that the target answered completely, or answered that it did not run the request.
+    pub fn record_target_answered(&mut self, executed: Executed) {
+        self.dispatch = None;
+        if executed == Executed::Yes {
+            let now = self.entry.now();
+            self.entry.crashes.borrow_mut().record_answered(self.fingerprint, now);
+        }
+    }
+
+    /// Records that the target gave no complete answer. If the connection to it was lost, this also
+    /// finds out whether the target crashed, before the request can be sent to another one.
+    pub async fn record_no_answer(&mut self, target: &Target, connection_lost: bool) {
+        if let Some(dispatch) = self.dispatch.take() {
+            self.entry.record_unanswered(dispatch);
+        }
+        if connection_lost {
+            crash_probe::check(&self.entry, target).await;
+        }
+    }
+
     /// Records and logs a failed attempt.
     pub fn record_failure(&mut self, target: &str, failure: &Failure) {
         self.may_have_run |= failure.executed != Executed::No;
@@ -213,6 +245,9 @@
 
 impl Drop for Call {
     fn drop(&mut self) {
+        if let Some(dispatch) = self.dispatch.take() {
+            self.entry.record_unanswered(dispatch);
+        }
         let entry = &self.entry;
         entry.in_progress.set(entry.in_progress.get().saturating_sub(1));
         entry.metrics.in_progress(entry.in_progress.get());
--- /dev/null
+++ b/src/direct/crash_history.rs
@@ -0,0 +1,255 @@
+//! Remembers under which requests targets crashed, so that a request that crashes every target that
+//! runs it reaches only a few of them.
+//!
+//! Load pattern: a caller sends such a request again and again, each time as a new attempt and to
+//! any entry. Entries exchange their records on heartbeats and refuse a request after
+//! [`MAX_CRASHES`].
+//!
+//! A target that ends takes down all requests that it runs, and at most one of them is the cause.
+//! Two rules keep harmless requests from being refused. An attempt carries the number of crashes
+//! that were known when it was dispatched, and a crash under it raises the record to one more than
+//! that; so however many targets crash at once, copies of one request in progress there count once.
+//! And a complete answer to the request clears all crashes known by then.
+//!
+//! See docs/PLATFORM.md.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::collections::Map;
+use crate::entry::core::crashes::MAX_CRASHES;
+
+/// Time after the end of an attempt in which the end of its target is attributed to it. The target
+/// list shows the end of a target only after several missed heartbeats of that target.
+const ATTRIBUTION_WINDOW: Duration = Duration::from_secs(10);
+
+/// Limit of the requests on record, and of the ended attempts whose target may have crashed.
+const MAX_RECORDS: usize = 1_024;
+
+/// Crash reports in one heartbeat; the limit keeps it within one packet.
+const MAX_REPORTS: usize = 8;
+
+/// Time for which heartbeats repeat a report, so that the loss of some of them does not matter.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(2);
+
+/// An attempt that was sent to a target and has not ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Dispatch {
+    /// The target's id.
+    pub target: String,
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// The crashes on the request's record when it was sent.
+    known_crashes: u32,
+    /// When it was sent, on the entry's clock.
+    at: Duration,
+}
+
+/// A request's record as entries send it to each other. Both counts only grow, so reports may
+/// arrive late, twice or in any order.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct CrashReport {
+    /// The request's fingerprint.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Crashes of targets under the request, one after the other.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+    /// The value of `crashes` when the request was last answered.
+    #[prost(uint32, tag = "3")]
+    pub cleared: u32,
+    /// Milliseconds until the record expires.
+    #[prost(uint64, tag = "4")]
+    pub ttl_ms: u64,
+}
+
+/// A crash that was added to a request's record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Crash {
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// The crashes on its record that no answer has cleared.
+    pub crashes: u32,
+    /// True if the request is refused from now on.
+    pub refused: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    crashes: u32,
+    cleared: u32,
+    /// When the record expires, on the entry's clock.
+    until: Duration,
+    /// Heartbeats carry the record until then.
+    announced_until: Duration,
+}
+
+impl Record {
+    fn uncleared(&self) -> u32 {
+        self.crashes.saturating_sub(self.cleared)
+    }
+
+    fn is_refused(&self) -> bool {
+        usize::try_from(self.uncleared()).unwrap_or(usize::MAX) >= MAX_CRASHES
+    }
+}
+
+/// The crashes of targets that this entry has seen or heard of.
+#[derive(Debug)]
+pub struct CrashHistory {
+    /// The records by fingerprint.
+    records: Map<u64, Record>,
+    /// Attempts that ended without an answer, oldest first, with the time of their end.
+    unanswered: VecDeque<(Dispatch, Duration)>,
+    /// When targets were found to have ended.
+    ended_targets: Map<String, Duration>,
+    /// The time for which a record is kept after its last change.
+    ttl: Duration,
+}
+
+impl CrashHistory {
+    /// Returns an empty history whose records expire `ttl` after their last crash.
+    pub fn new(ttl: Duration) -> Self {
+        let (records, ended_targets) = (Map::default(), Map::default());
+        Self { records, unanswered: VecDeque::new(), ended_targets, ttl }
+    }
+
+    /// Returns an attempt that is about to be sent to a target.
+    pub fn dispatch(&self, fingerprint: u64, target: &str, now: Duration) -> Dispatch {
+        let known_crashes = self.records.get(&fingerprint).map_or(0, |record| record.crashes);
+        Dispatch { target: target.to_owned(), fingerprint, known_crashes, at: now }
+    }
+
+    /// Clears a request of all crashes known so far, since a target answered it completely.
+    pub fn record_answered(&mut self, fingerprint: u64, now: Duration) {
+        if let Some(record) = self.records.get_mut(&fingerprint)
+            && record.uncleared() > 0
+        {
+            record.cleared = record.crashes;
+            record.announced_until = now + ANNOUNCEMENT_TIME;
+        }
+    }
+
+    /// Records that an attempt ended without an answer. Returns the crash that it adds, if the
+    /// target is already known to have ended.
+    pub fn record_unanswered(&mut self, dispatch: Dispatch, now: Duration) -> Option<Crash> {
+        let ended = self.ended_targets.get(&dispatch.target);
+        if ended.is_some_and(|ended| *ended >= dispatch.at) {
+            return self.add_crash(&dispatch, now);
+        }
+        if self.unanswered.len() >= MAX_RECORDS {
+            self.unanswered.pop_front();
+        }
+        self.unanswered.push_back((dispatch, now));
+        None
+    }
+
+    /// Records that a target has ended without being told to. Returns the crashes that this adds to
+    /// the requests that recently ended there without an answer.
+    pub fn record_target_ended(&mut self, target: &str, now: Duration) -> Vec<Crash> {
+        self.ended_targets.insert(target.to_owned(), now);
+        let (lost, others): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.unanswered).into_iter().partition(|(d, _)| d.target == target);
+        self.unanswered = others;
+        let lost = lost.into_iter().filter(|(_, ended)| is_recent(*ended, now));
+        lost.filter_map(|(dispatch, _)| self.add_crash(&dispatch, now)).collect()
+    }
+
+    fn add_crash(&mut self, dispatch: &Dispatch, now: Duration) -> Option<Crash> {
+        let fingerprint = dispatch.fingerprint;
+        let crashes = dispatch.known_crashes.saturating_add(1);
+        let ttl = self.ttl;
+        let record = self.record_mut(fingerprint)?;
+        if record.crashes >= crashes {
+            return None;
+        }
+        record.crashes = crashes;
+        record.until = now + ttl;
+        record.announced_until = now + ANNOUNCEMENT_TIME;
+        Some(Crash { fingerprint, crashes: record.uncleared(), refused: record.is_refused() })
+    }
+
+    /// Returns the record of a request, a new one if there is none. Where that would exceed the
+    /// limit, it replaces a record of a request that is not refused; `None` if there is none.
+    fn record_mut(&mut self, fingerprint: u64) -> Option<&mut Record> {
+        if !self.records.contains_key(&fingerprint) && self.records.len() >= MAX_RECORDS {
+            let replaceable = self.records.iter().filter(|(_, record)| !record.is_refused());
+            let oldest = replaceable.min_by_key(|(_, record)| record.until).map(|(key, _)| *key)?;
+            self.records.remove(&oldest);
+        }
+        Some(self.records.entry(fingerprint).or_default())
+    }
+
+    /// Returns the time for which a request is still refused; `None` if it is not refused.
+    pub fn refused_for(&self, fingerprint: u64, now: Duration) -> Option<Duration> {
+        let record = self.records.get(&fingerprint)?;
+        (record.is_refused() && record.until > now).then(|| record.until.saturating_sub(now))
+    }
+
+    /// Returns the number of requests that are refused.
+    pub fn refused_count(&self) -> usize {
+        self.records.values().filter(|record| record.is_refused()).count()
+    }
+
+    /// Adds what another entry has on record. Returns the crash if the request is refused since.
+    pub fn merge(&mut self, report: &CrashReport, now: Duration) -> Option<Crash> {
+        let ttl = Duration::from_millis(report.ttl_ms).min(self.ttl);
+        let record = self.record_mut(report.fingerprint)?;
+        let was_refused = record.is_refused();
+        record.crashes = record.crashes.max(report.crashes);
+        record.cleared = record.cleared.max(report.cleared);
+        record.until = record.until.max(now + ttl);
+        if was_refused || !record.is_refused() {
+            return None;
+        }
+        // The sender may not reach all entries.
+        record.announced_until = now + ANNOUNCEMENT_TIME;
+        let crashes = record.uncleared();
+        Some(Crash { fingerprint: report.fingerprint, crashes, refused: true })
+    }
+
+    /// Makes heartbeats carry all requests that are refused, for an entry that has just started.
+    pub fn announce_refused(&mut self, now: Duration) {
+        for record in self.records.values_mut().filter(|record| record.is_refused()) {
+            record.announced_until = now + ANNOUNCEMENT_TIME;
+        }
+    }
+
+    /// Returns the reports for one heartbeat: refused requests first, and the others in turn.
+    /// `sequence` is the number of the heartbeat.
+    pub fn reports(&self, sequence: u64, now: Duration) -> Vec<CrashReport> {
+        let announced = self.records.iter().filter(|(_, record)| record.announced_until > now);
+        let (mut reports, mut others): (Vec<_>, Vec<_>) =
+            announced.partition(|(_, record)| record.is_refused());
+        reports.sort_unstable_by_key(|(fingerprint, _)| **fingerprint);
+        others.sort_unstable_by_key(|(fingerprint, _)| **fingerprint);
+        let sequence = usize::try_from(sequence).unwrap_or(0);
+        let mut slots = MAX_REPORTS;
+        for list in [&mut reports, &mut others] {
+            let offset = sequence.wrapping_mul(slots).checked_rem(list.len()).unwrap_or(0);
+            list.rotate_left(offset);
+            slots = slots.saturating_sub(list.len());
+        }
+        let selected = reports.into_iter().chain(others).take(MAX_REPORTS);
+        let report = |(fingerprint, record): (&u64, &Record)| CrashReport {
+            fingerprint: *fingerprint,
+            crashes: record.crashes,
+            cleared: record.cleared,
+            ttl_ms: u64::try_from(record.until.saturating_sub(now).as_millis()).unwrap_or(u64::MAX),
+        };
+        selected.map(report).collect()
+    }
+
+    /// Drops what has expired.
+    pub fn expire(&mut self, now: Duration) {
+        self.records.retain(|_, record| record.until > now);
+        self.ended_targets.retain(|_, ended| is_recent(*ended, now));
+        while self.unanswered.front().is_some_and(|(_, ended)| !is_recent(*ended, now)) {
+            self.unanswered.pop_front();
+        }
+    }
+}
+
+fn is_recent(at: Duration, now: Duration) -> bool {
+    now.saturating_sub(at) <= ATTRIBUTION_WINDOW
+}
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -79,6 +79,7 @@
         retry_allowance: settings.retries.allowance,
         engine_fill: settings.placement.engine_fill,
         plain_fill: settings.placement.plain_fill,
+        crash_refusal: settings.crash_refusal(),
     };
     let entry = Rc::new(Entry::new(clock.clone(), options, adapter.protocol, metrics));
     let sync = Rc::new(StateSync {
@@ -205,6 +206,8 @@
     let entry = &sync.entry;
     let now = entry.now();
     sync.apply_due_removals();
+    entry.crashes.borrow_mut().expire(now);
+    entry.metrics.refused_requests(entry.crashes.borrow().refused_count());
     entry.peers.borrow_mut().count(sync.heartbeat_interval, now);
     let loads = entry.peers.borrow().loads(sync.heartbeat_interval, now);
     entry.targets.borrow_mut().set_peer_loads(loads);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -2,6 +2,7 @@
 //! budgets and metrics.
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 use crate::direct::admission::ServiceLoad;
 use crate::direct::cluster_state::ClusterState;
 use crate::direct::configuration::Configuration;
+use crate::direct::crash_history::{Crash, CrashHistory, CrashReport, Dispatch};
+use crate::direct::crash_probe::Probe;
 use crate::direct::message::TargetProtocol;
 use crate::direct::metrics::Metrics;
 use crate::direct::peers::Peers;
@@ -51,6 +54,8 @@
     pub engine_fill: f64,
     /// Limit of requests in flight at a plain target, for each of its slots.
     pub plain_fill: f64,
+    /// The time for which a request is refused after targets crashed under it.
+    pub crash_refusal: Duration,
 }
 
 /// The state that the tasks of one entry process share.
@@ -81,6 +86,12 @@
     pub store_answers: Cell<bool>,
     /// Notified when a slot becomes available or targets change.
     pub slots_changed: Notify,
+    /// The requests under which targets crashed.
+    pub crashes: RefCell<CrashHistory>,
+    /// Notified when another entry should hear of a crash at once.
+    pub crashes_changed: Notify,
+    /// The probes of targets in progress, by target id.
+    pub probes: RefCell<Map<String, Probe>>,
     service_loads: RefCell<Map<String, ServiceLoad>>,
     budgets: RefCell<Map<String, (Budget, Duration)>>,
 }
@@ -102,6 +113,9 @@
             refusing: Cell::new(false),
             store_answers: Cell::new(false),
             slots_changed: Notify::new(),
+            crashes: RefCell::new(CrashHistory::new(options.crash_refusal)),
+            crashes_changed: Notify::new(),
+            probes: RefCell::default(),
             service_loads: RefCell::default(),
             budgets: RefCell::default(),
             options,
@@ -167,9 +181,55 @@
         rand::rng().random()
     }
 
+    /// Records that an attempt ended without an answer.
+    pub fn record_unanswered(&self, dispatch: Dispatch) {
+        let target = dispatch.target.clone();
+        let crash = self.crashes.borrow_mut().record_unanswered(dispatch, self.now());
+        if let Some(crash) = crash {
+            self.publish_crash(crash, format_args!("target={target}"));
+        }
+    }
+
+    /// Records that a target has ended, and which requests it was running. A target that is leaving
+    /// ends by itself, so none of its requests is suspected.
+    pub fn record_target_ended(&self, target: &str) {
+        if self.targets.borrow().get(target).is_some_and(|target| target.leaving) {
+            return;
+        }
+        let crashes = self.crashes.borrow_mut().record_target_ended(target, self.now());
+        for crash in crashes {
+            self.publish_crash(crash, format_args!("target={target}"));
+        }
+    }
+
+    /// Adds the records of crashes that another entry sent.
+    pub fn merge_crashes(&self, reports: &[CrashReport], from: &str) {
+        for report in reports {
+            let refused = self.crashes.borrow_mut().merge(report, self.now());
+            if let Some(crash) = refused {
+                self.publish_crash(crash, format_args!("from={from}"));
+            }
+        }
+    }
+
+    fn publish_crash(&self, crash: Crash, source: fmt::Arguments<'_>) {
+        let Crash { fingerprint, crashes, refused } = crash;
+        events::log(
+            events::TARGET_CRASHED,
+            format_args!(
+                "{source} fingerprint={fingerprint:016x} crashes={crashes} refused={refused}"
+            ),
+        );
+        self.metrics.crash(refused);
+        self.crashes_changed.notify_one();
+    }
+
     /// Records the outcome of an attempt at a target, and logs an ejection that it causes.
     pub fn record_outcome(&self, target: &str, outcome: Outcome) {
         let now = self.now();
+        if outcome == Outcome::Replaced {
+            self.record_target_ended(target);
+        }
         if let Some(ejection) = self.targets.borrow_mut().record(target, outcome, now) {
             let pause_ms = ejection.as_millis();
             events::log(
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -173,19 +173,27 @@
     let mut connection = connect(call, target).await?;
     call.sent += 1;
     call.deliveries += 1;
+    call.record_dispatched(&target.id);
     let limit = silence_limit(call);
     let result = exchange(call, target, &mut connection, resume_after, limit).await;
     let (answer, body) = match result {
         Ok(answer) => answer,
-        Err(error) => return Err(record_broken(call, target, &error)),
+        Err(error) => {
+            drop((connection, slot));
+            let failure = record_broken(call, target, &error);
+            call.record_no_answer(target, error.is_connection_lost()).await;
+            return Err(failure);
+        }
     };
     if answer.other_incarnation {
         // Another process has the address now, so the intended target has not received the request.
         call.sent -= 1;
+        call.record_target_answered(Executed::No);
         call.entry.record_outcome(&target.id, Outcome::Replaced);
         return Err(not_run(Cause::Unreachable, &answer));
     }
     if answer.not_run {
+        call.record_target_answered(Executed::No);
         let closed = call.pause_goal.is_some() && call.entry.targets.borrow().is_idle(&target.id);
         call.entry.record_outcome(&target.id, if closed { Outcome::Closed } else { Outcome::Full });
         call.entry.pool.put_back(target.addr, connection, answer.idle_limit);
@@ -195,6 +203,7 @@
     call.entry.record_outcome(&target.id, if failed { Outcome::Failed } else { Outcome::Answered });
     match body {
         Body::Complete(body) => {
+            call.record_target_answered(Executed::Yes);
             call.entry.pool.put_back(target.addr, connection, answer.idle_limit);
             Ok(AttemptAnswer::Document(answer, body))
         }
@@ -259,6 +268,9 @@
     }
     let timeout = CONNECT_TIMEOUT.min(call.time_left());
     entry.pool.open(target.addr, timeout).await.map_err(|source| {
+        if source.is_refused() {
+            entry.record_target_ended(&target.id);
+        }
         let error = AttemptError::Unreachable { addr: target.addr, source };
         let failure = record_broken(call, target, &error);
         Failure { cause: Cause::Unreachable, executed: Executed::No, ..failure }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -1,6 +1,7 @@
 //! Sends and receives heartbeats, and fetches the cluster state from entries that have a newer one.
 
 use std::convert::Infallible;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -88,7 +89,7 @@
 }
 
 /// Sends heartbeats until the process ends: each regular one to a part of the entries, in rotation,
-/// and one to all entries as soon as the cluster state changes.
+/// and one to all entries as soon as the cluster state changes or a target crashes.
 pub async fn send(sync: Rc<StateSync>, socket: Rc<UdpSocket>, identity: Identity) {
     let mut sequence = 0;
     let mut changed = true;
@@ -113,6 +114,7 @@
         tokio::select! {
             () = time::sleep(sync.heartbeat_interval) => changed = false,
             () = sync.changed.notified() => changed = true,
+            () = sync.entry.crashes_changed.notified() => changed = true,
         }
     }
 }
@@ -142,6 +144,7 @@
         known_peers,
         leaving: entry.stopping.get(),
         rank: None,
+        crashes: entry.crashes.borrow().reports(sequence, now),
     }
 }
 
@@ -165,7 +168,7 @@
     }
 }
 
-fn handle_heartbeat(sync: &StateSync, heartbeat: Heartbeat, from: SocketAddr) {
+fn handle_heartbeat(sync: &StateSync, mut heartbeat: Heartbeat, from: SocketAddr) {
     let entry = &sync.entry;
     if heartbeat.name == entry.options.name {
         return;
@@ -176,6 +179,7 @@
         return;
     }
     let name = heartbeat.name.clone();
+    entry.merge_crashes(&mem::take(&mut heartbeat.crashes), &name);
     let (version, targets_at) = (heartbeat.version, heartbeat.targets_at);
     let update = entry.peers.borrow_mut().record_heartbeat(heartbeat, from, now);
     if update.joined {
@@ -183,6 +187,7 @@
             events::PEER_JOINED,
             format_args!("entry={name} addr={from} version={version} targets_at={targets_at}"),
         );
+        entry.crashes.borrow_mut().announce_refused(now);
     }
     if update.loads {
         let loads = entry.peers.borrow().loads(sync.heartbeat_interval, now);
--- a/src/direct/http.rs
+++ b/src/direct/http.rs
@@ -63,6 +63,18 @@
     Timeout(Duration),
 }
 
+impl HttpError {
+    /// Returns true if the peer's host refused a new connection, since no process listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
+    /// Returns true if an open connection ended before the end of the exchange.
+    pub fn is_connection_lost(&self) -> bool {
+        matches!(self, Self::Io(_) | Self::Closed)
+    }
+}
+
 /// A request to send, with its complete body.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -135,6 +135,8 @@
     TimedOut,
     /// The target could not be reached, or another process has its address.
     Unreachable,
+    /// Targets crashed while they ran this request, so it is refused for a while.
+    CrashingRequest,
     /// The target's answer was truncated or invalid, or the target fell silent or answered with a
     /// server error.
     Broken,
@@ -155,6 +157,7 @@
             Self::TargetFull => "target_full",
             Self::TimedOut => "timed_out",
             Self::Unreachable => "unreachable",
+            Self::CrashingRequest => "crashing_request",
             Self::Broken => "broken",
         }
     }
@@ -172,6 +175,7 @@
             Self::TargetFull => "The target is full",
             Self::TimedOut => "Time is over",
             Self::Unreachable => "No target could be reached",
+            Self::CrashingRequest => "Targets crashed while they ran this request",
             Self::Broken => "The answer broke off",
         }
     }
@@ -189,6 +193,7 @@
             Self::TargetFull => "/problems/target-full",
             Self::TimedOut => "/problems/timed-out",
             Self::Unreachable => "/problems/unreachable",
+            Self::CrashingRequest => "/problems/crashing-request",
             Self::Broken => "/problems/answer-broken",
         }
     }
@@ -240,6 +245,13 @@
     }
 }
 
+impl AttemptError {
+    /// Returns true if the connection ended after the request was sent.
+    pub fn is_connection_lost(&self) -> bool {
+        matches!(self, Self::Exchange(error) if error.is_connection_lost())
+    }
+}
+
 /// The reason that an attempt at a target gave no complete answer.
 #[derive(Debug, thiserror::Error)]
 pub enum AttemptError {
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -23,6 +23,8 @@
     retry_after: Histogram,
     resumed: IntCounter,
     callers_left: IntCounter,
+    crashes: IntCounterVec,
+    refused_requests: IntGauge,
     configuration: IntGauge,
     in_progress: IntGauge,
 }
@@ -87,6 +89,15 @@
                 "bitternwall_direct_callers_left_total",
                 "Callers that left before the end of their answer.",
             )?,
+            crashes: counters(
+                "bitternwall_direct_crashes_total",
+                "Crashes of targets under a request, by whether the request is refused since.",
+                &["refused"],
+            )?,
+            refused_requests: gauge(
+                "bitternwall_direct_refused_requests",
+                "Requests that are refused since targets crashed while they ran them.",
+            )?,
             configuration: gauge(
                 "bitternwall_direct_configuration_version",
                 "The version of the configuration in force.",
@@ -148,6 +159,16 @@
         self.callers_left.inc();
     }
 
+    /// Counts a crash of a target under a request, which is refused from then on or not yet.
+    pub fn crash(&self, refused: bool) {
+        self.crashes.with_label_values(&[if refused { "yes" } else { "no" }]).inc();
+    }
+
+    /// Sets the number of requests that are refused since targets crashed under them.
+    pub fn refused_requests(&self, requests: usize) {
+        self.refused_requests.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+
     /// Sets the version of the configuration in force.
     pub fn configuration(&self, version: u64) {
         self.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions are pure modules ([`configuration`], [`cluster_state`], [`pending_removals`],
 //! [`peers`], [`targets`], [`pass_time`], [`admission`], [`attempts`], [`event_stream`],
-//! [`stopping`]); the others do the I/O around them. The vocabulary of a platform's protocol stays
+//! [`stopping`], [`crash_history`]); the others do the I/O around them. The vocabulary of a platform's protocol stays
 //! in its adapter, which provides the functions of [`message::TargetProtocol`], [`store::Store`]
 //! and [`store::Formats`]. See docs/PLATFORM.md.
 
@@ -12,6 +12,8 @@
 pub mod call;
 pub mod cluster_state;
 pub mod configuration;
+pub mod crash_history;
+pub mod crash_probe;
 pub mod daemon;
 pub mod entry;
 pub mod event_stream;
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -11,6 +11,7 @@
 
 use crate::collections::{Map, Set};
 use crate::direct::cluster_state::KnownVersions;
+use crate::direct::crash_history::CrashReport;
 
 /// Heartbeat intervals without a heartbeat after which an entry's load and address no longer count.
 const MAX_MISSED_HEARTBEATS: u32 = 10;
@@ -77,6 +78,9 @@
     /// The state of a rank, if an agent beside one sends the message.
     #[prost(message, optional, tag = "13")]
     pub rank: Option<RankNotice>,
+    /// Requests under which targets crashed, as the sender has them on record.
+    #[prost(message, repeated, tag = "14")]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// A notice of an agent to the entries about its rank.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -48,8 +48,7 @@
 enum Step {
     Piece(Bytes),
     End,
-    /// The cause, and true if the target was silent for too long.
-    Failed(String, bool),
+    Failed(HttpError),
 }
 
 impl Relay {
@@ -109,7 +108,7 @@
                     }
                 }
                 Step::End => return Ok(self.finish()),
-                Step::Failed(cause, silent) => self.resume(&cause, silent).await?,
+                Step::Failed(error) => self.resume(&error).await?,
             }
         }
     }
@@ -128,8 +127,8 @@
         match time::timeout(limit, connection.piece()).await {
             Ok(Ok(Some(piece))) => Step::Piece(piece),
             Ok(Ok(None)) => Step::End,
-            Ok(Err(error)) => Step::Failed(error.to_string(), false),
-            Err(_elapsed) => Step::Failed(HttpError::Timeout(limit).to_string(), true),
+            Ok(Err(error)) => Step::Failed(error),
+            Err(_elapsed) => Step::Failed(HttpError::Timeout(limit)),
         }
     }
 
@@ -166,13 +165,15 @@
             entry.pool.put_back(self.target.addr, connection, self.idle_limit);
         }
         self.slot = None;
+        self.call.record_target_answered(Executed::Yes);
         self.call.record_relayed("answered", self.status);
         None
     }
 
     /// Resumes the answer at another target after the last event relayed, or interrupts it.
-    async fn resume(&mut self, cause: &str, silent: bool) -> Result<(), Interrupted> {
+    async fn resume(&mut self, error: &HttpError) -> Result<(), Interrupted> {
         let target = self.target.id.clone();
+        let silent = matches!(error, HttpError::Timeout(_));
         // Dropping the connection resets it, which makes the target abandon the request.
         (self.connection, self.slot) = (None, None);
         let out_of_time = self.call.time_left().is_zero();
@@ -183,7 +184,7 @@
         events::log(
             events::ANSWER_INTERRUPTED,
             format_args!(
-                "id={} target={target} cause=\"{cause}\" silent={silent} last_event={} left_ms={}",
+                "id={} target={target} cause=\"{error}\" silent={silent} last_event={} left_ms={}",
                 self.call.caller.id,
                 last_id.map_or("-".to_owned(), |id| id.to_string()),
                 self.call.time_left().as_millis()
@@ -192,6 +193,7 @@
         let mut failure =
             Failure { cause: Cause::Broken, executed: Executed::Yes, retry_after: None };
         self.call.record_failure(&target, &failure);
+        self.call.record_no_answer(&self.target, error.is_connection_lost()).await;
         let Some(last_id) = last_id.filter(|_| !out_of_time) else {
             return Err(self.interrupt());
         };
--- a/src/direct/slot_wait.rs
+++ b/src/direct/slot_wait.rs
@@ -23,12 +23,18 @@
 ///
 /// # Errors
 ///
-/// Returns the answer for the caller where no slot becomes available in time.
+/// Returns the answer for the caller where no slot becomes available in time, and at once where the
+/// request is refused because targets crashed under it.
 pub async fn acquire(call: &mut Call, max_wait: Duration) -> Result<(Target, Slot)> {
     let entry = Rc::clone(&call.entry);
     let started = entry.now();
     let result = loop {
         let now = entry.now();
+        if let Some(left) = entry.crashes.borrow().refused_for(call.fingerprint, now) {
+            let executed = if call.may_have_run { Executed::Unknown } else { Executed::No };
+            let retry_after = Some(left);
+            return Err(LocalAnswer { cause: Cause::CrashingRequest, executed, retry_after });
+        }
         let criteria = Criteria {
             service: &call.service,
             fill: call.fill,
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -284,15 +284,23 @@
         let at = self.entry.cluster_state.borrow().targets_at();
         let listed = self.entry.cluster_state.borrow().targets();
         let mut targets = self.entry.targets.borrow_mut();
+        let mut ended = Vec::new();
         for id in targets.missing_from(&listed) {
             events::log(
                 events::TARGET_REMOVED,
                 format_args!("target={id} revision={at} from={source}"),
             );
+            if targets.get(&id).is_some_and(|target| !target.leaving) {
+                ended.push(id.clone());
+            }
             targets.remove(&id);
         }
         for target in listed {
-            if targets.get(&target.id) != Some(&target) {
+            let known = targets.get(&target.id);
+            if known.is_some_and(|known| known.started_unix_ms != target.started_unix_ms) {
+                ended.push(target.id.clone());
+            }
+            if known != Some(&target) {
                 events::log(
                     events::TARGET_LISTED,
                     format_args!(
@@ -304,6 +312,9 @@
             }
         }
         drop(targets);
+        for id in ended {
+            self.entry.record_target_ended(&id);
+        }
         self.entry.slots_changed.notify_waiters();
         self.notify_changed();
     }
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -39,6 +39,9 @@
     /// Time after which an idle connection of a caller is closed, in milliseconds.
     #[serde(default = "default_idle_ms")]
     pub caller_idle_ms: u64,
+    /// Time for which a request is refused after targets crashed under it, in milliseconds.
+    #[serde(default = "default_crash_refusal_ms")]
+    pub crash_refusal_ms: u64,
     /// The format and the level of the log.
     #[serde(default)]
     pub log: common::LogSettings,
@@ -133,6 +136,13 @@
 /// Plain requests are short; a second one for each slot keeps the target busy between them.
 const DEFAULT_PLAIN_FILL: f64 = 2.0;
 
+/// As long as agents refuse a request that crashed their targets.
+const DEFAULT_CRASH_REFUSAL_MS: u64 = 600_000;
+
+fn default_crash_refusal_ms() -> u64 {
+    DEFAULT_CRASH_REFUSAL_MS
+}
+
 fn default_heartbeat_ms() -> u64 {
     DEFAULT_HEARTBEAT_MS
 }
@@ -151,6 +161,11 @@
         Duration::from_millis(self.heartbeat_ms)
     }
 
+    /// Returns the time for which a request is refused after targets crashed under it.
+    pub fn crash_refusal(&self) -> Duration {
+        Duration::from_millis(self.crash_refusal_ms)
+    }
+
     /// Returns the time from the stop signal until the process is killed.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.stop.grace_s)
@@ -172,6 +187,10 @@
         .or_else(|| {
             common::check_range("caller_idle_ms", settings.caller_idle_ms, 1_000..=3_600_000)
         })
+        .or_else(|| {
+            let refusal = settings.crash_refusal_ms;
+            common::check_range("crash_refusal_ms", refusal, 1_000..=86_400_000)
+        })
         .or_else(|| {
             let timeout = settings.store.call_timeout_ms;
             common::check_range("store.call_timeout_ms", timeout, 10..=60_000)
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -120,6 +120,10 @@
 /// A connection whose exchange was abandoned could not be reset and is closed instead.
 pub const RESET_FAILED: LogEvent =
     LogEvent { number: 7006, severity: Severity::Warning, title: "connection not reset" };
+/// A target crashed while it ran a request, or another entry reported enough crashes under a request
+/// to refuse it.
+pub const TARGET_CRASHED: LogEvent =
+    LogEvent { number: 7007, severity: Severity::Warning, title: "target crashed" };
 /// A target was added to the target list, or its record there changed.
 pub const TARGET_LISTED: LogEvent =
     LogEvent { number: 7010, severity: Severity::Info, title: "target listed" };
@@ -242,6 +246,7 @@
     EXCHANGE_FAILED,
     ANSWER_INTERRUPTED,
     RESET_FAILED,
+    TARGET_CRASHED,
     TARGET_LISTED,
     TARGET_REMOVED,
     TARGET_REMOVAL_PENDING,
--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -127,6 +127,11 @@
         self.with(|state| state.faults.extend(faults));
     }
 
+    /// Takes the next queued fault back.
+    pub fn take_fault(&self) -> Option<Fault> {
+        self.with(|state| state.faults.pop_front())
+    }
+
     /// Returns the requests executed so far, oldest first.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         self.with(|state| state.executed_requests.clone())
@@ -153,7 +158,7 @@
             );
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
-        let fault = self.with(|state| state.faults.pop_front());
+        let fault = self.take_fault();
         if fault == Some(Fault::NotExecuted) {
             let text = "HTTP/1.1 503 Service Unavailable\r\nBitternwall-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n";
             return stream.write_all(text.as_bytes()).await.is_ok();
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -6,6 +6,8 @@
 mod budget;
 #[path = "direct/connections.rs"]
 mod connections;
+#[path = "direct/crash_history.rs"]
+mod crash_history;
 #[path = "direct/experts.rs"]
 mod experts;
 #[path = "direct/lookups.rs"]
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -24,6 +24,7 @@
         retry_allowance: ALLOWANCE,
         engine_fill: 1.0,
         plain_fill: 2.0,
+        crash_refusal: Duration::from_secs(600),
     };
     let protocol = TargetProtocol {
         encode: |_| actix_http::header::HeaderMap::new(),
