Records of crashing requests outlast the end of all entries

Cause: the records lived in the entries' memory alone. What must last belongs in the store.

Evidence: a_crashing_request_stays_refused_after_all_entries_were_killed_at_once; with the records not read from the store four servers end where two may.

Change: the entry whose attempt adds the second crash, or whose answer clears such a record, writes it to the store under a lease for the time of the refusal, and repeats that until the store accepts it. The readers follow the records as a third collection; an entry that starts alone reads them itself.

Why it works: an entry is a reader as long as it hears of no others, so after the end of all of them each one lists the records at its start, and the counts only grow, so reading them late or twice changes nothing.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -166,6 +166,7 @@
         if executed == Executed::Yes {
             let now = self.entry.now();
             self.entry.crashes.borrow_mut().record_answered(self.fingerprint, now);
+            self.entry.crashes_unsaved.notify_one();
         }
     }
 
--- a/src/direct/crash_history.rs
+++ b/src/direct/crash_history.rs
@@ -82,6 +82,8 @@
     until: Duration,
     /// Heartbeats carry the record until then.
     announced_until: Duration,
+    /// True if this entry changed the record and has not written it to the store since.
+    unsaved: bool,
 }
 
 impl Record {
@@ -90,8 +92,27 @@
     }
 
     fn is_refused(&self) -> bool {
-        usize::try_from(self.uncleared()).unwrap_or(usize::MAX) >= MAX_CRASHES
+        is_limit(self.uncleared())
     }
+
+    /// Returns true if the request is refused, or was until an answer cleared it.
+    fn was_refused(&self) -> bool {
+        is_limit(self.crashes)
+    }
+
+    fn report(&self, fingerprint: u64, now: Duration) -> CrashReport {
+        let ttl_ms = self.until.saturating_sub(now).as_millis();
+        CrashReport {
+            fingerprint,
+            crashes: self.crashes,
+            cleared: self.cleared,
+            ttl_ms: u64::try_from(ttl_ms).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+fn is_limit(crashes: u32) -> bool {
+    usize::try_from(crashes).unwrap_or(usize::MAX) >= MAX_CRASHES
 }
 
 /// The crashes of targets that this entry has seen or heard of.
@@ -125,6 +146,7 @@
         if let Some(record) = self.records.get_mut(&fingerprint)
             && record.uncleared() > 0
         {
+            record.unsaved |= record.was_refused();
             record.cleared = record.crashes;
             record.announced_until = now + ANNOUNCEMENT_TIME;
         }
@@ -166,6 +188,7 @@
         record.crashes = crashes;
         record.until = now + ttl;
         record.announced_until = now + ANNOUNCEMENT_TIME;
+        record.unsaved |= record.is_refused();
         Some(Crash { fingerprint, crashes: record.uncleared(), refused: record.is_refused() })
     }
 
@@ -208,9 +231,10 @@
         Some(Crash { fingerprint: report.fingerprint, crashes, refused: true })
     }
 
-    /// Makes heartbeats carry all requests that are refused, for an entry that has just started.
+    /// Makes heartbeats carry all requests that are or were refused, for an entry that has just
+    /// started. It may read from the store that a request is refused that was cleared since.
     pub fn announce_refused(&mut self, now: Duration) {
-        for record in self.records.values_mut().filter(|record| record.is_refused()) {
+        for record in self.records.values_mut().filter(|record| record.was_refused()) {
             record.announced_until = now + ANNOUNCEMENT_TIME;
         }
     }
@@ -231,13 +255,21 @@
             slots = slots.saturating_sub(list.len());
         }
         let selected = reports.into_iter().chain(others).take(MAX_REPORTS);
-        let report = |(fingerprint, record): (&u64, &Record)| CrashReport {
-            fingerprint: *fingerprint,
-            crashes: record.crashes,
-            cleared: record.cleared,
-            ttl_ms: u64::try_from(record.until.saturating_sub(now).as_millis()).unwrap_or(u64::MAX),
-        };
-        selected.map(report).collect()
+        selected.map(|(fingerprint, record)| record.report(*fingerprint, now)).collect()
+    }
+
+    /// Returns a record that this entry has to write to the store.
+    pub fn next_unsaved(&self, now: Duration) -> Option<CrashReport> {
+        let mut unsaved = self.records.iter().filter(|(_, record)| record.unsaved);
+        unsaved.next().map(|(fingerprint, record)| record.report(*fingerprint, now))
+    }
+
+    /// Records that a report was written to the store.
+    pub fn mark_saved(&mut self, report: &CrashReport) {
+        if let Some(record) = self.records.get_mut(&report.fingerprint) {
+            let current = (record.crashes, record.cleared) == (report.crashes, report.cleared);
+            record.unsaved &= !current;
+        }
     }
 
     /// Drops what has expired.
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Clock;
 use crate::daemon::{reload, signals};
+use crate::direct::crash_store;
 use crate::direct::entry::{Entry, Options};
 use crate::direct::fleet;
 use crate::direct::gossip::{self, Identity};
@@ -94,9 +95,10 @@
     });
     start_heartbeats(&sync, &settings, &clock).await?;
     serve(&entry, &sync, &settings, adapter, &registry).await?;
-    for collection in [Collection::Configuration, Collection::Targets] {
+    for collection in [Collection::Configuration, Collection::Targets, Collection::Crashes] {
         actix_rt::spawn(Rc::clone(&sync).follow(collection));
     }
+    actix_rt::spawn(crash_store::save(Rc::clone(&sync)));
     let ListenAddresses { callers, peers, .. } = settings.listen;
     events::log(
         events::PROCESS_STARTED,
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -90,6 +90,8 @@
     pub crashes: RefCell<CrashHistory>,
     /// Notified when another entry should hear of a crash at once.
     pub crashes_changed: Notify,
+    /// Notified when a record of crashes is to be written to the store.
+    pub crashes_unsaved: Notify,
     /// The probes of targets in progress, by target id.
     pub probes: RefCell<Map<String, Probe>>,
     service_loads: RefCell<Map<String, ServiceLoad>>,
@@ -115,6 +117,7 @@
             slots_changed: Notify::new(),
             crashes: RefCell::new(CrashHistory::new(options.crash_refusal)),
             crashes_changed: Notify::new(),
+            crashes_unsaved: Notify::new(),
             probes: RefCell::default(),
             service_loads: RefCell::default(),
             budgets: RefCell::default(),
@@ -222,6 +225,7 @@
         );
         self.metrics.crash(refused);
         self.crashes_changed.notify_one();
+        self.crashes_unsaved.notify_one();
     }
 
     /// Records the outcome of an attempt at a target, and logs an ejection that it causes.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod configuration;
 pub mod crash_history;
 pub mod crash_probe;
+pub mod crash_store;
 pub mod daemon;
 pub mod entry;
 pub mod event_stream;
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -38,6 +38,8 @@
     Configuration,
     /// The target list, with one item for each target.
     Targets,
+    /// The requests under which targets crashed, which entries write.
+    Crashes,
 }
 
 impl Collection {
@@ -46,6 +48,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::Targets => "targets",
+            Self::Crashes => "crashes",
         }
     }
 }
@@ -61,6 +64,17 @@
     pub revision: u64,
 }
 
+/// An item that an entry writes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SavedItem {
+    /// The key, without the prefix of the collection.
+    pub key: String,
+    /// The encoded value.
+    pub value: Bytes,
+    /// The time after which the store removes the item.
+    pub ttl: Duration,
+}
+
 /// One change of a collection.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -101,6 +115,8 @@
     pub list: Call<Collection, Listing>,
     /// Waits for changes of a collection after a revision, up to the given time.
     pub watch: Call<(Collection, u64, Duration), Changes>,
+    /// Writes an item, whatever its key held before. An error does not exclude that it is written.
+    pub save: Call<(Collection, SavedItem), ()>,
 }
 
 /// The decoders of stored values.
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -152,6 +152,9 @@
 /// The store has compacted the history that a watch needs; the collection is read again.
 pub const STORE_HISTORY_COMPACTED: LogEvent =
     LogEvent { number: 7032, severity: Severity::Info, title: "store history lost" };
+/// A record of crashes could not be written to the store; it is written again.
+pub const CRASH_NOT_SAVED: LogEvent =
+    LogEvent { number: 7033, severity: Severity::Warning, title: "crashes not saved" };
 /// The first heartbeat of an incarnation of another entry was received.
 pub const PEER_JOINED: LogEvent =
     LogEvent { number: 7040, severity: Severity::Info, title: "entry joined" };
@@ -256,6 +259,7 @@
     STORE_UNAVAILABLE,
     STORE_RECOVERED,
     STORE_HISTORY_COMPACTED,
+    CRASH_NOT_SAVED,
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -1,5 +1,5 @@
-//! A fake of the platform's configuration store: the range and watch calls that entries use, with
-//! outages and compaction on request.
+//! A fake of the platform's configuration store: the range, watch, lease and write calls that entries
+//! use, with outages and compaction on request.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -37,6 +37,8 @@
     compacted: u64,
     mode: Mode,
     calls: u64,
+    /// The leases granted, by id, with their times to live. They do not end.
+    leases: BTreeMap<u64, Duration>,
 }
 
 /// A fake store; clones share its state.
@@ -54,7 +56,9 @@
         server::start(listen, move |cfg| {
             cfg.app_data(data.clone())
                 .route("/v1/kv-range", web::get().to(range))
-                .route("/v1/kv-watch", web::get().to(watch));
+                .route("/v1/kv-watch", web::get().to(watch))
+                .route("/v1/kv-lease", web::post().to(grant_lease))
+                .route("/v1/kv-txn", web::post().to(write));
         })
     }
 
@@ -78,6 +82,13 @@
         });
     }
 
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.with(|state| {
+            state.entries.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+        })
+    }
+
     /// Sets how the store responds from now on; waiting watches end with 503 unless it is
     /// [`Mode::Up`].
     pub fn set_mode(&self, mode: Mode) {
@@ -172,6 +183,63 @@
     HttpResponse::Ok().json(json!({"events": [], "at": at}))
 }
 
+#[derive(Deserialize)]
+struct LeaseRequest {
+    #[serde(rename = "ttlMs")]
+    ttl_ms: u64,
+}
+
+async fn grant_lease(
+    store: web::Data<PlatformStore>,
+    request: web::Json<LeaseRequest>,
+) -> HttpResponse {
+    if let Some(response) = store.admit().await {
+        return response;
+    }
+    let ttl_ms = request.ttl_ms;
+    if !(1_000..=600_000).contains(&ttl_ms) {
+        return HttpResponse::BadRequest().finish();
+    }
+    let lease = store.with(|state| {
+        let lease = u64::try_from(state.leases.len()).unwrap_or(u64::MAX).saturating_add(1);
+        state.leases.insert(lease, Duration::from_millis(ttl_ms));
+        lease
+    });
+    HttpResponse::Ok().json(json!({"lease": lease, "ttlMs": ttl_ms}))
+}
+
+#[derive(Deserialize)]
+struct WriteRequest {
+    puts: Vec<PutRequest>,
+}
+
+#[derive(Deserialize)]
+struct PutRequest {
+    key: String,
+    value: String,
+    lease: u64,
+}
+
+/// Writes items without preconditions. The keys of the operator and of servers are refused.
+async fn write(store: web::Data<PlatformStore>, request: web::Json<WriteRequest>) -> HttpResponse {
+    if let Some(response) = store.admit().await {
+        return response;
+    }
+    for put in &request.puts {
+        if put.key.starts_with("op/") || put.key.starts_with("servers/") {
+            return HttpResponse::Forbidden().finish();
+        }
+        if store.with(|state| put.lease != 0 && !state.leases.contains_key(&put.lease)) {
+            return HttpResponse::NotFound().finish();
+        }
+        match STANDARD.decode(&put.value) {
+            Ok(value) => store.put(&put.key, value),
+            Err(_) => return HttpResponse::BadRequest().finish(),
+        }
+    }
+    HttpResponse::Ok().json(json!({"revision": store.with(|state| state.revision)}))
+}
+
 fn events(state: &State, query: &WatchQuery) -> Vec<Value> {
     let changes = state.changes.iter();
     let matching =
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -8,6 +8,8 @@
 mod connections;
 #[path = "direct/crash_history.rs"]
 mod crash_history;
+#[path = "direct/crash_store.rs"]
+mod crash_store;
 #[path = "direct/experts.rs"]
 mod experts;
 #[path = "direct/lookups.rs"]
