Bound what a crash report costs a large fleet, and the time of a refusal

An entry that hears that a request is refused sent a heartbeat to all entries at once: in a fleet of n that is n times n datagrams for one request. The entry that saw the crash does so already; the others now repeat it on their regular heartbeats only. The task that writes records woke with each answered request; it wakes now only where an answer changes a record that the store holds. The counter of crashes left out what others report. A refusal lasts ten minutes at most, as long as the store keeps a lease.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -164,9 +164,7 @@
     pub fn record_target_answered(&mut self, executed: Executed) {
         self.dispatch = None;
         if executed == Executed::Yes {
-            let now = self.entry.now();
-            self.entry.crashes.borrow_mut().record_answered(self.fingerprint, now);
-            self.entry.crashes_unsaved.notify_one();
+            self.entry.record_answered(self.fingerprint);
         }
     }
 
--- a/src/direct/crash_history.rs
+++ b/src/direct/crash_history.rs
@@ -14,6 +14,7 @@
 //! See docs/PLATFORM.md.
 
 use std::collections::VecDeque;
+use std::mem;
 use std::time::Duration;
 
 use crate::collections::Map;
@@ -141,14 +142,17 @@
         Dispatch { target: target.to_owned(), fingerprint, known_crashes, at: now }
     }
 
-    /// Clears a request of all crashes known so far, since a target answered it completely.
-    pub fn record_answered(&mut self, fingerprint: u64, now: Duration) {
-        if let Some(record) = self.records.get_mut(&fingerprint)
-            && record.uncleared() > 0
-        {
-            record.unsaved |= record.was_refused();
-            record.cleared = record.crashes;
-            record.announced_until = now + ANNOUNCEMENT_TIME;
+    /// Clears a request of all crashes known so far, since a target answered it completely. Returns
+    /// true if the record is to be written to the store.
+    pub fn record_answered(&mut self, fingerprint: u64, now: Duration) -> bool {
+        match self.records.get_mut(&fingerprint) {
+            Some(record) if record.uncleared() > 0 => {
+                record.unsaved |= record.was_refused();
+                record.cleared = record.crashes;
+                record.announced_until = now + ANNOUNCEMENT_TIME;
+                record.unsaved
+            }
+            Some(_) | None => false,
         }
     }
 
@@ -171,7 +175,7 @@
     pub fn record_target_ended(&mut self, target: &str, now: Duration) -> Vec<Crash> {
         self.ended_targets.insert(target.to_owned(), now);
         let (lost, others): (VecDeque<_>, VecDeque<_>) =
-            std::mem::take(&mut self.unanswered).into_iter().partition(|(d, _)| d.target == target);
+            mem::take(&mut self.unanswered).into_iter().partition(|(d, _)| d.target == target);
         self.unanswered = others;
         let lost = lost.into_iter().filter(|(_, ended)| is_recent(*ended, now));
         lost.filter_map(|(dispatch, _)| self.add_crash(&dispatch, now)).collect()
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -189,7 +189,7 @@
         let target = dispatch.target.clone();
         let crash = self.crashes.borrow_mut().record_unanswered(dispatch, self.now());
         if let Some(crash) = crash {
-            self.publish_crash(crash, format_args!("target={target}"));
+            self.publish_crash(crash, &target);
         }
     }
 
@@ -201,29 +201,31 @@
         }
         let crashes = self.crashes.borrow_mut().record_target_ended(target, self.now());
         for crash in crashes {
-            self.publish_crash(crash, format_args!("target={target}"));
+            self.publish_crash(crash, target);
         }
     }
 
-    /// Adds the records of crashes that another entry sent.
+    /// Records that a target answered a request completely.
+    pub fn record_answered(&self, fingerprint: u64) {
+        if self.crashes.borrow_mut().record_answered(fingerprint, self.now()) {
+            self.crashes_unsaved.notify_one();
+        }
+    }
+
+    /// Adds the records of crashes that another entry sent. Only the regular heartbeats pass them
+    /// on, since the entry that saw a crash sends it to all others at once.
     pub fn merge_crashes(&self, reports: &[CrashReport], from: &str) {
         for report in reports {
             let refused = self.crashes.borrow_mut().merge(report, self.now());
             if let Some(crash) = refused {
-                self.publish_crash(crash, format_args!("from={from}"));
+                log_crash(crash, format_args!("from={from}"));
             }
         }
     }
 
-    fn publish_crash(&self, crash: Crash, source: fmt::Arguments<'_>) {
-        let Crash { fingerprint, crashes, refused } = crash;
-        events::log(
-            events::TARGET_CRASHED,
-            format_args!(
-                "{source} fingerprint={fingerprint:016x} crashes={crashes} refused={refused}"
-            ),
-        );
-        self.metrics.crash(refused);
+    fn publish_crash(&self, crash: Crash, target: &str) {
+        log_crash(crash, format_args!("target={target}"));
+        self.metrics.crash(crash.refused);
         self.crashes_changed.notify_one();
         self.crashes_unsaved.notify_one();
     }
@@ -244,6 +246,14 @@
     }
 }
 
+fn log_crash(crash: Crash, source: fmt::Arguments<'_>) {
+    let Crash { fingerprint, crashes, refused } = crash;
+    events::log(
+        events::TARGET_CRASHED,
+        format_args!("{source} fingerprint={fingerprint:016x} crashes={crashes} refused={refused}"),
+    );
+}
+
 /// A slot at a target that one request occupies until this is dropped.
 pub struct Slot {
     entry: Rc<Entry>,
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -91,7 +91,7 @@
             )?,
             crashes: counters(
                 "bitternwall_direct_crashes_total",
-                "Crashes of targets under a request, by whether the request is refused since.",
+                "Crashes of targets under a request of this entry, by whether it is refused since.",
                 &["refused"],
             )?,
             refused_requests: gauge(
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -189,7 +189,7 @@
         })
         .or_else(|| {
             let refusal = settings.crash_refusal_ms;
-            common::check_range("crash_refusal_ms", refusal, 1_000..=86_400_000)
+            common::check_range("crash_refusal_ms", refusal, 1_000..=600_000)
         })
         .or_else(|| {
             let timeout = settings.store.call_timeout_ms;
