--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -1,11 +1,12 @@
 //! A fake of the platform's configuration store: the range, watch, lease and write calls that entries
-//! use, with outages and compaction on request.
+//! use, with outages, compaction and a return from an older copy on request.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{HttpResponse, web};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -14,6 +15,9 @@
 
 use crate::{Running, server};
 
+/// The header that tells how many times the store came back from an older copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Interval at which a waiting watch polls for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -29,8 +33,10 @@
     Silent,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    /// How many times the store came back from an older copy.
+    era: u64,
     revision: u64,
     entries: BTreeMap<String, (Vec<u8>, u64)>,
     changes: Vec<(u64, String, Option<Vec<u8>>)>,
@@ -41,6 +47,9 @@
     leases: BTreeMap<u64, Duration>,
 }
 
+/// A copy of the store's content at one moment.
+pub struct Copy(State);
+
 /// A fake store; clones share its state.
 #[derive(Clone, Default)]
 pub struct PlatformStore(Arc<Mutex<State>>);
@@ -82,6 +91,27 @@
         });
     }
 
+    /// Returns a copy of the content, for [`PlatformStore::restore`].
+    pub fn copy(&self) -> Copy {
+        Copy(self.with(|state| state.clone()))
+    }
+
+    /// Goes back to an older copy, in a new era: later writes and their history are gone, their
+    /// revisions are given out again, and a watch from one of them gets 410.
+    pub fn restore(&self, copy: &Copy) {
+        self.with(|state| {
+            let (era, mode, calls) = (state.era + 1, state.mode, state.calls);
+            *state = State { era, mode, calls, ..copy.0.clone() };
+        });
+    }
+
+    /// Adds the header that all answers of the store carry.
+    fn stamp(&self, mut response: HttpResponse) -> HttpResponse {
+        let era = HeaderValue::from(self.with(|state| state.era));
+        response.headers_mut().insert(STORE_ERA, era);
+        response
+    }
+
     /// Returns the keys with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.with(|state| {
@@ -148,6 +178,11 @@
 }
 
 async fn range(store: web::Data<PlatformStore>, query: web::Query<RangeQuery>) -> HttpResponse {
+    let response = read_range(&store, &query).await;
+    store.stamp(response)
+}
+
+async fn read_range(store: &PlatformStore, query: &RangeQuery) -> HttpResponse {
     if let Some(response) = store.admit().await {
         return response;
     }
@@ -161,19 +196,25 @@
 }
 
 async fn watch(store: web::Data<PlatformStore>, query: web::Query<WatchQuery>) -> HttpResponse {
+    let response = wait_for_changes(&store, &query).await;
+    store.stamp(response)
+}
+
+async fn wait_for_changes(store: &PlatformStore, query: &WatchQuery) -> HttpResponse {
     if let Some(response) = store.admit().await {
         return response;
     }
     let polls = Duration::from_millis(query.wait_ms).as_millis() / WATCH_POLL_INTERVAL.as_millis();
     for _ in 0..=polls {
-        let (mode, compacted) = store.with(|state| (state.mode, state.compacted));
+        let (mode, compacted, revision) =
+            store.with(|state| (state.mode, state.compacted, state.revision));
         if mode != Mode::Up {
             return HttpResponse::ServiceUnavailable().finish();
         }
-        if query.after < compacted {
+        if query.after < compacted || query.after > revision {
             return HttpResponse::Gone().finish();
         }
-        let (events, at) = store.with(|state| (events(state, &query), state.revision));
+        let (events, at) = store.with(|state| (events(state, query), state.revision));
         if !events.is_empty() {
             return HttpResponse::Ok().json(json!({"events": events, "at": at}));
         }
@@ -193,10 +234,14 @@
     store: web::Data<PlatformStore>,
     request: web::Json<LeaseRequest>,
 ) -> HttpResponse {
+    let response = add_lease(&store, request.ttl_ms).await;
+    store.stamp(response)
+}
+
+async fn add_lease(store: &PlatformStore, ttl_ms: u64) -> HttpResponse {
     if let Some(response) = store.admit().await {
         return response;
     }
-    let ttl_ms = request.ttl_ms;
     if !(1_000..=600_000).contains(&ttl_ms) {
         return HttpResponse::BadRequest().finish();
     }
@@ -222,6 +267,11 @@
 
 /// Writes items without preconditions. The keys of the operator and of servers are refused.
 async fn write(store: web::Data<PlatformStore>, request: web::Json<WriteRequest>) -> HttpResponse {
+    let response = write_items(&store, &request).await;
+    store.stamp(response)
+}
+
+async fn write_items(store: &PlatformStore, request: &WriteRequest) -> HttpResponse {
     if let Some(response) = store.admit().await {
         return response;
     }
