Entries read the records of crashing requests once, not by a watch of their own

Cause: the records were a third collection that is followed. An entry that has just started hears of no other one and so counts as a reader; after a kill of many entries each of them listed and watched it.

Change: each entry reads the records once, when it starts, and heartbeats bring what happens later. The other two collections are followed as before.

Why it works: the store's copy serves only an entry that knows nothing yet.

--- a/src/direct/crash_store.rs
+++ b/src/direct/crash_store.rs
@@ -2,7 +2,8 @@
 //! all entries were killed at once.
 //!
 //! Only an entry whose own attempt raised a record to a refusal, or cleared such a record, writes
-//! it. Such writes are rare, and each one is repeated until the store accepts it.
+//! it. Such writes are rare, and each one is repeated until the store accepts it. An entry reads the
+//! records once, when it starts; while it runs, heartbeats bring them.
 
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -11,11 +12,14 @@
 use tokio::time;
 
 use crate::direct::crash_history::CrashReport;
-use crate::direct::store::{Collection, Item, SavedItem, UnreadableValue};
+use crate::direct::store::{Item, SavedItem, UnreadableValue};
 use crate::direct::sync::StateSync;
 use crate::telemetry::events;
 
-/// Pause before a record that could not be written is written again.
+/// The name of the records in logs and metrics.
+const COLLECTION: &str = "crashes";
+
+/// Pause before records that could not be read or written are read or written again.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// The value of a record in the store; its key is the fingerprint in hexadecimal digits.
@@ -59,6 +63,24 @@
     Ok(CrashReport { fingerprint, crashes, cleared, ttl_ms })
 }
 
+/// Adds the records that the store holds to those of the entry, once the store answers.
+pub async fn load(sync: Rc<StateSync>) {
+    let entry = &sync.entry;
+    loop {
+        match (sync.store.list_crashes)(()).await {
+            Ok(items) => {
+                items.iter().for_each(|item| apply(&sync, item));
+                return;
+            }
+            Err(error) => {
+                entry.metrics.store_failed(COLLECTION);
+                events::log(events::CRASHES_NOT_READ, format_args!("cause=\"{error}\""));
+                retry_delay(&sync).await;
+            }
+        }
+    }
+}
+
 /// Writes records to the store until the process ends.
 pub async fn save(sync: Rc<StateSync>) {
     let entry = &sync.entry;
@@ -66,21 +88,25 @@
         entry.crashes_unsaved.notified().await;
         while let Some(report) = next_unsaved(&sync) {
             let item = encode(&report, entry.clock.wall());
-            match (sync.store.save)((Collection::Crashes, item)).await {
+            match (sync.store.save_crash)(item).await {
                 Ok(()) => entry.crashes.borrow_mut().mark_saved(&report),
                 Err(error) => {
-                    entry.metrics.store_failed(Collection::Crashes.name());
+                    entry.metrics.store_failed(COLLECTION);
                     events::log(
                         events::CRASH_NOT_SAVED,
                         format_args!("fingerprint={:016x} cause=\"{error}\"", report.fingerprint),
                     );
-                    time::sleep(RETRY_DELAY.mul_f64(0.75 + 0.5 * entry.random_fraction())).await;
+                    retry_delay(&sync).await;
                 }
             }
         }
     }
 }
 
+async fn retry_delay(sync: &StateSync) {
+    time::sleep(RETRY_DELAY.mul_f64(0.75 + 0.5 * sync.entry.random_fraction())).await;
+}
+
 fn next_unsaved(sync: &StateSync) -> Option<CrashReport> {
     let entry = &sync.entry;
     entry.crashes.borrow().next_unsaved(entry.now())
@@ -91,14 +117,13 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Adds a record that was read from the store to those of the entry.
-pub fn apply(sync: &StateSync, item: &Item) {
+fn apply(sync: &StateSync, item: &Item) {
     let entry = &sync.entry;
     match decode(item, entry.clock.wall()) {
         Ok(report) => entry.merge_crashes(&[report], "store"),
         Err(error) => events::log(
             events::VALUE_UNREADABLE,
-            format_args!("collection=crashes key={:?} cause=\"{error}\"", item.key),
+            format_args!("collection={COLLECTION} key={:?} cause=\"{error}\"", item.key),
         ),
     }
 }
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -95,9 +95,10 @@
     });
     start_heartbeats(&sync, &settings, &clock).await?;
     serve(&entry, &sync, &settings, adapter, &registry).await?;
-    for collection in [Collection::Configuration, Collection::Targets, Collection::Crashes] {
+    for collection in [Collection::Configuration, Collection::Targets] {
         actix_rt::spawn(Rc::clone(&sync).follow(collection));
     }
+    actix_rt::spawn(crash_store::load(Rc::clone(&sync)));
     actix_rt::spawn(crash_store::save(Rc::clone(&sync)));
     let ListenAddresses { callers, peers, .. } = settings.listen;
     events::log(
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -38,8 +38,6 @@
     Configuration,
     /// The target list, with one item for each target.
     Targets,
-    /// The requests under which targets crashed, which entries write.
-    Crashes,
 }
 
 impl Collection {
@@ -48,7 +46,6 @@
         match self {
             Self::Configuration => "configuration",
             Self::Targets => "targets",
-            Self::Crashes => "crashes",
         }
     }
 }
@@ -67,7 +64,7 @@
 /// An item that an entry writes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SavedItem {
-    /// The key, without the prefix of the collection.
+    /// The key, without the prefix of all keys of its kind.
     pub key: String,
     /// The encoded value.
     pub value: Bytes,
@@ -115,8 +112,11 @@
     pub list: Call<Collection, Listing>,
     /// Waits for changes of a collection after a revision, up to the given time.
     pub watch: Call<(Collection, u64, Duration), Changes>,
-    /// Writes an item, whatever its key held before. An error does not exclude that it is written.
-    pub save: Call<(Collection, SavedItem), ()>,
+    /// Reads the records of the requests under which targets crashed.
+    pub list_crashes: Call<(), Vec<Item>>,
+    /// Writes such a record, whatever its key held before. An error does not exclude that it is
+    /// written.
+    pub save_crash: Call<SavedItem, ()>,
 }
 
 /// The decoders of stored values.
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -14,7 +14,6 @@
 
 use crate::collections::Set;
 use crate::direct::cluster_state::TargetRecord;
-use crate::direct::crash_store;
 use crate::direct::entry::Entry;
 use crate::direct::pending_removals::{PendingRemovals, Removal};
 use crate::direct::store::{Change, Changes, Collection, Formats, Item, Store, StoreError};
@@ -160,7 +159,6 @@
                 records.extend(self.deferred(&records, at));
                 self.replace_targets(records, at, "store");
             }
-            Collection::Crashes => items.iter().for_each(|item| crash_store::apply(self, item)),
         }
     }
 
@@ -177,9 +175,7 @@
                 (Collection::Targets, Change::Removed { key, revision }) => {
                     self.remove_target(&key, revision);
                 }
-                (Collection::Crashes, Change::Put(item)) => crash_store::apply(self, &item),
-                // Records of crashes expire by themselves.
-                (Collection::Configuration | Collection::Crashes, Change::Removed { .. }) => {}
+                (Collection::Configuration, Change::Removed { .. }) => {}
             }
         }
         if collection == Collection::Targets {
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -155,6 +155,9 @@
 /// A record of crashes could not be written to the store; it is written again.
 pub const CRASH_NOT_SAVED: LogEvent =
     LogEvent { number: 7033, severity: Severity::Warning, title: "crashes not saved" };
+/// The records of crashes could not be read from the store; they are read again.
+pub const CRASHES_NOT_READ: LogEvent =
+    LogEvent { number: 7034, severity: Severity::Warning, title: "crashes not read" };
 /// The first heartbeat of an incarnation of another entry was received.
 pub const PEER_JOINED: LogEvent =
     LogEvent { number: 7040, severity: Severity::Info, title: "entry joined" };
@@ -260,6 +263,7 @@
     STORE_RECOVERED,
     STORE_HISTORY_COMPACTED,
     CRASH_NOT_SAVED,
+    CRASHES_NOT_READ,
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
