Probe the ports of test processes without a socket that others inherit

No logs were kept.

Cause: free_addresses() found out whether a port is free by listening on it. A process that another thread starts meanwhile inherits the listening socket until it runs its program. An agent that starts in that time finds its port in use and ends, and its fleet never gets ready.

Change: the port is only bound, with the option that lets another socket listen there. The platform's tests, which also probe UDP ports, hold a lock while they probe and while they start processes. A fleet that does not get ready in time fails with the last log line of each daemon.

--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -181,6 +181,18 @@
         self.entries[index].process.address
     }
 
+    /// Returns the last line of each daemon's log, to explain why the fleet does not get ready.
+    pub fn last_log_lines(&self) -> Vec<String> {
+        let agents = self.targets.iter().map(|target| &target.settings);
+        let settings = self.entries.iter().map(|entry| &entry.settings).chain(agents);
+        let last_line = |settings: &PathBuf| {
+            let log = settings.with_extension("log");
+            let text = fs::read_to_string(&log).unwrap_or_else(|error| error.to_string());
+            format!("{}: {}", log.display(), text.lines().last().unwrap_or_default())
+        };
+        settings.map(last_line).collect()
+    }
+
     /// Returns the resources that the operator of this fleet declares.
     pub fn documents(&self) -> Vec<Value> {
         documents::all(&self.targets)
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -1,13 +1,15 @@
 //! A process of a test fleet, which is signalled by its process id.
 
 use std::io::{BufRead as _, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use std::{env, fs, io, result, thread};
 
+use tokio::net::TcpSocket;
+
 /// The result of driving a process.
 pub type Result<T> = result::Result<T, ProcessError>;
 
@@ -193,13 +195,22 @@
 pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
     let candidates = (0..PORT_COUNT).map(|_| next_candidate());
     let free: Vec<SocketAddr> =
-        candidates.filter(|address| TcpListener::bind(address).is_ok()).take(count).collect();
+        candidates.filter(|address| can_bind(*address).is_ok()).take(count).collect();
     if free.len() < count {
         return Err(ProcessError::NoPort { wanted: count, free: free.len() });
     }
     Ok(free)
 }
 
+/// Checks that no process listens on an address, without listening there. A process that another
+/// thread starts meanwhile inherits the socket until it runs its program, and a socket that listens
+/// would occupy the port for that time.
+fn can_bind(address: SocketAddr) -> io::Result<()> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)
+}
+
 /// Returns the next address to try. Each process starts at another port, so that concurrent tests
 /// rarely collide.
 fn next_candidate() -> SocketAddr {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,11 +103,19 @@
 /// Waits until an entry counts every target as taking work.
 pub async fn wait_for_targets(fleet: &Fleet, admin: SocketAddr) {
     let line = format!("bitternwall_entry_targets_taking_work {}", fleet.targets.len());
-    wait_for("every target to take work", async || {
+    let start = Instant::now();
+    loop {
         let answer = Call::get(admin, "/metrics").send().await;
-        answer.is_some_and(|answer| String::from_utf8_lossy(&answer.body).contains(&line))
-    })
-    .await;
+        if answer.is_some_and(|answer| String::from_utf8_lossy(&answer.body).contains(&line)) {
+            return;
+        }
+        assert!(
+            start.elapsed() < READY_TIMEOUT,
+            "timed out waiting for every target to take work; last log lines: {:#?}",
+            fleet.last_log_lines()
+        );
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
 }
 
 async fn wait_until_serving(fleet: &Fleet, entry: SocketAddr) {
