Entries follow the store into a new era when it returns from an older copy

What callers saw: after the store came back from a copy some seconds old, entries kept the target list of before until revisions had passed it. New targets got no requests and draining ones went on getting them.

Cause: revisions were taken as growing for ever. A list at a lower revision was ignored as late, and a watch from a revision that the store had reached again missed what it replaced.

Change: a position is the pair of era and revision, ordered by era first. The adapter reads the era from each answer; entries tell it on heartbeats and replace their list by that of the later era. Targets that the copy lists although they were leaving or gone are withheld until they write again, for ten seconds at most; targets that it does not list have the time of an outage to register. Records of crashing requests are written again by the entry that wrote them. A missing or broken era, once the store has stated one, is an error that changes nothing.

--- a/src/direct/cluster_state.rs
+++ b/src/direct/cluster_state.rs
@@ -1,8 +1,11 @@
 //! The configuration and the target list that an entry replicates, from the store or from a peer.
 //!
 //! Both parts only move forward: the configuration by its version, the target list by the
-//! store's revision. So neither a late answer nor a peer that lags behind brings back an older
-//! state.
+//! position in the store's history. So neither a late answer nor a peer that lags behind brings back
+//! an older state.
+//!
+//! When the store comes back from an older copy, the list is replaced by that of the copy, which may
+//! name targets that have drained or ended since. See docs/STORE_ERAS.md.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,12 +14,14 @@
 
 use crate::collections::Map;
 use crate::direct::configuration::Configuration;
+use crate::direct::store::Position;
 use crate::direct::targets::Target;
 
 /// One record of the target list, as stored.
 #[derive(Clone, Debug)]
 pub struct TargetRecord {
-    /// The store's revision of the record's last write.
+    /// The store's revision of the record's last write, in the era of the list; 0 for a record that
+    /// is kept from an earlier era.
     pub revision: u64,
     /// The undecoded value, which peers are sent.
     pub raw: Bytes,
@@ -25,13 +30,21 @@
 }
 
 /// How recent the cluster state of an entry is. A peer sends it to ask for what is newer.
-#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
-#[serde(default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct KnownVersions {
     /// The version of its configuration; 0 without one.
     pub version: u64,
-    /// The store's revision of its target list; 0 without one.
-    pub targets_at: u64,
+    /// The position of its target list; the lowest one without a list.
+    pub targets_at: Position,
+}
+
+/// A record that was removed from the target list.
+#[derive(Clone, Copy, Debug, Default)]
+struct RemovedRecord {
+    /// The store's revision of the removal.
+    revision: u64,
+    /// When the target's process started, as Unix time in milliseconds, if it states that.
+    started_unix_ms: Option<u64>,
 }
 
 /// The newest configuration and the newest target list that this entry has received.
@@ -40,9 +53,12 @@
     /// The decoded configuration and its stored form.
     configuration: Option<(Arc<Configuration>, Bytes)>,
     records: Map<String, TargetRecord>,
-    list_revision: Option<u64>,
-    /// The revisions of recent removals by key.
-    removed_at: Map<String, u64>,
+    list_position: Option<Position>,
+    /// Recent removals by key.
+    removed: Map<String, RemovedRecord>,
+    /// The records, by key with their revision, that the store's copy brought back although their
+    /// targets were known to be leaving or gone. They name no target.
+    withheld: Map<String, u64>,
 }
 
 /// Removed records whose revisions are remembered, so that an older write does not restore them.
@@ -64,7 +80,7 @@
         self.configuration().map_or(0, |configuration| configuration.version)
     }
 
-    /// Returns the version of the configuration and the revision of the target list.
+    /// Returns the version of the configuration and the position of the target list.
     pub fn known(&self) -> KnownVersions {
         KnownVersions { version: self.version(), targets_at: self.targets_at() }
     }
@@ -80,40 +96,78 @@
 
     /// Returns true once a target list was received, even an empty one.
     pub fn has_targets(&self) -> bool {
-        self.list_revision.is_some()
+        self.list_position.is_some()
     }
 
-    /// Returns the store's revision of the target list; 0 without one.
-    pub fn targets_at(&self) -> u64 {
-        self.list_revision.unwrap_or(0)
+    /// Returns the position of the target list; the lowest one without a list.
+    pub fn targets_at(&self) -> Position {
+        self.list_position.unwrap_or_default()
     }
 
-    /// Replaces the target list by a complete one read at revision `at`, unless that is older.
-    /// Returns true if it was replaced.
-    pub fn replace_targets(&mut self, records: Vec<(String, TargetRecord)>, at: u64) -> bool {
-        if self.list_revision.is_some_and(|known| at < known) {
+    /// Replaces the target list by a complete one read at a position, unless that is older. Returns
+    /// true if it was replaced.
+    pub fn replace_targets(&mut self, records: Vec<(String, TargetRecord)>, at: Position) -> bool {
+        if self.list_position.is_some_and(|known| at < known) {
             return false;
         }
         let newer: Map<String, TargetRecord> = records.into_iter().collect();
+        if self.list_position.is_some_and(|known| known.era < at.era) {
+            self.withheld = self.outdated_records(&newer);
+            self.removed.clear();
+        }
         let missing: Vec<String> =
             self.records.keys().filter(|key| !newer.contains_key(*key)).cloned().collect();
         for key in missing {
-            self.record_removal(key, at);
+            self.record_removal(key, at.revision);
         }
         self.records = newer;
-        self.list_revision = Some(at);
+        self.list_position = Some(at);
         true
     }
 
+    /// Returns the records of a list of a later era whose targets are known to be leaving or gone,
+    /// though the list does not say so.
+    fn outdated_records(&self, newer: &Map<String, TargetRecord>) -> Map<String, u64> {
+        let outdated = newer.iter().filter(|(key, record)| {
+            let Some(target) = &record.target else { return false };
+            let started = target.started_unix_ms;
+            let known = self.records.get(*key).and_then(|known| known.target.as_ref());
+            let left = known.is_some_and(|known| {
+                let leaving = known.leaving || self.is_withheld(key);
+                leaving && !target.leaving && known.started_unix_ms == started
+            });
+            left || self.removed.get(*key).is_some_and(|gone| gone.started_unix_ms == started)
+        });
+        outdated.map(|(key, record)| (key.clone(), record.revision)).collect()
+    }
+
+    fn is_withheld(&self, key: &str) -> bool {
+        let revision = self.records.get(key).map(|record| record.revision);
+        revision.is_some() && revision <= self.withheld.get(key).copied()
+    }
+
+    /// Returns the number of records that name no target, since it was leaving or gone when the
+    /// store came back from an older copy.
+    pub fn withheld_count(&self) -> usize {
+        self.records.keys().filter(|key| self.is_withheld(key)).count()
+    }
+
+    /// Lets all records name their targets. Returns true if some did not.
+    pub fn release_withheld(&mut self) -> bool {
+        let released = self.withheld_count() > 0;
+        self.withheld.clear();
+        released
+    }
+
     /// Adds or updates one record. Returns false if a write or removal at the same or a later
     /// revision is known already.
     pub fn put_target(&mut self, key: String, record: TargetRecord) -> bool {
         let known = self.records.get(&key).map(|old| old.revision);
-        let newest = known.max(self.removed_at.get(&key).copied());
+        let newest = known.max(self.removed.get(&key).map(|removed| removed.revision));
         if newest.is_some_and(|newest| newest >= record.revision) {
             return false;
         }
-        self.removed_at.remove(&key);
+        self.removed.remove(&key);
         self.records.insert(key, record);
         true
     }
@@ -129,20 +183,25 @@
     }
 
     fn record_removal(&mut self, key: String, revision: u64) {
-        if self.removed_at.len() >= MAX_REMEMBERED_REMOVALS
-            && let Some(oldest) = self.removed_at.iter().min_by_key(|(_, at)| **at)
+        if self.removed.len() >= MAX_REMEMBERED_REMOVALS
+            && let Some(oldest) = self.removed.iter().min_by_key(|(_, removed)| removed.revision)
         {
             let oldest = oldest.0.clone();
-            self.removed_at.remove(&oldest);
+            self.removed.remove(&oldest);
+        }
+        let target = self.records.get(&key).and_then(|record| record.target.as_ref());
+        let started_unix_ms = target.and_then(|target| target.started_unix_ms);
+        let removed = self.removed.entry(key).or_default();
+        if target.is_some() {
+            removed.started_unix_ms = started_unix_ms;
         }
-        let at = self.removed_at.entry(key).or_default();
-        *at = revision.max(*at);
+        removed.revision = revision.max(removed.revision);
     }
 
     /// Advances the revision of the target list after changes of single records.
-    pub fn advance_targets(&mut self, at: u64) {
-        if let Some(known) = self.list_revision {
-            self.list_revision = Some(known.max(at));
+    pub fn advance_targets(&mut self, revision: u64) {
+        if let Some(known) = &mut self.list_position {
+            known.revision = known.revision.max(revision);
         }
     }
 
@@ -160,8 +219,10 @@
     /// returned: the record of an incarnation that has ended stays on the list for a while.
     pub fn targets(&self) -> Vec<Target> {
         let mut newest: Map<SocketAddr, (u64, &Target)> = Map::default();
-        for record in self.records.values() {
-            let Some(target) = &record.target else { continue };
+        for (key, record) in &self.records {
+            let Some(target) = record.target.as_ref().filter(|_| !self.is_withheld(key)) else {
+                continue;
+            };
             let known = newest.get(&target.addr);
             if known.is_none_or(|(revision, _)| *revision < record.revision) {
                 newest.insert(target.addr, (record.revision, target));
--- a/src/direct/crash_history.rs
+++ b/src/direct/crash_history.rs
@@ -85,6 +85,8 @@
     announced_until: Duration,
     /// True if this entry changed the record and has not written it to the store since.
     unsaved: bool,
+    /// True if this entry has written the record to the store.
+    saved: bool,
 }
 
 impl Record {
@@ -273,9 +275,17 @@
         if let Some(record) = self.records.get_mut(&report.fingerprint) {
             let current = (record.crashes, record.cleared) == (report.crashes, report.cleared);
             record.unsaved &= !current;
+            record.saved = true;
         }
     }
 
+    /// Records that the store came back from an older copy: what this entry has written there may be
+    /// gone. Returns the number of records that it has to write again.
+    pub fn record_store_returned(&mut self) -> usize {
+        let saved = self.records.values_mut().filter(|record| record.saved);
+        saved.map(|record| record.unsaved = true).count()
+    }
+
     /// Drops what has expired.
     pub fn expire(&mut self, now: Duration) {
         self.records.retain(|_, record| record.until > now);
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -1,6 +1,7 @@
 //! Runs an entry on the direct path: cluster state, heartbeats, HTTP servers, reload of the
 //! settings and graceful stop.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -91,6 +92,7 @@
         changed: Rc::new(Notify::new()),
         outdated: Rc::new(Notify::new()),
         pending_removals: PendingRemovals::default(),
+        withheld_until: Cell::default(),
         transfers: Arc::new(Semaphore::new(gossip::MAX_TRANSFERS)),
     });
     start_heartbeats(&sync, &settings, &clock).await?;
@@ -209,6 +211,7 @@
     let entry = &sync.entry;
     let now = entry.now();
     sync.apply_due_removals();
+    sync.release_withheld();
     entry.crashes.borrow_mut().expire(now);
     entry.metrics.refused_requests(entry.crashes.borrow().refused_count());
     entry.peers.borrow_mut().count(sync.heartbeat_interval, now);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -20,7 +20,7 @@
 use crate::direct::http::Codecs;
 use crate::direct::internal::{self, ExchangeError, InternalRequest};
 use crate::direct::peers::{self, Heartbeat, Load, RankNotice};
-use crate::direct::store::Item;
+use crate::direct::store::{Item, Position};
 use crate::direct::sync::StateSync;
 use crate::telemetry::events;
 
@@ -62,6 +62,18 @@
     /// The store's revision of the list; 0 where the requester's list is as new.
     #[prost(uint64, tag = "3")]
     targets_at: u64,
+    /// The store's era of the list.
+    #[prost(uint64, tag = "4")]
+    targets_era: u64,
+}
+
+/// The query of a request for the cluster state: what the requester knows.
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
+#[serde(default)]
+struct StateQuery {
+    version: u64,
+    targets_era: u64,
+    targets_at: u64,
 }
 
 /// One record of the target list.
@@ -138,7 +150,8 @@
         data_centre: entry.options.data_centre.clone(),
         ready: entry.is_ready(),
         version: state.version(),
-        targets_at: state.targets_at(),
+        targets_era: state.targets_at().era,
+        targets_at: state.targets_at().revision,
         reads_store: entry.store_answers.get(),
         loads: local_loads,
         known_peers,
@@ -180,7 +193,7 @@
     }
     let name = heartbeat.name.clone();
     entry.merge_crashes(&mem::take(&mut heartbeat.crashes), &name);
-    let (version, targets_at) = (heartbeat.version, heartbeat.targets_at);
+    let KnownVersions { version, targets_at } = heartbeat.known();
     let update = entry.peers.borrow_mut().record_heartbeat(heartbeat, from, now);
     if update.joined {
         events::log(
@@ -268,7 +281,8 @@
 /// Returns the URI of the state that is newer than the known one, or of the complete state if that
 /// URI is invalid.
 fn state_uri(known: KnownVersions) -> Uri {
-    let uri = format!("{STATE_PATH}?version={}&targets_at={}", known.version, known.targets_at);
+    let KnownVersions { version, targets_at: Position { era, revision } } = known;
+    let uri = format!("{STATE_PATH}?version={version}&targets_era={era}&targets_at={revision}");
     uri.parse().unwrap_or(Uri::from_static(STATE_PATH))
 }
 
@@ -276,14 +290,15 @@
     if !state.configuration.is_empty() {
         sync.apply_configuration(&state.configuration, source);
     }
-    if state.targets_at > sync.entry.cluster_state.borrow().targets_at() {
+    let targets_at = Position { era: state.targets_era, revision: state.targets_at };
+    if targets_at > sync.entry.cluster_state.borrow().targets_at() {
         let records: Vec<(String, TargetRecord)> = state
             .targets
             .into_iter()
             .map(|TargetRecordMessage { key, value, revision }| Item { key, value, revision })
             .map(|item| sync.decode_target(item))
             .collect();
-        sync.replace_targets(records, state.targets_at, source);
+        sync.replace_targets(records, targets_at, source);
     }
 }
 
@@ -297,12 +312,14 @@
 /// network link for a while; the others get status 429 and try another entry.
 async fn serve_state(
     sync: web::Data<Rc<StateSync>>,
-    known: web::Query<KnownVersions>,
+    query: web::Query<StateQuery>,
 ) -> HttpResponse {
     let Ok(permit) = Arc::clone(&sync.transfers).try_acquire_owned() else {
         return HttpResponse::TooManyRequests().finish();
     };
-    let message = newer_state(&sync.entry.cluster_state.borrow(), *known);
+    let targets_at = Position { era: query.targets_era, revision: query.targets_at };
+    let known = KnownVersions { version: query.version, targets_at };
+    let message = newer_state(&sync.entry.cluster_state.borrow(), known);
     let bytes = Bytes::from(message.encode_to_vec());
     let size = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
     // The connection polls for chunks as fast as it can send them, so the permit is released about
@@ -327,7 +344,8 @@
             revision: record.revision,
         });
         message.targets = targets.collect();
-        message.targets_at = state.targets_at();
+        message.targets_era = state.targets_at().era;
+        message.targets_at = state.targets_at().revision;
     }
     message
 }
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -16,6 +16,8 @@
     answers: IntCounterVec,
     attempts: IntCounterVec,
     store_failures: IntCounterVec,
+    store_era: IntGauge,
+    store_returns: IntCounter,
     first_event: Histogram,
     pause: Histogram,
     document: Histogram,
@@ -61,6 +63,14 @@
                 "Calls to the store that failed.",
                 &["collection"],
             )?,
+            store_era: gauge(
+                "bitternwall_direct_store_era",
+                "How many times the store came back from an older copy, as it states itself.",
+            )?,
+            store_returns: counter(
+                "bitternwall_direct_store_returns_total",
+                "Returns of the store from an older copy that this entry has seen.",
+            )?,
             first_event: seconds(
                 "bitternwall_direct_first_event_seconds",
                 "Time from a request's arrival to the first event of its answer.",
@@ -124,6 +134,16 @@
         self.store_failures.with_label_values(&[collection]).inc();
     }
 
+    /// Sets the store's era of the target list.
+    pub fn store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a return of the store from an older copy.
+    pub fn store_returned(&self) {
+        self.store_returns.inc();
+    }
+
     /// Records the time from a request's arrival to the first event of its answer.
     pub fn first_event(&self, after: Duration) {
         self.first_event.observe(after.as_secs_f64());
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -12,6 +12,7 @@
 use crate::collections::{Map, Set};
 use crate::direct::cluster_state::KnownVersions;
 use crate::direct::crash_history::CrashReport;
+use crate::direct::store::Position;
 
 /// Heartbeat intervals without a heartbeat after which an entry's load and address no longer count.
 const MAX_MISSED_HEARTBEATS: u32 = 10;
@@ -60,7 +61,7 @@
     /// The version of its configuration; 0 without one.
     #[prost(uint64, tag = "7")]
     pub version: u64,
-    /// The store's revision of its target list; 0 without one.
+    /// The store's revision of its target list, in the era below; 0 without one.
     #[prost(uint64, tag = "8")]
     pub targets_at: u64,
     /// True while the store answers it.
@@ -81,6 +82,17 @@
     /// Requests under which targets crashed, as the sender has them on record.
     #[prost(message, repeated, tag = "14")]
     pub crashes: Vec<CrashReport>,
+    /// The store's era of its target list.
+    #[prost(uint64, tag = "15")]
+    pub targets_era: u64,
+}
+
+impl Heartbeat {
+    /// Returns how recent the sender's cluster state is.
+    pub fn known(&self) -> KnownVersions {
+        let targets_at = Position { era: self.targets_era, revision: self.targets_at };
+        KnownVersions { version: self.version, targets_at }
+    }
 }
 
 /// A notice of an agent to the entries about its rank.
@@ -306,7 +318,7 @@
             candidates.get(usize::try_from(index).ok()?).copied()
         };
         pick(&|heartbeat| heartbeat.version > known.version)
-            .or_else(|| pick(&|heartbeat| heartbeat.targets_at > known.targets_at))
+            .or_else(|| pick(&|heartbeat| heartbeat.known().targets_at > known.targets_at))
     }
 }
 
--- a/src/direct/pending_removals.rs
+++ b/src/direct/pending_removals.rs
@@ -56,6 +56,13 @@
         }
     }
 
+    /// Records that the store came back from an older copy, at the latest at `now`: targets that the
+    /// copy does not list get the full time from here, and removals of the former era are dropped.
+    pub fn record_store_returned(&self, now: Duration) {
+        self.pending.borrow_mut().clear();
+        self.record_store_available(now);
+    }
+
     /// Cancels the pending removal of a target that is on the list again.
     pub fn cancel(&self, key: &str) {
         self.pending.borrow_mut().remove(key);
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -1,8 +1,8 @@
 //! The key-value store as the direct path uses it: typed reads and watches, implemented by the
 //! functions of a platform's adapter.
 
-use std::result;
 use std::time::Duration;
+use std::{fmt, result};
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -26,11 +26,40 @@
     /// again.
     #[error("the store has dropped the history of the watch")]
     Compacted,
+    /// The answer states no era, or one that is no number, so its revisions cannot be compared.
+    #[error("the answer of the store states no valid era: {0:?}")]
+    InvalidEra(String),
+    /// The store came back from an older copy while a collection was being read.
+    #[error("the store came back from an older copy: era {before} became {after}")]
+    EraChanged {
+        /// The era of the first page.
+        before: u64,
+        /// The era of a later page.
+        after: u64,
+    },
     /// The answer cannot be decoded.
     #[error("the answer of the store cannot be read: {0}")]
     Unreadable(String),
 }
 
+/// A moment in the history of the store.
+///
+/// The store may come back from an older copy. A new era begins then, in which revisions are given
+/// out again, so positions are ordered by their eras first. See docs/STORE_ERAS.md.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// How many times the store came back from an older copy; 0 for a store that states no era.
+    pub era: u64,
+    /// The store's revision, which counts its changes within the era.
+    pub revision: u64,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
 /// A part of the store that entries replicate.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Collection {
@@ -91,8 +120,8 @@
 pub struct Listing {
     /// All items, in any order.
     pub items: Vec<Item>,
-    /// The store's revision to watch from. Items may include later changes.
-    pub revision: u64,
+    /// The position to watch from. Items may include later changes.
+    pub position: Position,
 }
 
 /// The result of one watch call.
@@ -100,8 +129,9 @@
 pub struct Changes {
     /// The changes, in order of their revisions; empty where there were none in time.
     pub changes: Vec<Change>,
-    /// The store's revision from which the next call continues.
-    pub revision: u64,
+    /// The position from which the next call continues. If its era differs from that of the call's
+    /// position, the store came back from an older copy, and the collection must be read again.
+    pub position: Position,
 }
 
 type Call<A, T> = Box<dyn Fn(A) -> LocalBoxFuture<'static, Result<T>>>;
@@ -110,7 +140,8 @@
 pub struct Store {
     /// Reads a complete collection.
     pub list: Call<Collection, Listing>,
-    /// Waits for changes of a collection after a revision, up to the given time.
+    /// Waits for changes of a collection after a revision, up to the given time. The revision is
+    /// one of the store's present era.
     pub watch: Call<(Collection, u64, Duration), Changes>,
     /// Reads the records of the requests under which targets crashed.
     pub list_crashes: Call<(), Vec<Item>>,
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -4,6 +4,7 @@
 //! state from them. An entry that finds too few readers reads the store itself, and one that the
 //! store refuses fetches the state from any entry that has it. See docs/PLATFORM.md.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +17,9 @@
 use crate::direct::cluster_state::TargetRecord;
 use crate::direct::entry::Entry;
 use crate::direct::pending_removals::{PendingRemovals, Removal};
-use crate::direct::store::{Change, Changes, Collection, Formats, Item, Store, StoreError};
+use crate::direct::store::{
+    Change, Changes, Collection, Formats, Item, Position, Store, StoreError,
+};
 use crate::telemetry::events;
 
 /// How long one watch call waits for changes. A connection that has gone silent is detected after
@@ -32,6 +35,10 @@
 /// Longest pause after failed calls, so that a store that recovered is found soon.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_600);
 
+/// Time for which a target that was leaving or gone stays unused when the store's copy lists it
+/// again. The store drops the record of a target that has ended sooner.
+const WITHHOLD_TIME: Duration = Duration::from_secs(10);
+
 /// Pause between two checks whether this entry is a store reader.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -51,6 +58,8 @@
     pub outdated: Rc<Notify>,
     /// Targets off the list around a store outage, which are not removed yet.
     pub pending_removals: PendingRemovals,
+    /// When records of targets that were leaving or gone are used again; `None` if there are none.
+    pub withheld_until: Cell<Option<Duration>>,
     /// Permits for entries that fetch the cluster state; [`MAX_TRANSFERS`] in all.
     ///
     /// [`MAX_TRANSFERS`]: crate::direct::gossip::MAX_TRANSFERS
@@ -76,13 +85,13 @@
         self.entry.peers.borrow().is_reader(&self.entry.options.name, self.heartbeat_interval, now)
     }
 
-    /// Reads a complete collection. Returns the revision to watch from; `None` if the call failed.
-    async fn read(&self, collection: Collection, failures: &mut u32) -> Option<u64> {
+    /// Reads a complete collection. Returns the position to watch from; `None` if the call failed.
+    async fn read(&self, collection: Collection, failures: &mut u32) -> Option<Position> {
         match (self.store.list)(collection).await {
             Ok(listing) => {
                 self.store_answered(collection, failures);
-                self.apply_listing(collection, listing.items, listing.revision);
-                Some(listing.revision)
+                self.apply_listing(collection, listing.items, listing.position);
+                Some(listing.position)
             }
             Err(error) => {
                 self.store_failed(collection, failures, &error).await;
@@ -91,13 +100,16 @@
         }
     }
 
-    /// Watches a collection from a revision, until a call fails or this entry is no store reader.
-    async fn watch(&self, collection: Collection, mut at: u64, failures: &mut u32) {
+    /// Watches a collection from a position, until a call fails, the store's era changes or this
+    /// entry is no store reader.
+    async fn watch(&self, collection: Collection, mut at: Position, failures: &mut u32) {
         while self.is_reader() {
-            match (self.store.watch)((collection, at, WATCH_WAIT)).await {
+            match (self.store.watch)((collection, at.revision, WATCH_WAIT)).await {
+                // The revisions of the call and of the answer do not belong together.
+                Ok(changes) if changes.position.era != at.era => return,
                 Ok(changes) => {
                     self.store_answered(collection, failures);
-                    at = changes.revision.max(at);
+                    at = changes.position.max(at);
                     let pause =
                         if changes.changes.is_empty() { Duration::ZERO } else { COALESCE_DELAY };
                     self.apply_changes(collection, changes);
@@ -146,7 +158,7 @@
         time::sleep(pause.mul_f64(0.75 + 0.5 * self.entry.random_fraction())).await;
     }
 
-    fn apply_listing(&self, collection: Collection, items: Vec<Item>, at: u64) {
+    fn apply_listing(&self, collection: Collection, items: Vec<Item>, at: Position) {
         match collection {
             Collection::Configuration => {
                 for item in items {
@@ -154,6 +166,13 @@
                 }
             }
             Collection::Targets => {
+                let known = self.entry.cluster_state.borrow().targets_at();
+                if at < known {
+                    return;
+                }
+                if at.era > known.era {
+                    self.pending_removals.record_store_returned(self.entry.now());
+                }
                 let mut records: Vec<_> =
                     items.into_iter().map(|item| self.decode_target(item)).collect();
                 records.extend(self.deferred(&records, at));
@@ -163,7 +182,9 @@
     }
 
     fn apply_changes(&self, collection: Collection, changes: Changes) {
-        if changes.changes.is_empty() {
+        let era = self.entry.cluster_state.borrow().targets_at().era;
+        let outdated = collection == Collection::Targets && changes.position.era != era;
+        if changes.changes.is_empty() || outdated {
             return;
         }
         for change in changes.changes {
@@ -227,12 +248,21 @@
 
     /// Returns the records that are missing from a list read from the store but whose removal is
     /// deferred.
-    fn deferred(&self, records: &[(String, TargetRecord)], at: u64) -> Vec<(String, TargetRecord)> {
+    fn deferred(
+        &self,
+        records: &[(String, TargetRecord)],
+        at: Position,
+    ) -> Vec<(String, TargetRecord)> {
         let keys: Set<&str> = records.iter().map(|(key, _)| key.as_str()).collect();
         let state = self.entry.cluster_state.borrow();
+        let same_era = state.targets_at().era == at.era;
         let missing = state.target_records().filter(|(key, _)| !keys.contains(key.as_str()));
-        let deferred = missing.filter(|(key, record)| self.defer_removal(key, record, at));
-        deferred.map(|(key, record)| (key.clone(), record.clone())).collect()
+        let deferred = missing.filter(|(key, record)| self.defer_removal(key, record, at.revision));
+        let keep = |(key, record): (&String, &TargetRecord)| {
+            let revision = if same_era { record.revision } else { 0 };
+            (key.clone(), TargetRecord { revision, ..record.clone() })
+        };
+        deferred.map(keep).collect()
     }
 
     /// Returns true if the removal of a record is deferred, since its target may register again.
@@ -271,12 +301,45 @@
         state.advance_targets(revision);
     }
 
-    /// Replaces the target list by a complete one read at revision `at`, unless that is older.
+    /// Replaces the target list by a complete one read at a position, unless that is older.
     /// `source` is `store` or the name of the entry that sent it.
-    pub fn replace_targets(&self, records: Vec<(String, TargetRecord)>, at: u64, source: &str) {
-        if self.entry.cluster_state.borrow_mut().replace_targets(records, at) {
-            self.update_target_table(source);
+    pub fn replace_targets(
+        &self,
+        records: Vec<(String, TargetRecord)>,
+        at: Position,
+        source: &str,
+    ) {
+        let (known, listed) = {
+            let state = self.entry.cluster_state.borrow();
+            (state.targets_at(), state.has_targets())
+        };
+        if !self.entry.cluster_state.borrow_mut().replace_targets(records, at) {
+            return;
         }
+        if listed && at.era > known.era {
+            self.record_store_returned(known, at, source);
+        }
+        self.entry.metrics.store_era(at.era);
+        self.update_target_table(source);
+    }
+
+    /// Handles the first target list of a later era.
+    fn record_store_returned(&self, before: Position, at: Position, source: &str) {
+        let entry = &self.entry;
+        let withheld = entry.cluster_state.borrow().withheld_count();
+        self.withheld_until.set((withheld > 0).then(|| entry.now() + WITHHOLD_TIME));
+        let lost_crashes = entry.crashes.borrow_mut().record_store_returned();
+        if lost_crashes > 0 {
+            entry.crashes_unsaved.notify_one();
+        }
+        entry.metrics.store_returned();
+        events::log(
+            events::STORE_RETURNED,
+            format_args!(
+                "before={before} after={at} withheld={withheld} crashes={lost_crashes} \
+                 from={source}"
+            ),
+        );
     }
 
     /// Updates the table of targets from the target list.
@@ -319,6 +382,18 @@
         self.notify_changed();
     }
 
+    /// Uses the targets again whose records the store's copy brought back, if they are still listed.
+    pub fn release_withheld(&self) {
+        let now = self.entry.now();
+        if self.withheld_until.get().is_none_or(|until| now < until) {
+            return;
+        }
+        self.withheld_until.set(None);
+        if self.entry.cluster_state.borrow_mut().release_withheld() {
+            self.update_target_table("copy");
+        }
+    }
+
     /// Removes targets that disappeared from the list around a store outage and did not register
     /// again in time.
     pub fn apply_due_removals(&self) {
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -158,6 +158,10 @@
 /// The records of crashes could not be read from the store; they are read again.
 pub const CRASHES_NOT_READ: LogEvent =
     LogEvent { number: 7034, severity: Severity::Warning, title: "crashes not read" };
+/// The store came back from an older copy, in a later era; the target list of that era replaces the
+/// one of the former era.
+pub const STORE_RETURNED: LogEvent =
+    LogEvent { number: 7035, severity: Severity::Warning, title: "store came back" };
 /// The first heartbeat of an incarnation of another entry was received.
 pub const PEER_JOINED: LogEvent =
     LogEvent { number: 7040, severity: Severity::Info, title: "entry joined" };
@@ -264,6 +268,7 @@
     STORE_HISTORY_COMPACTED,
     CRASH_NOT_SAVED,
     CRASHES_NOT_READ,
+    STORE_RETURNED,
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -37,6 +37,8 @@
 struct State {
     /// How many times the store came back from an older copy.
     era: u64,
+    /// What the header says in place of the era; `None` for an answer without the header.
+    stated_era: Option<Option<String>>,
     revision: u64,
     entries: BTreeMap<String, (Vec<u8>, u64)>,
     changes: Vec<(u64, String, Option<Vec<u8>>)>,
@@ -105,10 +107,20 @@
         });
     }
 
+    /// Makes all answers from now on state another era than the store's, or none.
+    pub fn state_era(&self, era: Option<&str>) {
+        self.with(|state| state.stated_era = Some(era.map(str::to_owned)));
+    }
+
     /// Adds the header that all answers of the store carry.
     fn stamp(&self, mut response: HttpResponse) -> HttpResponse {
-        let era = HeaderValue::from(self.with(|state| state.era));
-        response.headers_mut().insert(STORE_ERA, era);
+        let stated = self.with(|state| match &state.stated_era {
+            Some(stated) => stated.clone(),
+            None => Some(state.era.to_string()),
+        });
+        if let Some(era) = stated.and_then(|era| HeaderValue::try_from(era).ok()) {
+            response.headers_mut().insert(STORE_ERA, era);
+        }
         response
     }
 
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -18,5 +18,7 @@
 mod replication;
 #[path = "direct/stopping.rs"]
 mod stopping;
+#[path = "direct/store_eras.rs"]
+mod store_eras;
 #[path = "direct/target_choice.rs"]
 mod target_choice;
--- a/tests/direct/replication.rs
+++ b/tests/direct/replication.rs
@@ -11,6 +11,7 @@
     self, FANOUT, Heartbeat, Load, MAX_PEER_ADDRS, PeerAddr, Peers, STORE_READERS,
 };
 use bitternwall::direct::pending_removals::{PendingRemovals, Removal};
+use bitternwall::direct::store::Position;
 use bitternwall::direct::targets::Target;
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -24,6 +25,11 @@
     TargetRecord { revision, raw: Bytes::new(), target: Some(target) }
 }
 
+/// Returns the position of a revision in the store's first era.
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 proptest! {
     /// In whatever order versions arrive, and from whichever source, the one in force never goes
     /// back.
@@ -43,7 +49,7 @@
 #[test]
 fn a_late_change_does_not_bring_a_target_back() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], 5);
+    state.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], at(5));
     assert!(state.remove_target("t0", 8));
     assert!(!state.put_target("t0".to_owned(), listed(target("t0", 1), 7)));
     assert!(state.targets().is_empty());
@@ -55,8 +61,8 @@
 #[test]
 fn an_older_list_is_ignored() {
     let mut state = ClusterState::default();
-    assert!(state.replace_targets(Vec::new(), 10));
-    assert!(!state.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], 9));
+    assert!(state.replace_targets(Vec::new(), at(10)));
+    assert!(!state.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], at(9)));
     assert!(state.targets().is_empty());
 }
 
@@ -69,7 +75,7 @@
             ("new".to_owned(), listed(target("new", 1), 9)),
             ("other".to_owned(), listed(target("other", 2), 3)),
         ],
-        9,
+        at(9),
     );
     let mut ids: Vec<String> = state.targets().into_iter().map(|target| target.id).collect();
     ids.sort_unstable();
@@ -81,7 +87,7 @@
     let mut state = ClusterState::default();
     let unreadable = TargetRecord { revision: 4, raw: Bytes::from_static(b"\xff"), target: None };
     let sound = listed(target("t0", 1), 5);
-    state.replace_targets(vec![("bad".to_owned(), unreadable), ("t0".to_owned(), sound)], 5);
+    state.replace_targets(vec![("bad".to_owned(), unreadable), ("t0".to_owned(), sound)], at(5));
     assert_eq!(state.targets().len(), 1);
 }
 
@@ -287,7 +293,7 @@
         let mut received = Vec::new();
         for index in (0..entries).filter(|index| !has.contains(index)) {
             draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
-            let known = KnownVersions { version: 1, targets_at: 0 };
+            let known = KnownVersions { version: 1, targets_at: at(0) };
             let near = data_centre(index);
             let source =
                 peers.find_newer(known, &near, draw >> 33, HEARTBEAT_INTERVAL, Duration::ZERO);
@@ -318,7 +324,7 @@
     let ahead = Heartbeat { version: 3, targets_at: 9, ..heartbeat("a", 1) };
     peers.record_heartbeat(ahead, from(1), Duration::ZERO);
     let source = |version, targets_at| {
-        let known = KnownVersions { version, targets_at };
+        let known = KnownVersions { version, targets_at: at(targets_at) };
         peers
             .find_newer(known, "dc", 0, HEARTBEAT_INTERVAL, Duration::ZERO)
             .map(|peer| peer.heartbeat.name.as_str())
