Split the target list out of the synchronisation with the store

What applies changes of the target list moves to target_list.rs. Events 7010, 7011 and 7040 keep plain revisions; the era is on 7035.

--- a/src/direct/cluster_state.rs
+++ b/src/direct/cluster_state.rs
@@ -142,8 +142,10 @@
     }
 
     fn is_withheld(&self, key: &str) -> bool {
-        let revision = self.records.get(key).map(|record| record.revision);
-        revision.is_some() && revision <= self.withheld.get(key).copied()
+        match (self.records.get(key), self.withheld.get(key)) {
+            (Some(record), Some(withheld)) => record.revision <= *withheld,
+            _ => false,
+        }
     }
 
     /// Returns the number of records that name no target, since it was leaving or gone when the
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -198,7 +198,10 @@
     if update.joined {
         events::log(
             events::PEER_JOINED,
-            format_args!("entry={name} addr={from} version={version} targets_at={targets_at}"),
+            format_args!(
+                "entry={name} addr={from} version={version} targets_at={}",
+                targets_at.revision
+            ),
         );
         entry.crashes.borrow_mut().announce_refused(now);
     }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! Decisions are pure modules ([`configuration`], [`cluster_state`], [`pending_removals`],
 //! [`peers`], [`targets`], [`pass_time`], [`admission`], [`attempts`], [`event_stream`],
-//! [`stopping`], [`crash_history`]); the others do the I/O around them. The vocabulary of a platform's protocol stays
-//! in its adapter, which provides the functions of [`message::TargetProtocol`], [`store::Store`]
-//! and [`store::Formats`]. See docs/PLATFORM.md.
+//! [`stopping`], [`crash_history`]); the others do the I/O around them. The vocabulary of a
+//! platform's protocol stays in its adapter, which provides the functions of
+//! [`message::TargetProtocol`], [`store::Store`] and [`store::Formats`]. See docs/PLATFORM.md.
 
 pub mod addresses;
 pub mod admission;
@@ -36,5 +36,6 @@
 pub mod stopping;
 pub mod store;
 pub mod sync;
+mod target_list;
 mod target_state;
 pub mod targets;
