An entry that starts sees no return of the store in its first list

What callers would see: where the store states an era above 0, requests reached a server that had gone without draining for up to 2.3 s after the start of an entry.

Cause: an entry without a target list compared the era of the first one with 0, took it for a return from a copy and gave targets that go off the list the time to register again.

Found by reading the diff.

The check of both places is begins_era, which needs a list to compare with.

--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -160,11 +160,10 @@
                 }
             }
             Collection::Targets => {
-                let known = self.entry.cluster_state.borrow().targets_at();
-                if at < known {
+                if at < self.entry.cluster_state.borrow().targets_at() {
                     return;
                 }
-                if at.era > known.era {
+                if self.begins_era(at) {
                     self.pending_removals.record_store_returned(self.entry.now());
                 }
                 let mut records: Vec<_> =
--- a/src/direct/target_list.rs
+++ b/src/direct/target_list.rs
@@ -30,6 +30,13 @@
         (item.key, TargetRecord { revision: item.revision, raw: item.value, target })
     }
 
+    /// Returns true if a list at a position is of a later era than the entry's. An entry without a
+    /// list has lost nothing, so to it no era begins.
+    pub(super) fn begins_era(&self, at: Position) -> bool {
+        let state = self.entry.cluster_state.borrow();
+        state.has_targets() && at.era > state.targets_at().era
+    }
+
     /// Returns the records that are missing from a list read from the store but whose removal is
     /// deferred.
     pub(super) fn deferred(
@@ -66,6 +73,7 @@
         }
     }
 
+    /// Applies the write of one record.
     pub(super) fn put_target(&self, item: Item) {
         let revision = item.revision;
         let (key, record) = self.decode_target(item);
@@ -75,6 +83,7 @@
         state.advance_targets(revision);
     }
 
+    /// Applies the removal of one record, or defers it.
     pub(super) fn remove_target(&self, key: &str, revision: u64) {
         let known = self.entry.cluster_state.borrow().target_record(key).cloned();
         if known.is_some_and(|record| self.defer_removal(key, &record, revision)) {
@@ -93,15 +102,13 @@
         at: Position,
         source: &str,
     ) {
-        let (known, listed) = {
-            let state = self.entry.cluster_state.borrow();
-            (state.targets_at(), state.has_targets())
-        };
+        let before = self.entry.cluster_state.borrow().targets_at();
+        let begins_era = self.begins_era(at);
         if !self.entry.cluster_state.borrow_mut().replace_targets(records, at) {
             return;
         }
-        if listed && at.era > known.era {
-            self.record_store_returned(known, at, source);
+        if begins_era {
+            self.record_store_returned(before, at, source);
         }
         self.entry.metrics.store_era(at.era);
         self.update_target_table(source);
