Logs tell answers cut by a stop from callers that left, and time that is up from a break

7001 says cause=stopped for answers cut at the exit, and 7008 when the request came, counted from the stop signal, and how much of its time was left. 7002 and 7001 say timed_out where the time of a stream was up.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -11,6 +11,7 @@
 use crate::direct::entry::Entry;
 use crate::direct::message::{CallerRequest, Cause, LocalAnswer};
 use crate::direct::pass_time::PauseGoal;
+use crate::direct::stopping::Stopping;
 use crate::direct::targets::Target;
 use crate::fingerprint;
 use crate::problem::Executed;
@@ -211,6 +212,23 @@
         self.finish(cause, status, None);
     }
 
+    /// Logs that the process exits before the answer has ended.
+    fn log_cut(&self, stop: Stopping) {
+        let arrived_after = self.caller.arrived.checked_sub(stop.started());
+        events::log(
+            events::ANSWER_CUT,
+            format_args!(
+                "id={} service={} sent={} arrived_after_stop_ms={} first_event_ms={} left_ms={}",
+                self.caller.id,
+                self.service,
+                self.sent,
+                arrived_after.map_or("-".to_owned(), |after| after.as_millis().to_string()),
+                self.first_event.map_or("-".to_owned(), |first| first.as_millis().to_string()),
+                self.time_left().as_millis()
+            ),
+        );
+    }
+
     fn finish(&mut self, cause: &str, status: u16, retry_after: Option<Duration>) {
         if self.finished {
             return;
@@ -250,10 +268,16 @@
         let entry = &self.entry;
         entry.in_progress.set(entry.in_progress.get().saturating_sub(1));
         entry.metrics.in_progress(entry.in_progress.get());
-        if !self.finished {
-            entry.metrics.caller_left();
-            self.finish("caller_left", 0, None);
+        if self.finished {
+            return;
+        }
+        if let Some(stop) = entry.stop.get().filter(|_| entry.exiting.get()) {
+            self.log_cut(stop);
+            self.finish("stopped", 0, None);
+            return;
         }
+        entry.metrics.caller_left();
+        self.finish("caller_left", 0, None);
     }
 }
 
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -177,30 +177,30 @@
     let entry = &sync.entry;
     let address_ttl = Duration::from_secs(u64::from(settings.addresses.keep_s));
     let mut stop_signal = Box::pin(signals::stop_requested());
-    let mut stopping: Option<Stopping> = None;
     loop {
         tokio::select! {
-            name = &mut stop_signal, if stopping.is_none() => {
+            name = &mut stop_signal, if !entry.is_stopping() => {
                 let in_progress = entry.in_progress.get();
                 let name = name?;
                 events::log(
                     events::STOP_STARTED,
                     format_args!("signal={name} in_progress={in_progress}"),
                 );
-                entry.stopping.set(true);
+                let stop = Stopping::begin(entry.now(), settings.grace_period(), address_ttl);
+                entry.stop.set(Some(stop));
                 sync.changed.notify_one();
-                stopping = Some(Stopping::begin(entry.now(), settings.grace_period(), address_ttl));
             }
             () = time::sleep(HOUSEKEEPING_INTERVAL) => {}
         }
         run_housekeeping(sync);
-        let Some(stopping) = &stopping else { continue };
-        match stopping.phase(entry.now(), entry.in_progress.get()) {
+        let Some(stop) = entry.stop.get() else { continue };
+        match stop.phase(entry.now(), entry.in_progress.get()) {
             Phase::Serve => {}
             Phase::Refuse => entry.refusing.set(true),
             Phase::Exit => {
                 let in_progress = entry.in_progress.get();
                 events::log(events::STOP_FINISHED, format_args!("in_progress={in_progress}"));
+                entry.exiting.set(true);
                 return Ok(());
             }
         }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -21,6 +21,7 @@
 use crate::direct::metrics::Metrics;
 use crate::direct::peers::Peers;
 use crate::direct::pool::Pool;
+use crate::direct::stopping::Stopping;
 use crate::direct::targets::{Outcome, Targets};
 use crate::entry::core::retry::Budget;
 use crate::telemetry::events;
@@ -78,8 +79,10 @@
     pub metrics: Metrics,
     /// The number of requests without a final answer.
     pub in_progress: Cell<usize>,
-    /// True once the process has received a stop signal.
-    pub stopping: Cell<bool>,
+    /// The stop in progress, from the time of the stop signal.
+    pub stop: Cell<Option<Stopping>>,
+    /// True once a stopping process ends whatever is still in progress.
+    pub exiting: Cell<bool>,
     /// True once a stopping process refuses new requests.
     pub refusing: Cell<bool>,
     /// True while the store answers this entry.
@@ -111,7 +114,8 @@
             peers: RefCell::default(),
             metrics,
             in_progress: Cell::new(0),
-            stopping: Cell::new(false),
+            stop: Cell::new(None),
+            exiting: Cell::new(false),
             refusing: Cell::new(false),
             store_answers: Cell::new(false),
             slots_changed: Notify::new(),
@@ -139,7 +143,12 @@
     /// is not stopping.
     pub fn is_ready(&self) -> bool {
         let state = self.cluster_state.borrow();
-        !self.stopping.get() && state.configuration().is_some() && state.has_targets()
+        !self.is_stopping() && state.configuration().is_some() && state.has_targets()
+    }
+
+    /// Returns true once the process has received a stop signal.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.get().is_some()
     }
 
     /// Adds the share of one new request to the service's retry budget.
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -155,7 +155,7 @@
         reads_store: entry.store_answers.get(),
         loads: local_loads,
         known_peers,
-        leaving: entry.stopping.get(),
+        leaving: entry.is_stopping(),
         rank: None,
         crashes: entry.crashes.borrow().reports(sequence, now),
     }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -190,21 +190,24 @@
                 self.call.time_left().as_millis()
             ),
         );
-        let mut failure =
-            Failure { cause: Cause::Broken, executed: Executed::Yes, retry_after: None };
+        let cause = if out_of_time { Cause::TimedOut } else { Cause::Broken };
+        let mut failure = Failure { cause, executed: Executed::Yes, retry_after: None };
         self.call.record_failure(&target, &failure);
         self.call.record_no_answer(&self.target, error.is_connection_lost()).await;
-        let Some(last_id) = last_id.filter(|_| !out_of_time) else {
-            return Err(self.interrupt());
+        if out_of_time {
+            return Err(self.interrupt("timed_out"));
+        }
+        let Some(last_id) = last_id else {
+            return Err(self.interrupt("broken_off"));
         };
         loop {
             let next = attempts::next(&self.call.history(), &failure);
             let service = self.call.service.clone();
             if next != Next::Again || !self.call.entry.spend_retry(&service, true) {
-                return Err(self.interrupt());
+                return Err(self.interrupt("broken_off"));
             }
             let Ok((target, slot)) = slot_wait::acquire(&mut self.call, RESUME_WAIT).await else {
-                return Err(self.interrupt());
+                return Err(self.interrupt("broken_off"));
             };
             let id = last_id.to_string();
             match forward::resume(&mut self.call, &target, slot, &id).await {
@@ -229,8 +232,8 @@
     }
 
     /// Records that the answer ends incomplete.
-    fn interrupt(&mut self) -> Interrupted {
-        self.call.record_relayed("broken_off", self.status);
+    fn interrupt(&mut self, cause: &'static str) -> Interrupted {
+        self.call.record_relayed(cause, self.status);
         Interrupted
     }
 }
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -44,6 +44,11 @@
         Self { started: now, grace, address_ttl }
     }
 
+    /// Returns when the stop signal was handled, on the clock of [`Self::begin`].
+    pub fn started(&self) -> Duration {
+        self.started
+    }
+
     /// Returns the present phase of the stop, given the number of requests in progress.
     pub fn phase(&self, now: Duration, in_progress: usize) -> Phase {
         let elapsed = now.saturating_sub(self.started);
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -124,6 +124,9 @@
 /// to refuse it.
 pub const TARGET_CRASHED: LogEvent =
     LogEvent { number: 7007, severity: Severity::Warning, title: "target crashed" };
+/// The process exits before the answer to a request has ended.
+pub const ANSWER_CUT: LogEvent =
+    LogEvent { number: 7008, severity: Severity::Warning, title: "answer cut by the stop" };
 /// A target was added to the target list, or its record there changed.
 pub const TARGET_LISTED: LogEvent =
     LogEvent { number: 7010, severity: Severity::Info, title: "target listed" };
@@ -257,6 +260,7 @@
     ANSWER_INTERRUPTED,
     RESET_FAILED,
     TARGET_CRASHED,
+    ANSWER_CUT,
     TARGET_LISTED,
     TARGET_REMOVED,
     TARGET_REMOVAL_PENDING,
--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -2,10 +2,10 @@
 //! faults that tests queue.
 
 use std::collections::VecDeque;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use std::{io, iter};
 
 use actix_rt::task::JoinHandle;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -63,6 +63,10 @@
     executed_requests: Vec<ExecutedRequest>,
     /// A request with this body crashes the server.
     crashing_body: Option<Vec<u8>>,
+    /// The time from the head of a stream to its first event, and between its events.
+    event_interval: Duration,
+    /// The length to which documents are filled up.
+    document_bytes: usize,
     /// The tasks that accept and serve connections; empty once the server has crashed.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -106,6 +110,16 @@
         self.with(|state| state.crashing_body = Some(body.to_vec()));
     }
 
+    /// Sets the time before each event of the streams that begin from now on.
+    pub fn pace_events(&self, interval: Duration) {
+        self.with(|state| state.event_interval = interval);
+    }
+
+    /// Fills documents up to this length from now on.
+    pub fn fill_documents(&self, length: usize) {
+        self.with(|state| state.document_bytes = length);
+    }
+
     /// Closes the listener and then all connections, without a response.
     pub async fn crash(&self) {
         let mut tasks = self.with(|state| std::mem::take(&mut state.tasks)).into_iter();
@@ -176,7 +190,9 @@
     }
 
     async fn send_document(&self, stream: &mut TcpStream, id: &str, fault: Option<Fault>) -> bool {
-        let body = format!("answer to {id}");
+        let mut body = format!("answer to {id}");
+        let padding = self.with(|state| state.document_bytes).saturating_sub(body.len());
+        body.extend(iter::repeat_n(' ', padding));
         let seal_header = format!("Bitternwall-Server-Seal: {}.seal\r\n", self.id);
         let response = |id: &str, status: &str, seal: &str| {
             format!(
@@ -223,7 +239,11 @@
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
         }
+        let interval = self.with(|state| state.event_interval);
         for event in last_event + 1..=STREAM_EVENTS {
+            if !interval.is_zero() {
+                actix_rt::time::sleep(interval).await;
+            }
             let text = event_text(event);
             let truncated =
                 matches!(fault, Some(Fault::TruncateAfter(complete)) if event == complete + 1);
