A stopping entry admits only requests that can end before it exits

Cause: admission in a stop went by a share of the grace period alone. With 8 s of grace a stream was admitted until 6.4 s after the signal, and the process exited at 7.5 s, whatever was in progress. How long answers take, and when a request is due at the latest, played no part. Callers that turn away in time hide it; callers that keep their connection, or whose address answer is old, do not. Class: a promise to serve, given without the time to keep it.

Change: a request whose deadline is before the exit is admitted as before. One with a later deadline is admitted only while callers may still have the address cached, and only if 1.5 times the time that recent answers of the service take (mean and four deviations) is left. Others are refused at once with a Retry-After of 50 ms, as other entries can serve them. The 300 ms that an entry without a configuration gives were longer than the objective of most routes.

Why it works: after the address has expired, what is admitted ends by its own deadline before the process does, however slow its target is. Before that the estimate only decides which callers are sent elsewhere earlier.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -31,6 +31,15 @@
 /// Weight of a new answer in the moving average of the time to the first event.
 const FIRST_EVENT_WEIGHT: f64 = 0.2;
 
+/// Weight of a new answer in the moving average of the time that answers take.
+const ANSWER_TIME_WEIGHT: f64 = 0.125;
+
+/// Weight of a new answer in the moving average of the deviation from that time.
+const DEVIATION_WEIGHT: f64 = 0.25;
+
+/// Deviations above the mean within which nearly all answers end.
+const EXPECTED_DEVIATIONS: f64 = 4.0;
+
 /// Moving averages of how a service recently served the requests of this entry.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceLoad {
@@ -38,6 +47,15 @@
     refused_share: f64,
     /// Time from arrival to the first event, as a multiple of the objective.
     first_event_time: Option<f64>,
+    answer_time: Option<AnswerTime>,
+}
+
+/// Moving averages of the time from the arrival of a request to the end of its answer, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct AnswerTime {
+    mean: f64,
+    /// The absolute difference of an answer's time from the mean.
+    deviation: f64,
 }
 
 impl ServiceLoad {
@@ -48,6 +66,25 @@
         self.first_event_time = Some(average + (objectives - average) * FIRST_EVENT_WEIGHT);
     }
 
+    /// Records the time from a request's arrival to the end of its answer.
+    pub fn record_answer_time(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        let AnswerTime { mean, deviation } =
+            self.answer_time.unwrap_or(AnswerTime { mean: took, deviation: took / 2.0 });
+        let difference = took - mean;
+        self.answer_time = Some(AnswerTime {
+            mean: mean + difference * ANSWER_TIME_WEIGHT,
+            deviation: deviation + (difference.abs() - deviation) * DEVIATION_WEIGHT,
+        });
+    }
+
+    /// Returns the time within which nearly all answers end, as a sender estimates the time of a
+    /// round trip; `None` if no answer has ended yet.
+    pub fn expected_answer_time(&self) -> Option<Duration> {
+        let AnswerTime { mean, deviation } = self.answer_time?;
+        Some(Duration::from_secs_f64(mean + deviation * EXPECTED_DEVIATIONS))
+    }
+
     /// Returns true if answers begin later than their objective on average, or if there has been
     /// none yet. A target that is silent then is most likely busy, and a retry at another one would
     /// add to the load.
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -17,10 +17,14 @@
 use crate::problem::Executed;
 use crate::telemetry::events;
 
-/// Retry-after of an entry that has no configuration or is stopping; a starting entry receives its
-/// configuration in about this time.
+/// Retry-after of an entry that has no configuration; a starting entry receives it in about this
+/// time.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry-after of an entry that is stopping: the time to choose another entry, which can serve the
+/// request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Timeout of requests that state none; common HTTP clients use the same.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -104,8 +108,7 @@
         let pause_goal = engine
             .zip(route.pause_objective)
             .map(|(engine, objective)| PauseGoal { objective, empty_pass: engine.empty_pass() });
-        let timeout = caller.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        let deadline = caller.arrived + timeout.min(route.timeout);
+        let deadline = deadline(&caller, &route);
         let fingerprint = fingerprint(&caller, customer.as_deref());
         entry.earn_retry(&service);
         entry.in_progress.set(entry.in_progress.get() + 1);
@@ -201,6 +204,9 @@
 
     /// Records that the entry's own answer is final.
     pub fn record_local_answer(&mut self, local: &LocalAnswer) {
+        if local.cause == Cause::TimedOut {
+            self.record_answer_time();
+        }
         if let Some(delay) = local.retry_after {
             self.entry.metrics.retry_after(delay);
         }
@@ -209,9 +215,15 @@
 
     /// Records that a target's answer was relayed, completely or until it was interrupted.
     pub fn record_relayed(&mut self, cause: &'static str, status: u16) {
+        self.record_answer_time();
         self.finish(cause, status, None);
     }
 
+    fn record_answer_time(&self) {
+        let took = self.entry.now().saturating_sub(self.caller.arrived);
+        self.entry.with_service_load(&self.service, |load| load.record_answer_time(took));
+    }
+
     /// Logs that the process exits before the answer has ended.
     fn log_cut(&self, stop: Stopping) {
         let arrived_after = self.caller.arrived.checked_sub(stop.started());
@@ -288,6 +300,11 @@
     fingerprint::of_request(caller.method.as_str(), &path, &caller.body)
 }
 
+/// Returns when the final answer is due, on the entry's clock.
+fn deadline(caller: &CallerRequest, route: &Route) -> Duration {
+    caller.arrived + caller.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout)
+}
+
 struct Matched {
     configuration: Arc<Configuration>,
     route: Route,
@@ -297,7 +314,7 @@
 
 fn match_request(entry: &Entry, caller: &CallerRequest) -> Result<Matched, LocalAnswer> {
     if entry.refusing.get() {
-        return Err(LocalAnswer::not_run(Cause::Stopping, Some(UNREADY_RETRY_AFTER)));
+        return Err(LocalAnswer::not_run(Cause::Stopping, Some(STOPPING_RETRY_AFTER)));
     }
     let Some(configuration) = entry.configuration() else {
         let retry_after = Some(UNREADY_RETRY_AFTER);
@@ -320,5 +337,13 @@
         return Err(LocalAnswer::not_run(Cause::TooLarge, None));
     }
     let service = route.service(rand::random()).to_owned();
+    if let Some(stop) = entry.stop.get() {
+        let now = entry.now();
+        let time_left = deadline(caller, &route).saturating_sub(now);
+        let expected = entry.with_service_load(&service, |load| load.expected_answer_time());
+        if !stop.admits(now, time_left, expected) {
+            return Err(LocalAnswer::not_run(Cause::Stopping, Some(STOPPING_RETRY_AFTER)));
+        }
+    }
     Ok(Matched { configuration, route, service, customer })
 }
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -1,9 +1,10 @@
-//! Decides when a process that received a stop signal may exit.
+//! Decides what a process that received a stop signal still admits, and when it may exit.
 //!
-//! Load pattern: entries are restarted one after the other while callers cache their addresses and
-//! keep connections open. The entry keeps serving until no caller should have its address cached
-//! any more and no request is in progress. Towards the end of its grace period it refuses new
-//! requests.
+//! Load pattern: entries are restarted one after the other while callers cache their addresses,
+//! keep connections open, and open new ones for as long as the process accepts them. The entry keeps
+//! serving until no caller should have its address cached any more and no request is in progress.
+//! It refuses a request at once if the answer might not end before the process must exit, since
+//! other entries can serve it.
 
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// end.
 const REFUSE_AFTER_SHARE: f64 = 0.8;
 
+/// Factor by which an answer may take longer than expected.
+const ANSWER_TIME_MARGIN: f64 = 1.5;
+
 /// Multiple of the address TTL for which callers may in fact use an answer.
 const ADDRESS_TTL_FACTOR: u32 = 3;
 
@@ -49,13 +53,33 @@
         self.started
     }
 
+    /// Returns true if a new request is admitted.
+    ///
+    /// A request whose deadline is before the exit always is. One with a later deadline is admitted
+    /// while callers may properly have the address cached, if the answer is expected to end in
+    /// time. `time_left` is the time until its deadline, and `expected` the time that recent answers
+    /// took; `None` if there were none.
+    pub fn admits(&self, now: Duration, time_left: Duration, expected: Option<Duration>) -> bool {
+        let until_exit = self.exit_at().saturating_sub(now);
+        if time_left <= until_exit {
+            return true;
+        }
+        let is_address_cached = now.saturating_sub(self.started) < self.address_ttl;
+        let ends_in_time = |time: Duration| time.mul_f64(ANSWER_TIME_MARGIN) <= until_exit;
+        is_address_cached && expected.is_some_and(ends_in_time)
+    }
+
+    /// Returns when the process exits in any case.
+    fn exit_at(&self) -> Duration {
+        self.started + self.grace.saturating_sub(EXIT_RESERVE)
+    }
+
     /// Returns the present phase of the stop, given the number of requests in progress.
     pub fn phase(&self, now: Duration, in_progress: usize) -> Phase {
         let elapsed = now.saturating_sub(self.started);
-        let exit_at = self.grace.saturating_sub(EXIT_RESERVE);
         let addresses_expire_at =
             (self.address_ttl * ADDRESS_TTL_FACTOR).min(self.grace.mul_f64(REFUSE_AFTER_SHARE));
-        if elapsed >= exit_at || (elapsed >= addresses_expire_at && in_progress == 0) {
+        if now >= self.exit_at() || (elapsed >= addresses_expire_at && in_progress == 0) {
             return Phase::Exit;
         }
         match elapsed >= self.grace.mul_f64(REFUSE_AFTER_SHARE) {
