Logs and metrics of the retry budget: what is left, and the fleet it assumes

Whether entries exceed the shared budget because they assume too small a fleet, since each restart grants them retries anew, or since attempts are not counted could not be told from logs or metrics: none of them says what a budget allowed or refused, nor by how many entries the allowance is divided.

Event 7008 names a refused retry's service, what is left and the entries assumed; event 7043 tells when their number grows. Two metrics count retries by service and outcome and show the entries assumed.

No behaviour changes.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -214,7 +214,7 @@
     sync.release_withheld();
     entry.crashes.borrow_mut().expire(now);
     entry.metrics.refused_requests(entry.crashes.borrow().refused_count());
-    entry.peers.borrow_mut().count(sync.heartbeat_interval, now);
+    entry.count_entries(sync.heartbeat_interval);
     let loads = entry.peers.borrow().loads(sync.heartbeat_interval, now);
     entry.targets.borrow_mut().set_peer_loads(loads);
     let targets = entry.targets.borrow();
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -150,7 +150,19 @@
     /// Takes one retry from the service's budget and returns true, if one is left. `may_overdraw`
     /// is set for retries that complete an answer of which the caller has received a part.
     pub fn spend_retry(&self, service: &str, may_overdraw: bool) -> bool {
-        self.with_budget(service, |budget| budget.spend(may_overdraw))
+        let (allowed, left) = self.with_budget(service, |budget| {
+            let allowed = budget.spend(may_overdraw);
+            (allowed, budget.balance())
+        });
+        self.metrics.retry(service, allowed);
+        if !allowed {
+            let entries = self.peers.borrow().max_entries();
+            events::log(
+                events::RETRY_REFUSED,
+                format_args!("service={service} left={left:.1} entries={entries}"),
+            );
+        }
+        allowed
     }
 
     /// Returns true if a retry is left in the service's budget.
@@ -158,6 +170,18 @@
         self.with_budget(service, |budget| budget.has_retry_left())
     }
 
+    /// Counts the live entries, and logs when they are more than before.
+    pub fn count_entries(&self, heartbeat_interval: Duration) {
+        let mut peers = self.peers.borrow_mut();
+        let before = peers.max_entries();
+        peers.count(heartbeat_interval, self.now());
+        let entries = peers.max_entries();
+        self.metrics.entries(entries);
+        if entries > before {
+            events::log(events::FLEET_GREW, format_args!("entries={entries}"));
+        }
+    }
+
     fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget) -> T) -> T {
         let share = self.options.retry_allowance / f64::from(self.peers.borrow().max_entries());
         let now = self.now();
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -24,6 +24,8 @@
     wait: Histogram,
     retry_after: Histogram,
     resumed: IntCounter,
+    retries: IntCounterVec,
+    entries: IntGauge,
     callers_left: IntCounter,
     crashes: IntCounterVec,
     refused_requests: IntGauge,
@@ -95,6 +97,15 @@
                 "bitternwall_direct_resumed_total",
                 "Answers that went on at another target.",
             )?,
+            retries: counters(
+                "bitternwall_direct_retries_total",
+                "Retries that the budget of a service allowed or refused.",
+                &["service", "outcome"],
+            )?,
+            entries: gauge(
+                "bitternwall_direct_entries",
+                "Entries by which the retry allowance of the fleet is divided.",
+            )?,
             callers_left: counter(
                 "bitternwall_direct_callers_left_total",
                 "Callers that left before the end of their answer.",
@@ -174,6 +185,17 @@
         self.resumed.inc();
     }
 
+    /// Counts a retry that the budget of a service allowed or refused.
+    pub fn retry(&self, service: &str, allowed: bool) {
+        let outcome = if allowed { "allowed" } else { "refused" };
+        self.retries.with_label_values(&[service, outcome]).inc();
+    }
+
+    /// Sets the number of entries by which the retry allowance of the fleet is divided.
+    pub fn entries(&self, entries: u32) {
+        self.entries.set(i64::from(entries));
+    }
+
     /// Counts a caller that disconnected before the end of its answer.
     pub fn caller_left(&self) {
         self.callers_left.inc();
--- a/src/entry/core/retry.rs
+++ b/src/entry/core/retry.rs
@@ -63,6 +63,11 @@
         self.balance = self.balance.min(burst);
     }
 
+    /// Returns the retries that are left; below 0 if the budget is overdrawn.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
     /// Returns true if at least one retry is left.
     pub fn has_retry_left(&self) -> bool {
         self.balance >= 1.0
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -124,6 +124,9 @@
 /// to refuse it.
 pub const TARGET_CRASHED: LogEvent =
     LogEvent { number: 7007, severity: Severity::Warning, title: "target crashed" };
+/// The retry budget of a service allowed no further send of a request.
+pub const RETRY_REFUSED: LogEvent =
+    LogEvent { number: 7008, severity: Severity::Warning, title: "retry refused" };
 /// A target was added to the target list, or its record there changed.
 pub const TARGET_LISTED: LogEvent =
     LogEvent { number: 7010, severity: Severity::Info, title: "target listed" };
@@ -171,6 +174,9 @@
 /// A datagram could not be decoded as a heartbeat.
 pub const HEARTBEAT_UNREADABLE: LogEvent =
     LogEvent { number: 7042, severity: Severity::Warning, title: "heartbeat unreadable" };
+/// More entries are live than before; allowances of the whole fleet are divided by their number.
+pub const FLEET_GREW: LogEvent =
+    LogEvent { number: 7043, severity: Severity::Info, title: "fleet grew" };
 /// A connection could not be accepted.
 pub const ACCEPT_FAILED: LogEvent =
     LogEvent { number: 7050, severity: Severity::Error, title: "connection not accepted" };
@@ -257,6 +263,7 @@
     ANSWER_INTERRUPTED,
     RESET_FAILED,
     TARGET_CRASHED,
+    RETRY_REFUSED,
     TARGET_LISTED,
     TARGET_REMOVED,
     TARGET_REMOVAL_PENDING,
@@ -272,6 +279,7 @@
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
+    FLEET_GREW,
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
