--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -57,9 +57,21 @@
     }
 }
 
+/// A request that reached the server, executed or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When the server had read it.
+    pub at: Instant,
+    /// The request.
+    pub req: ExecutedRequest,
+}
+
 #[derive(Default)]
 struct State {
     faults: VecDeque<Fault>,
+    /// The fault of all requests for which none is queued.
+    constant_fault: Option<Fault>,
+    arrivals: Vec<Arrival>,
     executed_requests: Vec<ExecutedRequest>,
     /// A request with this body crashes the server.
     crashing_body: Option<Vec<u8>>,
@@ -127,11 +139,21 @@
         self.with(|state| state.faults.extend(faults));
     }
 
+    /// Sets the fault of all requests for which none is queued; `None` for no fault.
+    pub fn set_constant_fault(&self, fault: Option<Fault>) {
+        self.with(|state| state.constant_fault = fault);
+    }
+
     /// Takes the next queued fault back.
     pub fn take_fault(&self) -> Option<Fault> {
         self.with(|state| state.faults.pop_front())
     }
 
+    /// Returns the requests that reached the server so far, executed or not, oldest first.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.with(|state| state.arrivals.clone())
+    }
+
     /// Returns the requests executed so far, oldest first.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         self.with(|state| state.executed_requests.clone())
@@ -151,6 +173,8 @@
 
     /// Responds to one request. Returns true if the connection stays open.
     async fn respond(&self, stream: &mut TcpStream, req: &ExecutedRequest) -> bool {
+        let arrival = Arrival { at: Instant::now(), req: req.clone() };
+        self.with(|state| state.arrivals.push(arrival));
         if req.header("Bitternwall-Expect-Instance").is_some_and(|id| id != self.id) {
             let text = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nBitternwall-Instance-Id: {}\r\ncontent-length: 0\r\n\r\n",
@@ -158,7 +182,7 @@
             );
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
-        let fault = self.take_fault();
+        let fault = self.take_fault().or_else(|| self.with(|state| state.constant_fault));
         if fault == Some(Fault::NotExecuted) {
             let text = "HTTP/1.1 503 Service Unavailable\r\nBitternwall-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n";
             return stream.write_all(text.as_bytes()).await.is_ok();
