A restarted entry knows the size of the fleet before it takes of the allowance

Callers' requests were repeated far beyond what all entries together are allowed, once entries had restarted and did not find each other at once.

Cause: each entry divides the fleet's retry allowance by the largest number of entries that it has counted itself, and a new process has counted one. It took the whole allowance until heartbeats came, and for as long as none came: entries find each other by at most three seeds, which may be down. A class of fault: a missing fact taken as the most convenient value.

Heartbeats now carry the number that the sender has counted, so that one of them tells a new process. Until it hears one, an entry whose settings name others takes nothing of the allowance and retries from the share of its own requests alone. An entry whose settings name no other one is the whole fleet, as before. The number reported is not passed on by those that have not counted it, so it ends with the processes that did.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -36,6 +36,10 @@
 /// Share of the configured retry ratio that entries use; the rest is a reserve.
 const RATIO_SHARE: f64 = 0.8;
 
+/// Retries that an entry may save up from the share of its own requests while it does not know how
+/// many entries share the allowance.
+const UNKNOWN_FLEET_BURST: f64 = 1.0;
+
 /// The window to which the retry allowance applies; the settings do not change it.
 const ALLOWANCE_WINDOW: Duration = Duration::from_secs(10);
 
@@ -95,6 +99,8 @@
     /// The probes of targets in progress, by target id.
     pub probes: RefCell<Map<String, Probe>>,
     service_loads: RefCell<Map<String, ServiceLoad>>,
+    /// The size of the fleet that was logged last; 0 while it is unknown.
+    known_entries: Cell<u32>,
     budgets: RefCell<Map<String, (Budget, Duration)>>,
 }
 
@@ -120,6 +126,7 @@
             crashes_unsaved: Notify::new(),
             probes: RefCell::default(),
             service_loads: RefCell::default(),
+            known_entries: Cell::new(0),
             budgets: RefCell::default(),
             options,
         }
@@ -156,7 +163,7 @@
         });
         self.metrics.retry(service, allowed);
         if !allowed {
-            let entries = self.peers.borrow().max_entries();
+            let entries = self.peers.borrow().fleet_size().unwrap_or(0);
             events::log(
                 events::RETRY_REFUSED,
                 format_args!("service={service} left={left:.1} entries={entries}"),
@@ -173,26 +180,28 @@
     /// Counts the live entries, and logs when they are more than before.
     pub fn count_entries(&self, heartbeat_interval: Duration) {
         let mut peers = self.peers.borrow_mut();
-        let before = peers.max_entries();
         peers.count(heartbeat_interval, self.now());
-        let entries = peers.max_entries();
+        let entries = peers.fleet_size().unwrap_or(0);
         self.metrics.entries(entries);
-        if entries > before {
+        if entries > self.known_entries.replace(entries) {
             events::log(events::FLEET_GREW, format_args!("entries={entries}"));
         }
     }
 
     fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget) -> T) -> T {
-        let share = self.options.retry_allowance / f64::from(self.peers.borrow().max_entries());
+        let entries = self.peers.borrow().fleet_size();
+        let share =
+            entries.map_or(0.0, |entries| self.options.retry_allowance / f64::from(entries));
+        let burst = entries.map_or(UNKNOWN_FLEET_BURST, |_| share * BURST_SHARE);
         let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
         // A new process starts without savings: its previous incarnation may have used them up.
-        let (budget, since) = budgets.entry(service.to_owned()).or_insert_with(|| {
-            (Budget::empty(self.options.retry_ratio * RATIO_SHARE, share * BURST_SHARE), now)
-        });
+        let (budget, since) = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| (Budget::empty(self.options.retry_ratio * RATIO_SHARE, burst), now));
         let elapsed = now.saturating_sub(*since);
         *since = now;
-        budget.set_burst(share * BURST_SHARE);
+        budget.set_burst(burst);
         budget.add(share * REFILL_SHARE * elapsed.as_secs_f64() / ALLOWANCE_WINDOW.as_secs_f64());
         f(budget)
     }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -105,6 +105,9 @@
 pub async fn send(sync: Rc<StateSync>, socket: Rc<UdpSocket>, identity: Identity) {
     let mut sequence = 0;
     let mut changed = true;
+    if identity.seeds.iter().any(|seed| *seed != identity.peer_addr) {
+        sync.entry.peers.borrow_mut().expect_others();
+    }
     loop {
         sequence += 1;
         let now = sync.entry.now();
@@ -158,6 +161,7 @@
         leaving: entry.stopping.get(),
         rank: None,
         crashes: entry.crashes.borrow().reports(sequence, now),
+        counted_entries: peers.counted_entries(),
     }
 }
 
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -85,6 +85,10 @@
     /// The store's era of its target list.
     #[prost(uint64, tag = "15")]
     pub targets_era: u64,
+    /// The largest number of live entries that it has counted at once, so that an entry that has
+    /// just started knows the size of the fleet from one heartbeat.
+    #[prost(uint32, tag = "16")]
+    pub counted_entries: u32,
 }
 
 impl Heartbeat {
@@ -174,11 +178,21 @@
 pub struct Peers {
     peers: Map<String, Peer>,
     addresses: Map<SocketAddr, Duration>,
-    /// The largest number of live entries seen at once, including the local one.
-    max_entries: u32,
+    /// True if the settings name other entries.
+    expects_others: bool,
+    /// The largest number of live entries counted at once, including the local one.
+    counted_entries: u32,
+    /// The largest number that another entry has counted.
+    reported_entries: u32,
 }
 
 impl Peers {
+    /// Records that the settings name other entries, so that the local one is not the whole fleet
+    /// though it has heard no other yet.
+    pub fn expect_others(&mut self) {
+        self.expects_others = true;
+    }
+
     /// Records a heartbeat received from an address. A repeated or late one changes nothing but the
     /// addresses.
     pub fn record_heartbeat(
@@ -188,6 +202,7 @@
         now: Duration,
     ) -> PeerUpdate {
         self.addresses.insert(from, now);
+        self.reported_entries = self.reported_entries.max(heartbeat.counted_entries);
         for addr in heartbeat.known_peers.iter().filter_map(|addr| addr.addr()) {
             self.addresses.entry(addr).or_insert(now);
         }
@@ -270,18 +285,27 @@
     }
 
     /// Returns the number of live entries, including the local one, and remembers the largest
-    /// number for [`Peers::max_entries`].
+    /// number for [`Peers::fleet_size`].
     pub fn count(&mut self, heartbeat_interval: Duration, now: Duration) -> u32 {
         let live = u32::try_from(self.live(heartbeat_interval, now).count()).unwrap_or(u32::MAX);
         let entries = live.saturating_add(1);
-        self.max_entries = self.max_entries.max(entries);
+        self.counted_entries = self.counted_entries.max(entries);
         entries
     }
 
-    /// Returns the largest number of live entries counted so far, including the local one; at least
-    /// 1. Allowances of the whole fleet are divided by it.
-    pub fn max_entries(&self) -> u32 {
-        self.max_entries.max(1)
+    /// Returns the largest number of live entries that the local one has counted, which heartbeats
+    /// carry. It does not contain what others report, so that no number outlives all processes
+    /// that counted it.
+    pub fn counted_entries(&self) -> u32 {
+        self.counted_entries
+    }
+
+    /// Returns the largest number of entries that were live at once, as counted here or reported by
+    /// another entry; `None` while that is unknown, since there are others and none was heard.
+    /// Allowances of the whole fleet are divided by it.
+    pub fn fleet_size(&self) -> Option<u32> {
+        let size = self.counted_entries.max(self.reported_entries).max(1);
+        (size > 1 || !self.expects_others).then_some(size)
     }
 
     /// Returns true if the entry of this name is a store reader: one of the first by hash of the
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -174,7 +174,7 @@
 /// A datagram could not be decoded as a heartbeat.
 pub const HEARTBEAT_UNREADABLE: LogEvent =
     LogEvent { number: 7042, severity: Severity::Warning, title: "heartbeat unreadable" };
-/// More entries are live than before; allowances of the whole fleet are divided by their number.
+/// More entries are or were live than this one has known of; allowances of the whole fleet are divided by their number.
 pub const FLEET_GREW: LogEvent =
     LogEvent { number: 7043, severity: Severity::Info, title: "fleet grew" };
 /// A connection could not be accepted.
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -86,3 +86,38 @@
     let (entry, _manual_clock) = entry();
     assert!(!entry.spend_retry("model", false));
 }
+
+#[actix_rt::test]
+async fn an_entry_that_has_heard_no_other_takes_nothing_of_the_allowance() {
+    let (entry, manual_clock) = entry();
+    entry.peers.borrow_mut().expect_others();
+    manual_clock.advance(Duration::from_secs(60));
+    let requests = 8;
+    let retries = f64::from(storm(&entry, &manual_clock, 10, requests));
+    let earned = RATIO * f64::from(10 * requests);
+    assert!(retries <= earned, "{retries} retries of {earned}");
+    assert!(retries >= earned / 2.0, "{retries} retries of {earned}");
+}
+
+#[actix_rt::test]
+async fn one_heartbeat_tells_an_entry_the_size_of_the_fleet() {
+    let (entry, manual_clock) = entry();
+    entry.peers.borrow_mut().expect_others();
+    let counted_entries = u32::try_from(ENTRIES).expect("few");
+    let heartbeat =
+        Heartbeat { name: "e1".to_owned(), sequence: 1, counted_entries, ..Heartbeat::default() };
+    let now = entry.now();
+    entry.peers.borrow_mut().record_heartbeat(heartbeat, ([10, 0, 0, 1], 1).into(), now);
+    manual_clock.advance(Duration::from_secs(60));
+    let requests = 8;
+    let retries = f64::from(storm(&entry, &manual_clock, 10, requests));
+    let allowed = ALLOWANCE / 13.0 + RATIO * f64::from(10 * requests);
+    assert!(retries <= allowed, "{retries} retries of {allowed}");
+}
+
+#[actix_rt::test]
+async fn the_only_entry_has_the_whole_allowance() {
+    let (entry, manual_clock) = entry();
+    let retries = f64::from(storm(&entry, &manual_clock, 10, 100));
+    assert!(retries >= ALLOWANCE / 2.0, "{retries} retries of {ALLOWANCE}");
+}
