A restarted entry may not overdraw its retry budget in the same window again

Callers' streams were resumed beyond what all entries together are allowed while entries restarted under failing servers.

Cause: a resume may overdraw the budget by as much as it can hold. The debt is known to the process alone, so each restart forgave it and let the next incarnation overdraw as much again, several times within one window. Class of fault: a limit over time kept in memory that a restart clears; the savings had been treated already, the debt had not.

A process may overdraw only once it has run for a whole window. Before, it has what its share adds in that time and what its requests earn, so savings, debt and refill of both incarnations stay within nine tenths of the allowance. The price: in its first ten seconds an entry resumes only as many streams as it could retry requests.

The unit test of a storm never had saved retries, as its budget began with its first request; now it has.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -157,6 +157,8 @@
     /// Takes one retry from the service's budget and returns true, if one is left. `may_overdraw`
     /// is set for retries that complete an answer of which the caller has received a part.
     pub fn spend_retry(&self, service: &str, may_overdraw: bool) -> bool {
+        // The previous incarnation of the process may have overdrawn the budget in this window.
+        let may_overdraw = may_overdraw && self.now() >= ALLOWANCE_WINDOW;
         let (allowed, left) = self.with_budget(service, |budget| {
             let allowed = budget.spend(may_overdraw);
             (allowed, budget.balance())
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -55,6 +55,12 @@
     entry.peers.borrow_mut().count(HEARTBEAT_INTERVAL, now);
 }
 
+/// Lets an entry save up as many retries as it can.
+fn save_up(entry: &Entry, manual_clock: &ManualClock) {
+    entry.earn_retry("model");
+    manual_clock.advance(Duration::from_secs(60));
+}
+
 /// Retries every request as often as the budget allows for `seconds`. Returns the number of
 /// retries.
 fn storm(entry: &Entry, manual_clock: &ManualClock, seconds: u32, requests_per_second: u32) -> u32 {
@@ -73,7 +79,7 @@
 async fn a_storm_of_failures_stays_within_the_window_over_all_entries() {
     let (entry, manual_clock) = entry();
     add_peers(&entry);
-    manual_clock.advance(Duration::from_secs(60));
+    save_up(&entry, &manual_clock);
     let requests = 8;
     let retries = f64::from(storm(&entry, &manual_clock, 10, requests));
     let allowed = ALLOWANCE / 13.0 + RATIO * f64::from(10 * requests);
@@ -87,6 +93,21 @@
     assert!(!entry.spend_retry("model", false));
 }
 
+/// Its previous incarnation may have overdrawn the budget just before.
+#[actix_rt::test]
+async fn a_restarted_process_may_not_overdraw_its_budget_again_in_the_same_window() {
+    let (entry, manual_clock) = entry();
+    add_peers(&entry);
+    save_up(&entry, &manual_clock);
+    let requests = 1;
+    let before = storm(&entry, &manual_clock, 1, requests);
+    let (restarted, restarted_clock) = self::entry();
+    add_peers(&restarted);
+    let after = storm(&restarted, &restarted_clock, 9, requests);
+    let allowed = ALLOWANCE / 13.0 + RATIO * f64::from(10 * requests);
+    assert!(f64::from(before + after) <= allowed, "{before} and {after} retries of {allowed}");
+}
+
 #[actix_rt::test]
 async fn an_entry_that_has_heard_no_other_takes_nothing_of_the_allowance() {
     let (entry, manual_clock) = entry();
