--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -127,6 +127,9 @@
 /// The process exits before the answer to a request has ended.
 pub const ANSWER_CUT: LogEvent =
     LogEvent { number: 7008, severity: Severity::Warning, title: "answer cut by the stop" };
+/// The retry budget of a service allowed no further send of a request.
+pub const RETRY_REFUSED: LogEvent =
+    LogEvent { number: 7009, severity: Severity::Warning, title: "retry refused" };
 /// A target was added to the target list, or its record there changed.
 pub const TARGET_LISTED: LogEvent =
     LogEvent { number: 7010, severity: Severity::Info, title: "target listed" };
@@ -174,6 +177,10 @@
 /// A datagram could not be decoded as a heartbeat.
 pub const HEARTBEAT_UNREADABLE: LogEvent =
     LogEvent { number: 7042, severity: Severity::Warning, title: "heartbeat unreadable" };
+/// More entries are or were live than this one has known of; allowances of the whole fleet are
+/// divided by their number.
+pub const FLEET_GREW: LogEvent =
+    LogEvent { number: 7043, severity: Severity::Info, title: "fleet grew" };
 /// A connection could not be accepted.
 pub const ACCEPT_FAILED: LogEvent =
     LogEvent { number: 7050, severity: Severity::Error, title: "connection not accepted" };
@@ -261,6 +268,7 @@
     RESET_FAILED,
     TARGET_CRASHED,
     ANSWER_CUT,
+    RETRY_REFUSED,
     TARGET_LISTED,
     TARGET_REMOVED,
     TARGET_REMOVAL_PENDING,
@@ -276,6 +284,7 @@
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
+    FLEET_GREW,
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
