A stream that another target resumes ends at its deadline

What callers saw: a stream whose second target sent its head and then nothing stayed open beyond the timeout of the route and of the caller, for ever.

Cause: a relay limits each piece by the time left, but not the attempt that resumes the answer. That attempt has a limit of silence only while the route allows one more target after it.

Evidence: streams::a_resumed_stream_outlived_its_deadline fails before (open after 2.5 s with a timeout of 2 s) and passes now.

The whole search for another target, with its wait for a slot, now ends at the deadline.

--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -191,7 +191,7 @@
             ),
         );
         let cause = if out_of_time { Cause::TimedOut } else { Cause::Broken };
-        let mut failure = Failure { cause, executed: Executed::Yes, retry_after: None };
+        let failure = Failure { cause, executed: Executed::Yes, retry_after: None };
         self.call.record_failure(&target, &failure);
         self.call.record_no_answer(&self.target, error.is_connection_lost()).await;
         if out_of_time {
@@ -200,21 +200,32 @@
         let Some(last_id) = last_id else {
             return Err(self.interrupt("broken_off"));
         };
+        let left = self.call.time_left();
+        match time::timeout(left, self.resume_elsewhere(last_id, failure)).await {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(self.interrupt("broken_off")),
+            Err(_elapsed) => Err(self.interrupt("timed_out")),
+        }
+    }
+
+    /// Resumes the answer at another target after the event `last_id`. Returns false if no target
+    /// may or does resume it.
+    async fn resume_elsewhere(&mut self, last_id: u64, mut failure: Failure) -> bool {
         loop {
             let next = attempts::next(&self.call.history(), &failure);
             let service = self.call.service.clone();
             if next != Next::Again || !self.call.entry.spend_retry(&service, true) {
-                return Err(self.interrupt("broken_off"));
+                return false;
             }
             let Ok((target, slot)) = slot_wait::acquire(&mut self.call, RESUME_WAIT).await else {
-                return Err(self.interrupt("broken_off"));
+                return false;
             };
             let id = last_id.to_string();
             match forward::resume(&mut self.call, &target, slot, &id).await {
                 Ok(started) => {
                     self.call.entry.metrics.resumed();
                     self.switch_to(started, last_id);
-                    return Ok(());
+                    return true;
                 }
                 Err(error) => {
                     self.call.record_failure(&target.id, &error);
