The grace period of a stop runs from the signal, not from when it is handled

What callers saw: an entry that was frozen when SIGTERM came ended its streams 9.07 s after the signal, with 8 s of grace: the platform kills it before.

Cause: the stop began when the signal was handled. Evidence: stops::a_stop_signal_handled_late_was_given_the_whole_grace_period (frozen for 1.5 s) fails before, at 9.07 s, and passes three times now.

The stop now begins with the check before the last one. An ordinary stop ends up to 0.2 s earlier than it had to.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -177,6 +177,7 @@
     let entry = &sync.entry;
     let address_ttl = Duration::from_secs(u64::from(settings.addresses.keep_s));
     let mut stop_signal = Box::pin(signals::stop_requested());
+    let mut last_checks = [entry.now(); 2];
     loop {
         tokio::select! {
             name = &mut stop_signal, if !entry.is_stopping() => {
@@ -186,13 +187,16 @@
                     events::STOP_STARTED,
                     format_args!("signal={name} in_progress={in_progress}"),
                 );
-                let stop = Stopping::begin(entry.now(), settings.grace_period(), address_ttl);
+                // The grace period runs from the signal. After a freeze it may have come long ago, and
+                // the timer may have been handled before it.
+                let stop = Stopping::begin(last_checks[0], settings.grace_period(), address_ttl);
                 entry.stop.set(Some(stop));
                 sync.changed.notify_one();
             }
             () = time::sleep(HOUSEKEEPING_INTERVAL) => {}
         }
         run_housekeeping(sync);
+        last_checks = [last_checks[1], entry.now()];
         let Some(stop) = entry.stop.get() else { continue };
         match stop.phase(entry.now(), entry.in_progress.get()) {
             Phase::Serve => {}
