A stopping entry exits only once its answers are written

What callers saw: the answer to a request that a target had answered long before ended in its middle when the entry stopped.

Cause: a request counts as in progress until its answer is handed to the HTTP server, and a stopping process exits when none is in progress. What the server has not written by then is lost. The log says answered. Same class as streams admitted late: the exit does not ask whether a promise has been kept.

Callers' connections are now counted while they have unwritten bytes, and the process waits for them as for requests in progress, to the end of its grace period.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Clock;
 use crate::daemon::{reload, signals};
+use crate::direct::backlog::Backlog;
 use crate::direct::crash_store;
 use crate::direct::entry::{Entry, Options};
 use crate::direct::fleet;
@@ -145,12 +146,12 @@
     let listen = &settings.listen;
     let idle_timeout = Duration::from_millis(settings.caller_idle_ms);
     let callers = web::Data::new(Rc::clone(entry));
-    listener::serve(listen.callers, idle_timeout, move |cfg| {
+    listener::serve(listen.callers, idle_timeout, &entry.backlog, move |cfg| {
         cfg.app_data(callers.clone()).configure(adapter.callers);
     })
     .await?;
     let ready = web::Data::new(Rc::clone(entry));
-    listener::serve(listen.ready, idle_timeout, move |cfg| {
+    listener::serve(listen.ready, idle_timeout, &Backlog::default(), move |cfg| {
         cfg.app_data(ready.clone()).configure(adapter.ready);
     })
     .await?;
@@ -160,14 +161,19 @@
         keep_s: settings.addresses.keep_s,
         heartbeat_interval: settings.heartbeat_interval(),
     });
-    listener::serve(listen.addresses, idle_timeout, move |cfg| {
+    listener::serve(listen.addresses, idle_timeout, &Backlog::default(), move |cfg| {
         cfg.app_data(address_context.clone()).configure(adapter.addresses);
     })
     .await?;
     let sync = web::Data::new(Rc::clone(sync));
-    listener::serve(listen.peers, process::INTERNAL_IDLE_TIMEOUT, move |cfg| {
-        cfg.app_data(sync.clone()).configure(gossip::configure).configure(fleet::configure);
-    })
+    listener::serve(
+        listen.peers,
+        process::INTERNAL_IDLE_TIMEOUT,
+        &Backlog::default(),
+        move |cfg| {
+            cfg.app_data(sync.clone()).configure(gossip::configure).configure(fleet::configure);
+        },
+    )
     .await?;
     process::serve_admin(listen.metrics, registry).await
 }
@@ -198,12 +204,16 @@
         run_housekeeping(sync);
         last_checks = [last_checks[1], entry.now()];
         let Some(stop) = entry.stop.get() else { continue };
-        match stop.phase(entry.now(), entry.in_progress.get()) {
+        let unwritten = entry.backlog.connections();
+        match stop.phase(entry.now(), entry.in_progress.get() + unwritten) {
             Phase::Serve => {}
             Phase::Refuse => entry.refusing.set(true),
             Phase::Exit => {
                 let in_progress = entry.in_progress.get();
-                events::log(events::STOP_FINISHED, format_args!("in_progress={in_progress}"));
+                events::log(
+                    events::STOP_FINISHED,
+                    format_args!("in_progress={in_progress} unwritten={unwritten}"),
+                );
                 entry.exiting.set(true);
                 return Ok(());
             }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::collections::Map;
 use crate::direct::admission::ServiceLoad;
+use crate::direct::backlog::Backlog;
 use crate::direct::cluster_state::ClusterState;
 use crate::direct::configuration::Configuration;
 use crate::direct::crash_history::{Crash, CrashHistory, CrashReport, Dispatch};
@@ -83,6 +84,8 @@
     pub metrics: Metrics,
     /// The number of requests without a final answer.
     pub in_progress: Cell<usize>,
+    /// Callers' connections with answers that are not written yet.
+    pub backlog: Backlog,
     /// The stop in progress, from the time of the stop signal.
     pub stop: Cell<Option<Stopping>>,
     /// True once a stopping process ends whatever is still in progress.
@@ -120,6 +123,7 @@
             peers: RefCell::default(),
             metrics,
             in_progress: Cell::new(0),
+            backlog: Backlog::default(),
             stop: Cell::new(None),
             exiting: Cell::new(false),
             refusing: Cell::new(false),
--- a/src/direct/listener.rs
+++ b/src/direct/listener.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 use std::{future, io, result};
 
-use actix_http::{HttpService, KeepAlive};
+use actix_http::{HttpService, KeepAlive, Protocol};
 use actix_service::{Service, ServiceFactory as _, map_config};
 use actix_web::dev::AppConfig;
 use actix_web::{App, web};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
 
+use crate::direct::backlog::{Backlog, CountedStream};
 use crate::telemetry::events;
 
 /// The result of starting a server.
@@ -40,6 +41,9 @@
     },
 }
 
+/// A connection as it is handed to the HTTP service.
+type Accepted = (CountedStream, Protocol, Option<SocketAddr>);
+
 /// Connections that may wait to be accepted; enough for a burst of callers after a restart.
 const BACKLOG: u32 = 1_024;
 
@@ -53,7 +57,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Starts a server for routes at an address, which runs until the process ends. `idle_timeout`
-/// is the limit for its connections.
+/// is the limit for its connections, and `backlog` counts those with unwritten answers.
 ///
 /// # Errors
 ///
@@ -61,6 +65,7 @@
 pub async fn serve(
     address: SocketAddr,
     idle_timeout: Duration,
+    backlog: &Backlog,
     routes: impl Fn(&mut web::ServiceConfig) + 'static,
 ) -> Result<()> {
     let listener = bind(address).map_err(|source| ListenError::Bind { address, source })?;
@@ -70,16 +75,19 @@
         .client_request_timeout(HEAD_TIMEOUT)
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1_allow_half_closed(false)
-        .h1(map_config(app, |()| AppConfig::default()))
-        .tcp();
+        .h1(map_config(app, |()| AppConfig::default()));
     let service = factory.new_service(()).await.map_err(|_| ListenError::Routes { address })?;
     let service = Rc::new(service);
+    let backlog = backlog.clone();
     actix_rt::spawn(accept(listener, address, move |stream| {
         let service = Rc::clone(&service);
+        let peer = stream.peer_addr().ok();
+        let stream = backlog.count(stream);
         actix_rt::spawn(async move {
             // An error means that the client or a timeout ended the connection, which is no fault.
-            if future::poll_fn(|cx| service.poll_ready(cx)).await.is_ok() {
-                drop(service.call(stream).await);
+            let ready = future::poll_fn(|cx| Service::<Accepted>::poll_ready(&*service, cx));
+            if ready.await.is_ok() {
+                drop(service.call((stream, Protocol::Http1, peer)).await);
             }
         });
     }));
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod addresses;
 pub mod admission;
 pub mod attempts;
+pub mod backlog;
 pub mod call;
 pub mod cluster_state;
 pub mod configuration;
--- a/src/direct/process.rs
+++ b/src/direct/process.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::daemon::signals;
+use crate::direct::backlog::Backlog;
 use crate::direct::listener;
 use crate::telemetry::{admin, logs};
 
@@ -71,7 +72,7 @@
 /// Returns an error if the address cannot be bound.
 pub async fn serve_admin(address: SocketAddr, registry: &Registry) -> Result<()> {
     let pages = web::Data::new(admin::Admin::new(registry.clone()));
-    listener::serve(address, INTERNAL_IDLE_TIMEOUT, move |cfg| {
+    listener::serve(address, INTERNAL_IDLE_TIMEOUT, &Backlog::default(), move |cfg| {
         cfg.app_data(pages.clone()).configure(admin::configure);
     })
     .await?;
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::daemon::{reload, signals};
+use crate::direct::backlog::Backlog;
 use crate::direct::fleet::{self, FleetMessage, ShapeMessage};
 use crate::direct::http::Codecs;
 use crate::direct::listener;
@@ -128,10 +129,15 @@
 
 async fn serve(agent: &Rc<Agent>, registry: &Registry) -> Result<()> {
     let data = web::Data::new(Rc::clone(agent));
-    listener::serve(agent.settings.listen.peers, process::INTERNAL_IDLE_TIMEOUT, move |cfg| {
-        cfg.app_data(data.clone());
-        cfg.route(orders::ORDERS_PATH, web::post().to(handle_order));
-    })
+    listener::serve(
+        agent.settings.listen.peers,
+        process::INTERNAL_IDLE_TIMEOUT,
+        &Backlog::default(),
+        move |cfg| {
+            cfg.app_data(data.clone());
+            cfg.route(orders::ORDERS_PATH, web::post().to(handle_order));
+        },
+    )
     .await?;
     process::serve_admin(agent.settings.listen.metrics, registry).await
 }
