Tests of servers whose answers never end

A stand-in floods an entry with one part of an answer that has no end, from threads of its own: an event, interim heads, header lines, the size or the extension of a chunk, chunks that are mostly extension, trailers, a document of 10^18 bytes, one that ends with its connection, one byte a second in a head. Beside it a sound server answers. Four callers send for three seconds while readiness is asked and memory is read every 50 ms. Callers may get the whole answer of the sound server, a visibly truncated one, or a failure that leaves open whether the request ran. The same for the store as the sender.

--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -1,5 +1,6 @@
-//! Fakes of the users' platform for the tests of its adapter: the configuration store and a
-//! server instance.
+//! Fakes of the users' platform for the tests of its adapter: the configuration store, a server
+//! instance, and a server whose answers never end.
 
+pub mod endless;
 pub mod server;
 pub mod store;
