An event that does not end is a broken answer

What callers saw: while a faulty server sent one event without end, the entry answered readyz after 3.7 s at the slowest, and callers got 8 answers in three seconds. Two misses in a row take an entry out.

Cause: EventSplitter kept an event of any length and searched all of it again with each piece, so the time grew with the square of the length.

An event may be 256 KiB, as much as is buffered of a document. Beyond that the relay ends the attempt with EventTooLong, like a lost answer: the target is ejected and the stream goes on at another one or visibly breaks off. The length is checked after complete events were relayed, since the last id counts them and a resumed stream would miss them. Only new bytes are searched.

--- a/src/direct/event_stream.rs
+++ b/src/direct/event_stream.rs
@@ -3,12 +3,25 @@
 //! An entry relays complete events only, so that an answer that is interrupted in the middle of an
 //! event can be resumed at another target after the last id that the caller has received.
 
+use std::result;
+
 use bytes::{Bytes, BytesMut};
 
+/// The result of reading a stream of events.
+pub type Result<T> = result::Result<T, EventTooLong>;
+
+/// The longest beginning of an event that is buffered, in bytes.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// The blank line that ends an event.
 const SEPARATOR: &[u8] = b"\n\n";
 const ID_FIELD: &[u8] = b"id:";
 
+/// The error of a stream with an event whose end does not arrive within the limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// One or more complete events; empty where no event is complete yet.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EventBatch {
@@ -22,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// The length of the beginning of `partial` that has no separator in it.
+    searched: usize,
     last_id: Option<u64>,
 }
 
@@ -29,7 +44,7 @@
     /// Returns a splitter for an answer that resumes after the event `last_id`, or for a new answer
     /// if that is `None`.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last_id }
+        Self { last_id, ..Self::default() }
     }
 
     /// Returns the id of the last event relayed; `None` if no event had a number as its id.
@@ -39,17 +54,31 @@
 
     /// Returns the bytes after the last complete event, for an answer that has ended properly.
     pub fn take_partial(&mut self) -> Bytes {
+        self.searched = 0;
         self.partial.split().freeze()
     }
 
+    /// Checks that the incomplete event is not too long. The events that `push` has returned are
+    /// complete in any case, so this is checked once they are relayed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the event exceeds [`MAX_EVENT_BYTES`].
+    pub fn check_length(&self) -> Result<()> {
+        match self.partial.len() > MAX_EVENT_BYTES {
+            true => Err(EventTooLong),
+            false => Ok(()),
+        }
+    }
+
     /// Adds received bytes and returns the events that are complete now, without those whose id is
     /// not above the last one relayed.
     pub fn push(&mut self, data: &[u8]) -> EventBatch {
         self.partial.extend_from_slice(data);
         let mut events = BytesMut::new();
         let mut count = 0;
-        while let Some(length) = find(&self.partial, SEPARATOR) {
-            let event = self.partial.split_to(length + SEPARATOR.len());
+        while let Some(length) = self.find_event() {
+            let event = self.partial.split_to(length);
             if let Some(id) = event_id(&event) {
                 if self.last_id.is_some_and(|last| id <= last) {
                     continue;
@@ -61,6 +90,22 @@
         }
         EventBatch { data: events.freeze(), count }
     }
+
+    /// Returns the length of the first complete event with its separator. Only bytes that were not
+    /// searched before are searched, and the last of those that were.
+    fn find_event(&mut self) -> Option<usize> {
+        let start = self.searched.saturating_sub(SEPARATOR.len() - 1);
+        match find(&self.partial[start..], SEPARATOR) {
+            Some(at) => {
+                self.searched = 0;
+                Some(start + at + SEPARATOR.len())
+            }
+            None => {
+                self.searched = self.partial.len();
+                None
+            }
+        }
+    }
 }
 
 fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
--- a/src/direct/http.rs
+++ b/src/direct/http.rs
@@ -23,6 +23,7 @@
 use tokio::time;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::direct::event_stream::EventTooLong;
 use crate::telemetry::events;
 
 /// The result of an operation on a connection.
@@ -58,6 +59,9 @@
     /// The answer's head exceeds the limit.
     #[error("the head of the answer exceeds {MAX_HEAD_BYTES} bytes")]
     HeadTooLong,
+    /// An event in the answer's body exceeds the limit.
+    #[error(transparent)]
+    EventTooLong(#[from] EventTooLong),
     /// The time limit of the exchange passed before the end of the answer.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -117,6 +117,9 @@
         if let Some(first) = self.first.take() {
             return Step::Piece(first);
         }
+        if let Some(Err(error)) = self.splitter.as_ref().map(EventSplitter::check_length) {
+            return Step::Failed(error.into());
+        }
         let left = self.call.time_left();
         let silent_after = match &self.splitter {
             Some(splitter) if splitter.last_id().is_some() => forward::silence_limit(&self.call),
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bitternwall::direct::attempts::{self, Failure, History, Next};
-use bitternwall::direct::event_stream::EventSplitter;
+use bitternwall::direct::event_stream::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 use bitternwall::direct::message::{Cause, LocalAnswer};
 use bitternwall::problem::Executed;
 use bytes::{Bytes, BytesMut};
@@ -70,6 +70,29 @@
     assert_eq!(splitter.last_id(), Some(7));
 }
 
+#[test]
+fn an_event_that_does_not_end_is_an_error_after_the_complete_ones() {
+    let mut splitter = EventSplitter::default();
+    let begun = event(1) + &"x".repeat(MAX_EVENT_BYTES);
+    assert_eq!(splitter.push(begun.as_bytes()).data, event(1));
+    assert_eq!(splitter.check_length(), Ok(()));
+    assert!(splitter.push(b"x").data.is_empty());
+    assert_eq!(splitter.check_length(), Err(EventTooLong));
+    assert_eq!(splitter.last_id(), Some(1));
+}
+
+#[test]
+fn an_event_of_many_pieces_is_complete_at_any_separator() {
+    let mut splitter = EventSplitter::default();
+    let text = format!("id: 1\ndata: {}\n\n", "x".repeat(10_000));
+    let (last, first) = text.as_bytes().split_last().expect("text");
+    for byte in first {
+        assert!(splitter.push(&[*byte]).data.is_empty());
+    }
+    assert_eq!(splitter.push(&[*last]).data, text);
+    assert_eq!(splitter.push(event(2).as_bytes()).data, event(2));
+}
+
 const FRESH: History = History {
     may_repeat: false,
     sent: 1,
