Interim heads without a final one are a broken answer

What callers saw: while a faulty server sent heads with status 100 for ever, callers waited for it until their deadline of 2 s or, where the request may be repeated, to the limit of its silence: 64 and 70 answers in three seconds.

Cause: Connection::head skipped interim answers without a limit, as fast as the server sent them.

Up to 32 interim heads are skipped before one final answer. One more ends the exchange, which resets the connection.

--- a/src/direct/http.rs
+++ b/src/direct/http.rs
@@ -35,6 +35,9 @@
 /// The longest head of an answer. The codec's own limit applies first to heads in valid form.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The interim answers (1xx) that are skipped before one final answer.
+const MAX_INTERIM_HEADS: usize = 32;
+
 /// The reason that an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpError {
@@ -59,6 +62,9 @@
     /// The answer's head exceeds the limit.
     #[error("the head of the answer exceeds {MAX_HEAD_BYTES} bytes")]
     HeadTooLong,
+    /// The peer sends interim answers, but no final one.
+    #[error("more than {MAX_INTERIM_HEADS} interim answers")]
+    TooManyInterimHeads,
     /// An event in the answer's body exceeds the limit.
     #[error(transparent)]
     EventTooLong(#[from] EventTooLong),
@@ -207,12 +213,18 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the peer closes the connection first or sends anything but an answer.
+    /// Returns an error if the peer closes the connection first, sends anything but an answer, or
+    /// sends interim answers only.
     pub async fn head(&mut self) -> Result<ResponseHead> {
+        let mut interim = 0;
         loop {
             let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
             if let Some(head) = codec.decode(&mut self.buf)? {
                 if head.status.is_informational() {
+                    interim += 1;
+                    if interim > MAX_INTERIM_HEADS {
+                        return Err(HttpError::TooManyInterimHeads);
+                    }
                     continue;
                 }
                 self.enter_body(&head);
--- a/tests/direct/connections.rs
+++ b/tests/direct/connections.rs
@@ -1,4 +1,4 @@
-//! How connections are closed whose exchange has ended or is abandoned.
+//! How connections are closed whose exchange has ended or is abandoned, and answers that do not end.
 
 use std::io::{ErrorKind, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener};
@@ -6,20 +6,21 @@
 use std::time::Duration;
 
 use actix_http::{Method, Uri};
-use bitternwall::direct::http::{self, Codecs, Connection, Request};
+use bitternwall::direct::http::{self, Codecs, Connection, HttpError, Request};
 use bytes::Bytes;
 
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Accepts one request, writes `answer`, which may be empty, and returns how the connection ends.
-fn start_server(answer: &'static str) -> (SocketAddr, JoinHandle<Result<usize, ErrorKind>>) {
+fn start_server(answer: impl Into<String>) -> (SocketAddr, JoinHandle<Result<usize, ErrorKind>>) {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
     let address = listener.local_addr().expect("an address");
+    let answer = answer.into();
     let serving = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let mut buf = [0_u8; 4_096];
         assert!(stream.read(&mut buf).expect("a request") > 0);
-        stream.write_all(answer.as_bytes()).expect("the caller is there");
+        stream.write_all(answer.as_bytes()).map_err(|error| error.kind())?;
         stream.read(&mut buf).map_err(|error| error.kind())
     });
     (address, serving)
@@ -55,3 +56,22 @@
     drop(connection);
     assert_eq!(serving.join().expect("no panic"), Ok(0));
 }
+
+const INTERIM_HEAD: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+
+#[actix_rt::test]
+async fn some_interim_heads_are_skipped_and_many_are_an_error() {
+    let final_answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for (interim, valid) in [(1, true), (32, true), (33, false), (10_000, false)] {
+        let (address, serving) = start_server(INTERIM_HEAD.repeat(interim) + final_answer);
+        let mut connection = send_request(address).await;
+        match connection.head().await {
+            Ok(head) => assert!(valid && head.status.is_success(), "{interim}"),
+            Err(error) => {
+                assert!(!valid && matches!(error, HttpError::TooManyInterimHeads), "{error}");
+            }
+        }
+        drop(connection);
+        let _ended = serving.join().expect("no panic");
+    }
+}
