A chunked body of framing rather than data is a broken answer

Cause: the codec discards this framing as it arrives, so no limit of the length of an answer, a piece or a buffer applied to it.

A body may have 16 KiB of framing beyond twice its data and 16 bytes for each piece. All client connections read through it, the store's as well.

--- /dev/null
+++ b/src/direct/framing.rs
@@ -0,0 +1,46 @@
+//! The limit on the framing of chunked bodies.
+//!
+//! Sizes of chunks, extensions and trailers are discarded as they arrive, so no limit on the length
+//! of an answer applies to them, and they could go on without end.
+
+use std::result;
+
+use bytes::Bytes;
+
+/// The result of counting framing.
+pub type Result<T> = result::Result<T, FramingTooLong>;
+
+/// Bytes of framing that a body may have beyond those that its data allows.
+const MAX_EXCESS_BYTES: usize = 16 * 1024;
+
+/// Bytes of framing that each piece of data allows, in addition to twice its length.
+const BYTES_PER_PIECE: usize = 16;
+
+/// The error of a body that consists of framing rather than data.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the framing of the body exceeds its data by more than {MAX_EXCESS_BYTES} bytes")]
+pub struct FramingTooLong;
+
+/// The framing of one body.
+#[derive(Debug, Default)]
+pub struct Framing {
+    /// Bytes beyond those that the data so far allows.
+    excess: usize,
+}
+
+impl Framing {
+    /// Counts the bytes that a codec has consumed besides those of a piece of data.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the framing exceeds what the data allows.
+    pub fn count(&mut self, consumed: usize, piece: Option<&Bytes>) -> Result<()> {
+        let data = piece.map_or(0, Bytes::len);
+        let allowed = piece.map_or(0, |piece| BYTES_PER_PIECE + 2 * piece.len());
+        self.excess = (self.excess + consumed - data).saturating_sub(allowed);
+        match self.excess > MAX_EXCESS_BYTES {
+            true => Err(FramingTooLong),
+            false => Ok(()),
+        }
+    }
+}
--- a/src/direct/http.rs
+++ b/src/direct/http.rs
@@ -24,6 +24,7 @@
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
 use crate::direct::event_stream::EventTooLong;
+use crate::direct::framing::{Framing, FramingTooLong};
 use crate::telemetry::events;
 
 /// The result of an operation on a connection.
@@ -65,6 +66,9 @@
     /// The peer sends interim answers, but no final one.
     #[error("more than {MAX_INTERIM_HEADS} interim answers")]
     TooManyInterimHeads,
+    /// The answer's body consists of framing rather than data.
+    #[error(transparent)]
+    FramingTooLong(#[from] FramingTooLong),
     /// An event in the answer's body exceeds the limit.
     #[error(transparent)]
     EventTooLong(#[from] EventTooLong),
@@ -136,6 +140,8 @@
     keep_alive: bool,
     /// True from the sending of a request to the end of its answer.
     in_exchange: bool,
+    /// The framing of the body that is being read.
+    framing: Framing,
 }
 
 impl Drop for Connection {
@@ -163,8 +169,14 @@
             .map_err(HttpError::Connect)?;
         stream.set_nodelay(true)?;
         let codec = ClientCodec::new(codecs.0.clone());
-        let stage = Stage::Idle(Box::new(codec));
-        Ok(Self { stream, stage, buf: BytesMut::new(), keep_alive: true, in_exchange: false })
+        Ok(Self {
+            stream,
+            stage: Stage::Idle(Box::new(codec)),
+            buf: BytesMut::new(),
+            keep_alive: true,
+            in_exchange: false,
+            framing: Framing::default(),
+        })
     }
 
     /// Returns true if the connection can carry another exchange: the last answer has ended, and
@@ -240,6 +252,7 @@
     fn enter_body(&mut self, head: &ResponseHead) {
         let Stage::Idle(codec) = std::mem::replace(&mut self.stage, Stage::Broken) else { return };
         self.in_exchange = true;
+        self.framing = Framing::default();
         self.keep_alive = codec.keep_alive();
         let has_body = codec.message_type() != MessageType::None;
         self.stage = if is_unframed(head) {
@@ -265,18 +278,24 @@
                     self.in_exchange = false;
                     return Ok(None);
                 }
-                Stage::Payload(mut codec) => match codec.decode(&mut self.buf)? {
-                    Some(Some(piece)) => {
-                        self.stage = Stage::Payload(codec);
-                        return Ok(Some(piece));
-                    }
-                    Some(None) => {
-                        self.stage = Stage::Idle(Box::new(codec.into_message_codec()));
-                        self.in_exchange = false;
-                        return Ok(None);
+                Stage::Payload(mut codec) => {
+                    let received = self.buf.len();
+                    let item = codec.decode(&mut self.buf)?;
+                    let piece = item.as_ref().and_then(Option::as_ref);
+                    self.framing.count(received - self.buf.len(), piece)?;
+                    match item {
+                        Some(Some(piece)) => {
+                            self.stage = Stage::Payload(codec);
+                            return Ok(Some(piece));
+                        }
+                        Some(None) => {
+                            self.stage = Stage::Idle(Box::new(codec.into_message_codec()));
+                            self.in_exchange = false;
+                            return Ok(None);
+                        }
+                        None => self.stage = Stage::Payload(codec),
                     }
-                    None => self.stage = Stage::Payload(codec),
-                },
+                }
                 Stage::UntilClose => return self.piece_until_close().await,
                 Stage::Broken => return Err(HttpError::Closed),
             }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -20,6 +20,7 @@
 pub mod event_stream;
 pub mod fleet;
 pub mod forward;
+pub mod framing;
 pub mod gossip;
 pub mod http;
 pub mod internal;
--- a/tests/direct/connections.rs
+++ b/tests/direct/connections.rs
@@ -58,6 +58,7 @@
 }
 
 const INTERIM_HEAD: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
 #[actix_rt::test]
 async fn some_interim_heads_are_skipped_and_many_are_an_error() {
@@ -75,3 +76,39 @@
         let _ended = serving.join().expect("no panic");
     }
 }
+
+/// Reads the chunked body of an answer.
+async fn read_chunked(body: &str) -> Result<Bytes, HttpError> {
+    let (address, serving) = start_server(CHUNKED_HEAD.to_owned() + body);
+    let mut connection = send_request(address).await;
+    connection.head().await.expect("a head");
+    let body = connection.body(1_000_000).await;
+    drop(connection);
+    let _ended = serving.join().expect("no panic");
+    body
+}
+
+#[actix_rt::test]
+async fn a_body_with_more_framing_than_its_data_allows_is_an_error() {
+    let long = "x".repeat(20_000);
+    let padded = format!("1;{}\r\nx\r\n", "x".repeat(1_000)).repeat(100);
+    for body in [
+        format!("1;{long}\r\nx\r\n0\r\n\r\n"),
+        format!("{}1\r\nx\r\n0\r\n\r\n", "0".repeat(20_000)),
+        format!("1\r\nx\r\n0\r\nx-trailer: {long}"),
+        padded + "0\r\n\r\n",
+    ] {
+        let result = read_chunked(&body).await;
+        assert!(matches!(result, Err(HttpError::FramingTooLong(_))), "{result:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_body_with_ordinary_framing_is_complete() {
+    let small = "1\r\nx\r\n".repeat(50_000) + "0\r\n\r\n";
+    assert_eq!(read_chunked(&small).await.expect("a body").len(), 50_000);
+    let signature = format!(";chunk-signature={}", "f".repeat(64));
+    let signed = format!("400{signature}\r\n{}\r\n", "x".repeat(0x400)).repeat(500);
+    let body = signed + "0\r\nx-checksum: 7\r\n\r\n";
+    assert_eq!(read_chunked(&body).await.expect("a body").len(), 500 * 0x400);
+}
