A connection whose bytes are always ready lets other tasks run

What callers would see: one thread serves an entry, and a peer that sends faster than its bytes are handled keeps the task that reads them at work. The runtime ends such a turn after 128 reads, a megabyte or more, and does not count the pieces between two reads.

Cause: Connection::head and Connection::piece went on while bytes were there.

Evidence: a_body_of_many_pieces_lets_other_tasks_run failed with the limit taken out (fewer than 8 turns of another task while 1,200 pieces of one packet were read) and passes now.

This holds for the store client, the fetch from other entries and the ranks' engines as well, since all read through Connection.

--- a/src/direct/http.rs
+++ b/src/direct/http.rs
@@ -25,6 +25,7 @@
 
 use crate::direct::event_stream::EventTooLong;
 use crate::direct::framing::{Framing, FramingTooLong};
+use crate::direct::turn::Turn;
 use crate::telemetry::events;
 
 /// The result of an operation on a connection.
@@ -39,6 +40,9 @@
 /// The interim answers (1xx) that are skipped before one final answer.
 const MAX_INTERIM_HEADS: usize = 32;
 
+/// The work on a piece besides the reading of its bytes, as a number of bytes.
+const PIECE_WORK_BYTES: usize = 512;
+
 /// The reason that an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpError {
@@ -142,6 +146,7 @@
     in_exchange: bool,
     /// The framing of the body that is being read.
     framing: Framing,
+    turn: Turn,
 }
 
 impl Drop for Connection {
@@ -176,6 +181,7 @@
             keep_alive: true,
             in_exchange: false,
             framing: Framing::default(),
+            turn: Turn::default(),
         })
     }
 
@@ -230,6 +236,9 @@
     pub async fn head(&mut self) -> Result<ResponseHead> {
         let mut interim = 0;
         loop {
+            self.turn.pass().await;
+            // The codec parses the head from its beginning each time.
+            self.turn.count(self.buf.len());
             let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
             if let Some(head) = codec.decode(&mut self.buf)? {
                 if head.status.is_informational() {
@@ -272,6 +281,8 @@
     /// Returns an error if the body is truncated or not framed as its head says.
     pub async fn piece(&mut self) -> Result<Option<Bytes>> {
         loop {
+            self.turn.pass().await;
+            self.turn.count(PIECE_WORK_BYTES);
             match std::mem::replace(&mut self.stage, Stage::Broken) {
                 Stage::Idle(codec) => {
                     self.stage = Stage::Idle(codec);
@@ -336,7 +347,9 @@
 
     async fn fill(&mut self) -> Result<()> {
         self.buf.reserve(READ_BYTES);
-        match self.stream.read_buf(&mut self.buf).await? {
+        let length = self.stream.read_buf(&mut self.buf).await?;
+        self.turn.count(length);
+        match length {
             0 => Err(HttpError::Closed),
             _ => Ok(()),
         }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -40,3 +40,4 @@
 mod target_list;
 mod target_state;
 pub mod targets;
+pub mod turn;
--- a/tests/direct/connections.rs
+++ b/tests/direct/connections.rs
@@ -1,5 +1,6 @@
 //! How connections are closed whose exchange has ended or is abandoned, and answers that do not end.
 
+use std::cell::Cell;
 use std::io::{ErrorKind, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener};
 use std::thread::{self, JoinHandle};
@@ -8,6 +9,8 @@
 use actix_http::{Method, Uri};
 use bitternwall::direct::http::{self, Codecs, Connection, HttpError, Request};
 use bytes::Bytes;
+use futures_util::future::{self, Either};
+use tokio::task;
 
 const TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -112,3 +115,27 @@
     let body = signed + "0\r\nx-checksum: 7\r\n\r\n";
     assert_eq!(read_chunked(&body).await.expect("a body").len(), 500 * 0x400);
 }
+
+/// The pieces of one packet are ready at once, and another task runs between them.
+#[actix_rt::test]
+async fn a_body_of_many_pieces_lets_other_tasks_run() {
+    let chunks = "1\r\nx\r\n".repeat(1_200) + "0\r\n\r\n";
+    let (address, serving) = start_server(CHUNKED_HEAD.to_owned() + &chunks);
+    let mut connection = send_request(address).await;
+    connection.head().await.expect("a head");
+    let turns = Cell::new(0);
+    let other = async {
+        loop {
+            turns.set(turns.get() + 1);
+            task::yield_now().await;
+        }
+    };
+    let reading = Box::pin(connection.body(10_000));
+    match future::select(reading, Box::pin(other)).await {
+        Either::Left((body, _)) => assert_eq!(body.expect("a body").len(), 1_200),
+        Either::Right((never, _)) => never,
+    }
+    assert!(turns.get() >= 8, "{} turns", turns.get());
+    drop(connection);
+    let _ended = serving.join().expect("no panic");
+}
