A relayed document ends at its deadline however fast it comes

What callers saw: a faulty server's document of 10^18 bytes, or one without a length, was relayed long after the route's timeout. In the tests, with a deadline of 2 s, an answer was read for 13 s (10^18 bytes) and 27 s (no length). A request that is held past its route's timeout takes a slot, a caller's connection and the entry's time.

Cause: Relay::step waits for a piece for the time that is left. A timeout of zero asks for the piece first, and a piece that is ready wins.

The step ends the answer when no time is left, before it asks for a piece. The caller's connection is aborted, so the document is visibly truncated.

--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -121,6 +121,10 @@
             return Step::Failed(error.into());
         }
         let left = self.call.time_left();
+        if left.is_zero() {
+            // A piece that is ready at once would win against the timeout below.
+            return Step::Failed(HttpError::Timeout(left));
+        }
         let silent_after = match &self.splitter {
             Some(splitter) if splitter.last_id().is_some() => forward::silence_limit(&self.call),
             Some(_) | None => None,
