--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -117,7 +117,14 @@
         if let Some(first) = self.first.take() {
             return Step::Piece(first);
         }
+        if let Some(Err(error)) = self.splitter.as_ref().map(EventSplitter::check_length) {
+            return Step::Failed(error.into());
+        }
         let left = self.call.time_left();
+        if left.is_zero() {
+            // A piece that is ready at once would win against the timeout below.
+            return Step::Failed(HttpError::Timeout(left));
+        }
         let silent_after = match &self.splitter {
             Some(splitter) if splitter.last_id().is_some() => forward::silence_limit(&self.call),
             Some(_) | None => None,
