Daemons handle signals from their start on

A SIGHUP or SIGTERM in the first milliseconds of a process ended it, as the handlers were installed last, after the servers were listening. On a host with a fraction of a core that time is longer.

No test: the moment can't be hit by one without a race.

--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -38,6 +38,7 @@
 }
 
 async fn serve(settings: agent_settings::AgentSettings) -> anyhow::Result<()> {
+    let stop_signal = signals::stop_requested()?;
     let listener = server::listen(settings.listen).await?;
     let metrics = metrics::Metrics::new()?;
     let readiness = Arc::new(AtomicBool::new(false));
@@ -55,7 +56,7 @@
     });
     let links = actix_rt::spawn(links);
     log::log(log::PROCESS_STARTED, format_args!("agent of {}", settings.target));
-    signals::stop_requested().await?;
+    stop_signal.await;
     log::log(log::STOP_STARTED, format_args!("agent of {}", settings.target));
     agent.do_send(actor::CoreEvent(events::Event::Drain {
         cause: events::DrainCause::Signal,
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime};
 
 use serde::de::DeserializeOwned;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time;
 
 use crate::settings::{self, InvalidValue};
@@ -19,18 +19,31 @@
 /// Watches the settings file until the process ends. On SIGHUP, and when the file has changed,
 /// reads and checks it again and logs whether the settings differ. An invalid file changes nothing.
 /// Changed addresses take effect at the next start.
-pub async fn watch<T: DeserializeOwned + Debug>(
+///
+/// The handler of SIGHUP is installed at once, before the returned future is polled, since the
+/// signal ends a process without one.
+pub fn watch<T: DeserializeOwned + Debug>(
+    file: PathBuf,
+    settings: T,
+    check: fn(&T) -> Option<InvalidValue>,
+) -> impl Future<Output = ()> {
+    let hangup = signal(SignalKind::hangup());
+    async move {
+        match hangup {
+            Ok(hangup) => watch_with(hangup, file, settings, check).await,
+            Err(error) => {
+                events::log(events::SETTINGS_REFUSED, format_args!("cause=\"no SIGHUP: {error}\""))
+            }
+        }
+    }
+}
+
+async fn watch_with<T: DeserializeOwned + Debug>(
+    mut hangup: Signal,
     file: PathBuf,
     mut settings: T,
     check: fn(&T) -> Option<InvalidValue>,
 ) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            events::log(events::SETTINGS_REFUSED, format_args!("cause=\"no SIGHUP: {error}\""));
-            return;
-        }
-    };
     let mut modified = modified_at(&file);
     loop {
         let signalled = tokio::select! {
--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -12,16 +12,19 @@
 #[error("The handlers of SIGTERM and SIGINT could not be installed.")]
 pub struct SignalError(#[from] io::Error);
 
-/// Waits for SIGTERM or SIGINT and returns the name of the signal.
+/// Installs the handlers of SIGTERM and SIGINT at once, since either ends a process without one.
+/// Returns a future that waits for a signal and returns its name.
 ///
 /// # Errors
 ///
 /// Returns an error if a handler cannot be installed.
-pub async fn stop_requested() -> Result<&'static str> {
+pub fn stop_requested() -> Result<impl Future<Output = &'static str>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => Ok("SIGTERM"),
-        _ = interrupt.recv() => Ok("SIGINT"),
-    }
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => "SIGTERM",
+            _ = interrupt.recv() => "SIGINT",
+        }
+    })
 }
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -72,6 +72,8 @@
 /// Returns an error if the entry cannot start.
 pub async fn run(file: PathBuf, settings: DirectSettings, adapter: Adapter) -> Result<()> {
     logs::start_on_stdout(&settings.log)?;
+    let stop_signal = signals::stop_requested()?;
+    actix_rt::spawn(reload::watch(file, settings.clone(), settings::direct::check));
     let clock = Clock::system();
     let registry = Registry::new();
     let metrics = Metrics::register(&registry)?;
@@ -113,8 +115,7 @@
             env!("CARGO_PKG_VERSION")
         ),
     );
-    actix_rt::spawn(reload::watch(file, settings.clone(), settings::direct::check));
-    housekeeping_loop(&sync, &settings).await
+    housekeeping_loop(&sync, &settings, stop_signal).await
 }
 
 async fn start_heartbeats(
@@ -179,16 +180,19 @@
 }
 
 /// Runs the housekeeping and handles a stop signal, until the process may exit.
-async fn housekeeping_loop(sync: &StateSync, settings: &DirectSettings) -> Result<()> {
+async fn housekeeping_loop(
+    sync: &StateSync,
+    settings: &DirectSettings,
+    stop_signal: impl Future<Output = &'static str>,
+) -> Result<()> {
     let entry = &sync.entry;
     let address_ttl = Duration::from_secs(u64::from(settings.addresses.keep_s));
-    let mut stop_signal = Box::pin(signals::stop_requested());
+    let mut stop_signal = Box::pin(stop_signal);
     let mut last_checks = [entry.now(); 2];
     loop {
         tokio::select! {
             name = &mut stop_signal, if !entry.is_stopping() => {
                 let in_progress = entry.in_progress.get();
-                let name = name?;
                 events::log(
                     events::STOP_STARTED,
                     format_args!("signal={name} in_progress={in_progress}"),
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -77,6 +77,7 @@
 ///
 /// Returns an [`EntryError`] if the entry cannot start or one of its HTTP servers fails.
 pub async fn run(settings: EntrySettings) -> Result<()> {
+    let stop_signal = signals::stop_requested()?;
     logs::start(&settings.log)?;
     let clock = Clock::system();
     let registry = Registry::new();
@@ -98,7 +99,7 @@
         events::PROCESS_STARTED,
         format_args!("entry={} listen={}", settings.name, settings.listen),
     );
-    let signal = signals::stop_requested().await?;
+    let signal = stop_signal.await;
     events::log(events::STOP_STARTED, format_args!("signal={signal}"));
     leave(&actor).await;
     // Open watches of operators would delay the stop.
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -79,6 +79,7 @@
 /// Returns an error if the agent cannot start.
 pub async fn run(file: PathBuf, settings: RankSettings, protocol: EngineProtocol) -> Result<()> {
     logs::start_on_stdout(&settings.log)?;
+    let stop_signal = signals::stop_requested()?;
     actix_rt::spawn(reload::watch(file, settings.clone(), settings::rank::check));
     let clock = Clock::system();
     let registry = Registry::new();
@@ -120,7 +121,7 @@
         events::PROCESS_STARTED,
         format_args!("name={name} data_centre={data_centre} engine={engine} peers={address}"),
     );
-    let signal = signals::stop_requested().await?;
+    let signal = stop_signal.await;
     events::log(events::STOP_STARTED, format_args!("signal={signal}"));
     agent.finish_switch().await;
     events::log(events::STOP_FINISHED, format_args!("name={}", agent.settings.name));
