A stop expects streams and documents to take different times

A route of streams and one of documents may belong to one service. The averages are now kept by the form of the answer; the unit test fails without that.

The reserve before the end of the grace period is at most a sixth of it: with half a second of grace it was all reserve, and the process exited at once.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use crate::direct::configuration::AnswerForm;
+
 /// The longest wait for a slot, as a share of the route's objective.
 const MAX_WAIT_SHARE: f64 = 0.125;
 
@@ -47,7 +49,8 @@
     refused_share: f64,
     /// Time from arrival to the first event, as a multiple of the objective.
     first_event_time: Option<f64>,
-    answer_time: Option<AnswerTime>,
+    document_time: Option<AnswerTime>,
+    stream_time: Option<AnswerTime>,
 }
 
 /// Moving averages of the time from the arrival of a request to the end of its answer, in seconds.
@@ -67,21 +70,29 @@
     }
 
     /// Records the time from a request's arrival to the end of its answer.
-    pub fn record_answer_time(&mut self, took: Duration) {
+    pub fn record_answer_time(&mut self, form: AnswerForm, took: Duration) {
         let took = took.as_secs_f64();
+        let time = match form {
+            AnswerForm::Document => &mut self.document_time,
+            AnswerForm::Events => &mut self.stream_time,
+        };
         let AnswerTime { mean, deviation } =
-            self.answer_time.unwrap_or(AnswerTime { mean: took, deviation: took / 2.0 });
+            time.unwrap_or(AnswerTime { mean: took, deviation: took / 2.0 });
         let difference = took - mean;
-        self.answer_time = Some(AnswerTime {
+        *time = Some(AnswerTime {
             mean: mean + difference * ANSWER_TIME_WEIGHT,
             deviation: deviation + (difference.abs() - deviation) * DEVIATION_WEIGHT,
         });
     }
 
-    /// Returns the time within which nearly all answers end, as a sender estimates the time of a
-    /// round trip; `None` if no answer has ended yet.
-    pub fn expected_answer_time(&self) -> Option<Duration> {
-        let AnswerTime { mean, deviation } = self.answer_time?;
+    /// Returns the time within which nearly all answers of a form end, as a sender estimates the
+    /// time of a round trip; `None` if no answer has ended yet.
+    pub fn expected_answer_time(&self, form: AnswerForm) -> Option<Duration> {
+        let time = match form {
+            AnswerForm::Document => self.document_time,
+            AnswerForm::Events => self.stream_time,
+        };
+        let AnswerTime { mean, deviation } = time?;
         Some(Duration::from_secs_f64(mean + deviation * EXPECTED_DEVIATIONS))
     }
 
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -204,6 +204,7 @@
 
     /// Records that the entry's own answer is final.
     pub fn record_local_answer(&mut self, local: &LocalAnswer) {
+        // A request that ran out of time shows how long answers take; a refused one does not.
         if local.cause == Cause::TimedOut {
             self.record_answer_time();
         }
@@ -221,7 +222,9 @@
 
     fn record_answer_time(&self) {
         let took = self.entry.now().saturating_sub(self.caller.arrived);
-        self.entry.with_service_load(&self.service, |load| load.record_answer_time(took));
+        self.entry.with_service_load(&self.service, |load| {
+            load.record_answer_time(self.route.form, took);
+        });
     }
 
     /// Logs that the process exits before the answer has ended.
@@ -340,7 +343,8 @@
     if let Some(stop) = entry.stop.get() {
         let now = entry.now();
         let time_left = deadline(caller, &route).saturating_sub(now);
-        let expected = entry.with_service_load(&service, |load| load.expected_answer_time());
+        let expected =
+            entry.with_service_load(&service, |load| load.expected_answer_time(route.form));
         if !stop.admits(now, time_left, expected) {
             return Err(LocalAnswer::not_run(Cause::Stopping, Some(STOPPING_RETRY_AFTER)));
         }
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -12,6 +12,9 @@
 /// close its connections.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 
+/// Limit of the reserve as a share of the grace period.
+const MAX_EXIT_RESERVE_SHARE: f64 = 1.0 / 6.0;
+
 /// Share of the grace period after which new requests are refused, so that those in progress can
 /// end.
 const REFUSE_AFTER_SHARE: f64 = 0.8;
@@ -55,8 +58,8 @@
 
     /// Returns true if a new request is admitted.
     ///
-    /// A request whose deadline is before the exit always is. One with a later deadline is admitted
-    /// while callers may properly have the address cached, if the answer is expected to end in
+    /// A request whose deadline is before the exit is, until [`Phase::Refuse`]. One with a later deadline is admitted
+    /// while callers were told to cache the address, if the answer is expected to end in
     /// time. `time_left` is the time until its deadline, and `expected` the time that recent answers
     /// took; `None` if there were none.
     pub fn admits(&self, now: Duration, time_left: Duration, expected: Option<Duration>) -> bool {
@@ -64,14 +67,15 @@
         if time_left <= until_exit {
             return true;
         }
-        let is_address_cached = now.saturating_sub(self.started) < self.address_ttl;
+        let is_address_valid = now.saturating_sub(self.started) < self.address_ttl;
         let ends_in_time = |time: Duration| time.mul_f64(ANSWER_TIME_MARGIN) <= until_exit;
-        is_address_cached && expected.is_some_and(ends_in_time)
+        is_address_valid && expected.is_some_and(ends_in_time)
     }
 
     /// Returns when the process exits in any case.
     fn exit_at(&self) -> Duration {
-        self.started + self.grace.saturating_sub(EXIT_RESERVE)
+        let reserve = EXIT_RESERVE.min(self.grace.mul_f64(MAX_EXIT_RESERVE_SHARE));
+        self.started + self.grace.saturating_sub(reserve)
     }
 
     /// Returns the present phase of the stop, given the number of requests in progress.
--- a/tests/direct/stopping.rs
+++ b/tests/direct/stopping.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bitternwall::direct::admission::ServiceLoad;
+use bitternwall::direct::configuration::AnswerForm;
 use bitternwall::direct::stopping::{Phase, Stopping};
 
 const GRACE: Duration = Duration::from_secs(8);
@@ -41,18 +42,30 @@
 #[test]
 fn nearly_all_answers_end_within_the_expected_time() {
     let mut load = ServiceLoad::default();
-    assert_eq!(load.expected_answer_time(), None);
+    assert_eq!(load.expected_answer_time(AnswerForm::Events), None);
     let times_ms = [1_800, 2_200, 1_900, 2_100, 2_000];
     for took in times_ms.iter().cycle().take(100) {
-        load.record_answer_time(Duration::from_millis(*took));
+        load.record_answer_time(AnswerForm::Events, Duration::from_millis(*took));
     }
-    let expected = load.expected_answer_time().expect("answers have ended");
+    let expected = load.expected_answer_time(AnswerForm::Events).expect("answers have ended");
     assert!((2_200..3_000).contains(&expected.as_millis()), "{expected:?}");
-    load.record_answer_time(Duration::from_secs(8));
-    let expected = load.expected_answer_time().expect("answers have ended");
+    for _ in 0..100 {
+        load.record_answer_time(AnswerForm::Document, Duration::from_millis(10));
+    }
+    assert_eq!(load.expected_answer_time(AnswerForm::Events), Some(expected), "by form");
+    load.record_answer_time(AnswerForm::Events, Duration::from_secs(8));
+    let expected = load.expected_answer_time(AnswerForm::Events).expect("answers have ended");
     assert!(expected > Duration::from_secs(8), "one slow answer counts: {expected:?}");
 }
 
+#[test]
+fn a_short_grace_period_is_not_all_reserve() {
+    let grace = Duration::from_millis(600);
+    let stop = Stopping::begin(Duration::ZERO, grace, KEEP);
+    assert_eq!(stop.phase(Duration::from_millis(450), 1), Phase::Serve);
+    assert_eq!(stop.phase(Duration::from_millis(500), 1), Phase::Exit);
+}
+
 #[test]
 fn it_waits_for_what_is_in_progress_but_not_beyond_its_time() {
     assert_eq!(phase(6_000, 1), Phase::Serve);
