--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -45,9 +45,24 @@
     pub head: String,
     /// The body, read up to its content length.
     pub body: Vec<u8>,
+    /// The queued fault that the request took.
+    pub fault: Option<Fault>,
 }
 
 impl ExecutedRequest {
+    /// Returns true if the server broke off its response to the request.
+    pub fn was_broken_off(&self) -> bool {
+        match self.fault {
+            Some(Fault::TruncateAfter(_)) => self.is_stream(),
+            Some(Fault::NoAnswer | Fault::TruncateBody) => !self.is_stream(),
+            _ => false,
+        }
+    }
+
+    fn is_stream(&self) -> bool {
+        self.head.contains("/events/")
+    }
+
     /// Returns the value of the first header with this name, compared without regard to case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.lines().skip(1).find_map(|line| {
@@ -177,13 +192,13 @@
             let text = "HTTP/1.1 503 Service Unavailable\r\nBitternwall-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n";
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
-        self.with(|state| state.executed_requests.push(req.clone()));
+        self.with(|state| state.executed_requests.push(ExecutedRequest { fault, ..req.clone() }));
         if self.with(|state| state.crashing_body.as_ref().is_some_and(|body| *body == req.body)) {
             self.crash().await;
             return false;
         }
         let id = req.header("Bitternwall-Attempt-Id").unwrap_or_default().to_owned();
-        if req.head.contains("/events/") {
+        if req.is_stream() {
             return self.send_stream(stream, req, &id, fault).await;
         }
         self.send_document(stream, &id, fault).await
@@ -273,7 +288,7 @@
         }
     };
     let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
-    let mut req = ExecutedRequest { head, body: bytes[head_end..].to_vec() };
+    let mut req = ExecutedRequest { head, body: bytes[head_end..].to_vec(), fault: None };
     let length: usize = req.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
     while req.body.len() < length {
         if stream.read_buf(&mut req.body).await.ok()? == 0 {
