--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -26,6 +26,8 @@
     NoAnswer,
     /// The stream is truncated in the middle of an event, after this many complete events.
     TruncateAfter(u64),
+    /// The stream pauses for this time after this many events.
+    PauseAfter(u64, Duration),
     /// The body ends before the announced content length.
     TruncateBody,
     /// The response carries the id of another attempt.
@@ -283,6 +285,11 @@
             if !interval.is_zero() {
                 actix_rt::time::sleep(interval).await;
             }
+            if let Some(Fault::PauseAfter(events, time)) = fault
+                && event == events + 1
+            {
+                actix_rt::time::sleep(time).await;
+            }
             let text = event_text(event);
             let truncated =
                 matches!(fault, Some(Fault::TruncateAfter(complete)) if event == complete + 1);
