--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Clock;
 use crate::daemon::{reload, signals};
+use crate::direct::backlog::Backlog;
 use crate::direct::crash_store;
 use crate::direct::entry::{Entry, Options};
 use crate::direct::fleet;
@@ -145,12 +146,12 @@
     let listen = &settings.listen;
     let idle_timeout = Duration::from_millis(settings.caller_idle_ms);
     let callers = web::Data::new(Rc::clone(entry));
-    listener::serve(listen.callers, idle_timeout, move |cfg| {
+    listener::serve(listen.callers, idle_timeout, &entry.backlog, move |cfg| {
         cfg.app_data(callers.clone()).configure(adapter.callers);
     })
     .await?;
     let ready = web::Data::new(Rc::clone(entry));
-    listener::serve(listen.ready, idle_timeout, move |cfg| {
+    listener::serve(listen.ready, idle_timeout, &Backlog::default(), move |cfg| {
         cfg.app_data(ready.clone()).configure(adapter.ready);
     })
     .await?;
@@ -160,14 +161,19 @@
         keep_s: settings.addresses.keep_s,
         heartbeat_interval: settings.heartbeat_interval(),
     });
-    listener::serve(listen.addresses, idle_timeout, move |cfg| {
+    listener::serve(listen.addresses, idle_timeout, &Backlog::default(), move |cfg| {
         cfg.app_data(address_context.clone()).configure(adapter.addresses);
     })
     .await?;
     let sync = web::Data::new(Rc::clone(sync));
-    listener::serve(listen.peers, process::INTERNAL_IDLE_TIMEOUT, move |cfg| {
-        cfg.app_data(sync.clone()).configure(gossip::configure).configure(fleet::configure);
-    })
+    listener::serve(
+        listen.peers,
+        process::INTERNAL_IDLE_TIMEOUT,
+        &Backlog::default(),
+        move |cfg| {
+            cfg.app_data(sync.clone()).configure(gossip::configure).configure(fleet::configure);
+        },
+    )
     .await?;
     process::serve_admin(listen.metrics, registry).await
 }
@@ -177,6 +183,7 @@
     let entry = &sync.entry;
     let address_ttl = Duration::from_secs(u64::from(settings.addresses.keep_s));
     let mut stop_signal = Box::pin(signals::stop_requested());
+    let mut last_checks = [entry.now(); 2];
     loop {
         tokio::select! {
             name = &mut stop_signal, if !entry.is_stopping() => {
@@ -186,20 +193,27 @@
                     events::STOP_STARTED,
                     format_args!("signal={name} in_progress={in_progress}"),
                 );
-                let stop = Stopping::begin(entry.now(), settings.grace_period(), address_ttl);
+                // The grace period runs from the signal. After a freeze it may have come long ago, and
+                // the timer may have been handled before it.
+                let stop = Stopping::begin(last_checks[0], settings.grace_period(), address_ttl);
                 entry.stop.set(Some(stop));
                 sync.changed.notify_one();
             }
             () = time::sleep(HOUSEKEEPING_INTERVAL) => {}
         }
         run_housekeeping(sync);
+        last_checks = [last_checks[1], entry.now()];
         let Some(stop) = entry.stop.get() else { continue };
-        match stop.phase(entry.now(), entry.in_progress.get()) {
+        let unwritten = entry.backlog.connections();
+        match stop.phase(entry.now(), entry.in_progress.get() + unwritten) {
             Phase::Serve => {}
             Phase::Refuse => entry.refusing.set(true),
             Phase::Exit => {
                 let in_progress = entry.in_progress.get();
-                events::log(events::STOP_FINISHED, format_args!("in_progress={in_progress}"));
+                events::log(
+                    events::STOP_FINISHED,
+                    format_args!("in_progress={in_progress} unwritten={unwritten}"),
+                );
                 entry.exiting.set(true);
                 return Ok(());
             }
