A silent target is given up only once another one has resumed its answer

What callers saw: a stream whose target paused for more than three objectives ended after some of its events, though the target went on a moment later. Rules of the platform: a server's silence is no reason to end an answer sooner.

Cause: the relay dropped the connection of a silent target first and asked another target afterwards. Where none took the answer, since it was full, or no slot or retry was left, nothing was there to go on with. Class: what is held is given up before its replacement is.

Evidence: a_stream_that_pauses_was_cut_when_no_other_server_took_it fails before (2 of 6 events, 7005 silent=true, 7001 cause=broken_off) and passes now.

The connection and the slot are kept until another target's answer has begun. If none begins, the relay waits on for the silent target, to the deadline.

--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -42,6 +42,8 @@
     first: Option<Bytes>,
     /// When the last piece was relayed, on the entry's clock.
     last_piece: Duration,
+    /// True once no other target resumed the answer of a silent one, which is then waited for.
+    is_waiting: bool,
 }
 
 /// The result of reading from the target.
@@ -76,6 +78,7 @@
             status: 0,
             first: Some(first),
             last_piece: now,
+            is_waiting: false,
         }
     }
 
@@ -126,7 +129,9 @@
             return Step::Failed(HttpError::Timeout(left));
         }
         let silent_after = match &self.splitter {
-            Some(splitter) if splitter.last_id().is_some() => forward::silence_limit(&self.call),
+            Some(splitter) if splitter.last_id().is_some() && !self.is_waiting => {
+                forward::silence_limit(&self.call)
+            }
             Some(_) | None => None,
         };
         let limit = silent_after.map_or(left, |limit| limit.min(left));
@@ -177,13 +182,18 @@
         None
     }
 
-    /// Resumes the answer at another target after the last event relayed, or interrupts it.
+    /// Resumes the answer at another target after the last event relayed. Otherwise waits on for a
+    /// target that is only silent, or interrupts the answer.
     async fn resume(&mut self, error: &HttpError) -> Result<(), Interrupted> {
         let target = self.target.id.clone();
         let silent = matches!(error, HttpError::Timeout(_));
-        // Dropping the connection resets it, which makes the target abandon the request.
-        (self.connection, self.slot) = (None, None);
         let out_of_time = self.call.time_left().is_zero();
+        // A silent target may go on, so it is given up only once another one has resumed the answer.
+        let may_go_on = silent && !out_of_time;
+        if !may_go_on {
+            // Dropping the connection resets it, which makes the target abandon the request.
+            (self.connection, self.slot) = (None, None);
+        }
         if !out_of_time {
             self.call.entry.record_outcome(&target, Outcome::Broken);
         }
@@ -205,12 +215,12 @@
             return Err(self.interrupt("timed_out"));
         }
         let Some(last_id) = last_id else {
-            return Err(self.interrupt("broken_off"));
+            return self.give_up(may_go_on);
         };
         let left = self.call.time_left();
         match time::timeout(left, self.resume_elsewhere(last_id, failure)).await {
             Ok(true) => Ok(()),
-            Ok(false) => Err(self.interrupt("broken_off")),
+            Ok(false) => self.give_up(may_go_on),
             Err(_elapsed) => Err(self.interrupt("timed_out")),
         }
     }
@@ -249,6 +259,15 @@
         (self.connection, self.slot, self.first) = (Some(connection), Some(slot), Some(first));
     }
 
+    /// Waits on for a silent target that may go on, or interrupts the answer.
+    fn give_up(&mut self, may_go_on: bool) -> Result<(), Interrupted> {
+        if may_go_on {
+            self.is_waiting = true;
+            return Ok(());
+        }
+        Err(self.interrupt("broken_off"))
+    }
+
     /// Records that the answer ends incomplete.
     fn interrupt(&mut self, cause: &'static str) -> Interrupted {
         self.call.record_relayed(cause, self.status);
