A stopping entry admits by an estimate for three seconds at most

An estimate fails for single requests, so it is not used for longer than three seconds; what comes later is admitted only with its deadline before the exit.

--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -22,6 +22,10 @@
 /// Factor by which an answer may take longer than expected.
 const ANSWER_TIME_MARGIN: f64 = 1.5;
 
+/// The longest time after the stop signal for which requests are admitted by an estimate. It fails
+/// for single requests, as when a target turns slow, and fewer of them are cut then.
+const MAX_ESTIMATED_ADMISSION: Duration = Duration::from_secs(3);
+
 /// Multiple of the address TTL for which callers may in fact use an answer.
 const ADDRESS_TTL_FACTOR: u32 = 3;
 
@@ -67,9 +71,10 @@
         if time_left <= until_exit {
             return true;
         }
-        let is_address_valid = now.saturating_sub(self.started) < self.address_ttl;
+        let estimated_until = self.address_ttl.min(MAX_ESTIMATED_ADMISSION);
+        let may_estimate = now.saturating_sub(self.started) < estimated_until;
         let ends_in_time = |time: Duration| time.mul_f64(ANSWER_TIME_MARGIN) <= until_exit;
-        is_address_valid && expected.is_some_and(ends_in_time)
+        may_estimate && expected.is_some_and(ends_in_time)
     }
 
     /// Returns when the process exits in any case.
--- a/tests/direct/stopping.rs
+++ b/tests/direct/stopping.rs
@@ -37,6 +37,10 @@
     assert!(!admits(1_999, 8_000, Some(3_700)), "answers may not end in time");
     assert!(!admits(2_000, 8_000, Some(100)), "no caller should know the address any more");
     assert!(!admits(9_000, 1, Some(1)), "the process should be gone");
+    let stop = Stopping::begin(began, Duration::from_secs(60), Duration::from_secs(30));
+    let admits = |after| stop.admits(began + after, GRACE * 10, Some(KEEP));
+    assert!(admits(Duration::from_millis(2_999)));
+    assert!(!admits(Duration::from_secs(3)), "an estimate may be wrong");
 }
 
 #[test]
