--- a/src/direct/http.rs
+++ b/src/direct/http.rs
@@ -23,6 +23,9 @@
 use tokio::time;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::direct::event_stream::EventTooLong;
+use crate::direct::framing::{Framing, FramingTooLong};
+use crate::direct::turn::Turn;
 use crate::telemetry::events;
 
 /// The result of an operation on a connection.
@@ -34,6 +37,12 @@
 /// The longest head of an answer. The codec's own limit applies first to heads in valid form.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The interim answers (1xx) that are skipped before one final answer.
+const MAX_INTERIM_HEADS: usize = 32;
+
+/// The work on a piece besides the reading of its bytes, as a number of bytes.
+const PIECE_WORK_BYTES: usize = 512;
+
 /// The reason that an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpError {
@@ -58,6 +67,15 @@
     /// The answer's head exceeds the limit.
     #[error("the head of the answer exceeds {MAX_HEAD_BYTES} bytes")]
     HeadTooLong,
+    /// The peer sends interim answers, but no final one.
+    #[error("more than {MAX_INTERIM_HEADS} interim answers")]
+    TooManyInterimHeads,
+    /// The answer's body consists of framing rather than data.
+    #[error(transparent)]
+    FramingTooLong(#[from] FramingTooLong),
+    /// An event in the answer's body exceeds the limit.
+    #[error(transparent)]
+    EventTooLong(#[from] EventTooLong),
     /// The time limit of the exchange passed before the end of the answer.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
@@ -126,6 +144,9 @@
     keep_alive: bool,
     /// True from the sending of a request to the end of its answer.
     in_exchange: bool,
+    /// The framing of the body that is being read.
+    framing: Framing,
+    turn: Turn,
 }
 
 impl Drop for Connection {
@@ -153,8 +174,15 @@
             .map_err(HttpError::Connect)?;
         stream.set_nodelay(true)?;
         let codec = ClientCodec::new(codecs.0.clone());
-        let stage = Stage::Idle(Box::new(codec));
-        Ok(Self { stream, stage, buf: BytesMut::new(), keep_alive: true, in_exchange: false })
+        Ok(Self {
+            stream,
+            stage: Stage::Idle(Box::new(codec)),
+            buf: BytesMut::new(),
+            keep_alive: true,
+            in_exchange: false,
+            framing: Framing::default(),
+            turn: Turn::default(),
+        })
     }
 
     /// Returns true if the connection can carry another exchange: the last answer has ended, and
@@ -203,12 +231,21 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the peer closes the connection first or sends anything but an answer.
+    /// Returns an error if the peer closes the connection first, sends anything but an answer, or
+    /// sends interim answers only.
     pub async fn head(&mut self) -> Result<ResponseHead> {
+        let mut interim = 0;
         loop {
+            self.turn.pass().await;
+            // The codec parses the head from its beginning each time.
+            self.turn.count(self.buf.len());
             let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
             if let Some(head) = codec.decode(&mut self.buf)? {
                 if head.status.is_informational() {
+                    interim += 1;
+                    if interim > MAX_INTERIM_HEADS {
+                        return Err(HttpError::TooManyInterimHeads);
+                    }
                     continue;
                 }
                 self.enter_body(&head);
@@ -224,6 +261,7 @@
     fn enter_body(&mut self, head: &ResponseHead) {
         let Stage::Idle(codec) = std::mem::replace(&mut self.stage, Stage::Broken) else { return };
         self.in_exchange = true;
+        self.framing = Framing::default();
         self.keep_alive = codec.keep_alive();
         let has_body = codec.message_type() != MessageType::None;
         self.stage = if is_unframed(head) {
@@ -243,24 +281,32 @@
     /// Returns an error if the body is truncated or not framed as its head says.
     pub async fn piece(&mut self) -> Result<Option<Bytes>> {
         loop {
+            self.turn.pass().await;
+            self.turn.count(PIECE_WORK_BYTES);
             match std::mem::replace(&mut self.stage, Stage::Broken) {
                 Stage::Idle(codec) => {
                     self.stage = Stage::Idle(codec);
                     self.in_exchange = false;
                     return Ok(None);
                 }
-                Stage::Payload(mut codec) => match codec.decode(&mut self.buf)? {
-                    Some(Some(piece)) => {
-                        self.stage = Stage::Payload(codec);
-                        return Ok(Some(piece));
+                Stage::Payload(mut codec) => {
+                    let received = self.buf.len();
+                    let item = codec.decode(&mut self.buf)?;
+                    let piece = item.as_ref().and_then(Option::as_ref);
+                    self.framing.count(received - self.buf.len(), piece)?;
+                    match item {
+                        Some(Some(piece)) => {
+                            self.stage = Stage::Payload(codec);
+                            return Ok(Some(piece));
+                        }
+                        Some(None) => {
+                            self.stage = Stage::Idle(Box::new(codec.into_message_codec()));
+                            self.in_exchange = false;
+                            return Ok(None);
+                        }
+                        None => self.stage = Stage::Payload(codec),
                     }
-                    Some(None) => {
-                        self.stage = Stage::Idle(Box::new(codec.into_message_codec()));
-                        self.in_exchange = false;
-                        return Ok(None);
-                    }
-                    None => self.stage = Stage::Payload(codec),
-                },
+                }
                 Stage::UntilClose => return self.piece_until_close().await,
                 Stage::Broken => return Err(HttpError::Closed),
             }
@@ -301,7 +347,9 @@
 
     async fn fill(&mut self) -> Result<()> {
         self.buf.reserve(READ_BYTES);
-        match self.stream.read_buf(&mut self.buf).await? {
+        let length = self.stream.read_buf(&mut self.buf).await?;
+        self.turn.count(length);
+        match length {
             0 => Err(HttpError::Closed),
             _ => Ok(()),
         }
