A crashed stand-in server refuses connections though a child inherited its listener

crashes::a_non_idempotent_request_that_crashes_its_servers_is_contained failed once in a whole run: three servers crashed instead of two. Its log shows that the probe after the crash of i-1 found the port still open for 13 ms, so the crash was not counted. That a process which the same test binary was starting had inherited the listener is inferred: the stop tests start a process for each signal, and a fork keeps a listening socket open until it runs its program.

The listener is shut down before it is closed, which ends it in all processes. The nine tests of crashes pass.

--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -2,12 +2,13 @@
 //! faults that tests queue.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use std::{io, iter};
 
 use actix_rt::task::JoinHandle;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -96,6 +97,8 @@
     event_interval: Duration,
     /// The length to which documents are filled up.
     document_bytes: usize,
+    /// `None` once the server has crashed.
+    listener: Option<Arc<TcpListener>>,
     /// The tasks that accept and serve connections; empty once the server has crashed.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -119,9 +122,10 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(id: &str) -> io::Result<(Self, SocketAddr)> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = Arc::new(TcpListener::bind(("127.0.0.1", 0)).await?);
         let address = listener.local_addr()?;
         let server = Self { id: id.to_owned(), state: Arc::default() };
+        server.with(|state| state.listener = Some(Arc::clone(&listener)));
         let acceptor = server.clone();
         let accepting = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -150,7 +154,17 @@
     }
 
     /// Closes the listener and then all connections, without a response.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the listener cannot be shut down.
     pub async fn crash(&self) {
+        // A process that the test is just starting may have inherited the listener, which would go
+        // on accepting connections if it were only closed here.
+        if let Some(listener) = self.with(|state| state.listener.take()) {
+            let shut_down = SockRef::from(&*listener).shutdown(Shutdown::Both);
+            shut_down.expect("a listening socket can be shut down");
+        }
         let mut tasks = self.with(|state| std::mem::take(&mut state.tasks)).into_iter();
         if let Some(accepting) = tasks.next() {
             accepting.abort();
