An ordinary stop has its whole grace period again

The earlier time is now taken only if the checks are further apart than an ordinary delay, that is after a freeze.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -65,6 +65,10 @@
 /// and a stop in progress.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The longest time in which two checks are made unless the process is frozen. The reserve at the
+/// end of a stop covers it.
+const MAX_ORDINARY_DELAY: Duration = Duration::from_millis(300);
+
 /// Runs an entry until it has handled a stop signal.
 ///
 /// # Errors
@@ -197,9 +201,8 @@
                     events::STOP_STARTED,
                     format_args!("signal={name} in_progress={in_progress}"),
                 );
-                // The grace period runs from the signal. After a freeze it may have come long ago, and
-                // the timer may have been handled before it.
-                let stop = Stopping::begin(last_checks[0], settings.grace_period(), address_ttl);
+                let started = signal_time(last_checks, entry.now());
+                let stop = Stopping::begin(started, settings.grace_period(), address_ttl);
                 entry.stop.set(Some(stop));
                 sync.changed.notify_one();
             }
@@ -225,6 +228,16 @@
     }
 }
 
+/// Returns the earliest time at which a signal that is handled now may have come. The grace period
+/// runs from the signal, which may have come long ago if the process was frozen. The checks are the
+/// last two, since the timer of the last one may have been handled before the signal.
+fn signal_time(last_checks: [Duration; 2], now: Duration) -> Duration {
+    match now.saturating_sub(last_checks[0]) > MAX_ORDINARY_DELAY {
+        true => last_checks[0],
+        false => now,
+    }
+}
+
 fn run_housekeeping(sync: &StateSync) {
     let entry = &sync.entry;
     let now = entry.now();
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -51,21 +51,22 @@
 impl Stopping {
     /// Starts a stop. `grace` is the time until the process is killed, `address_ttl` the time for
     /// which callers were told to cache addresses.
-    pub fn begin(now: Duration, grace: Duration, address_ttl: Duration) -> Self {
-        Self { started: now, grace, address_ttl }
+    pub fn begin(started: Duration, grace: Duration, address_ttl: Duration) -> Self {
+        Self { started, grace, address_ttl }
     }
 
-    /// Returns when the stop signal was handled, on the clock of [`Self::begin`].
+    /// Returns the earliest time at which the stop signal may have come, on the clock of
+    /// [`Self::begin`].
     pub fn started(&self) -> Duration {
         self.started
     }
 
     /// Returns true if a new request is admitted.
     ///
-    /// A request whose deadline is before the exit is, until [`Phase::Refuse`]. One with a later deadline is admitted
-    /// while callers were told to cache the address, if the answer is expected to end in
-    /// time. `time_left` is the time until its deadline, and `expected` the time that recent answers
-    /// took; `None` if there were none.
+    /// A request whose deadline is before the exit is, until [`Phase::Refuse`]. One with a later
+    /// deadline is admitted while callers were told to cache the address, if its answer is expected
+    /// to end in time. `time_left` is the time until its deadline, and `expected` the time within
+    /// which nearly all recent answers ended; `None` if there were none.
     pub fn admits(&self, now: Duration, time_left: Duration, expected: Option<Duration>) -> bool {
         let until_exit = self.exit_at().saturating_sub(now);
         if time_left <= until_exit {
