Logs and metrics tell how old an entry's state is

Entries now keep, for the configuration and the target list, when the store last confirmed what they know: an answer of the store, or the heartbeat of an entry that knows the same and states its own age. Shown as bitternwall_direct_state_age_seconds, age_ms in 7001, 7036 and 7037 once the age exceeds store.in_force_ms (new, from the platform's bound) and is back; bitternwall_direct_store_reader names the readers. No decision uses it.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -6,6 +6,7 @@
 
 use crate::direct::attempts::{Failure, History};
 use crate::direct::configuration::{AnswerForm, Configuration, Route};
+use crate::direct::confirmation;
 use crate::direct::crash_memory::Attempt;
 use crate::direct::crash_probe;
 use crate::direct::entry::Entry;
@@ -13,6 +14,7 @@
 use crate::direct::pass_time::PauseGoal;
 use crate::direct::prompt_parts;
 use crate::direct::stopping::Stopping;
+use crate::direct::store::Collection;
 use crate::direct::targets::Target;
 use crate::fingerprint;
 use crate::problem::Executed;
@@ -47,6 +49,8 @@
     pub pause_goal: Option<PauseGoal>,
     /// The version of the configuration that it is handled by.
     pub version: u64,
+    /// How long before its arrival the store last confirmed that configuration.
+    configuration_age: Option<Duration>,
     /// The hash that identifies the request when the customer sends it again in a new attempt.
     pub fingerprint: u64,
     /// The ids of the parts of its prompt that other requests may share.
@@ -87,12 +91,13 @@
                 events::log(
                     events::REQUEST_ANSWERED,
                     format_args!(
-                        "id={} host={} path={} cause={} status={} version={version}",
+                        "id={} host={} path={} cause={} status={} version={version} age_ms={}",
                         caller.id,
                         caller.host,
                         caller.uri.path(),
                         local.cause.name(),
-                        local.status().as_u16()
+                        local.status().as_u16(),
+                        confirmation::format_age(configuration_age(entry))
                     ),
                 );
                 entry.metrics.answered(local.cause.name());
@@ -125,6 +130,7 @@
             fill,
             pause_goal,
             version: configuration.version,
+            configuration_age: configuration_age(entry),
             fingerprint,
             prompt_parts,
             deadline,
@@ -267,7 +273,7 @@
             format_args!(
                 "id={} route={} customer={} service={} cause={cause} status={status} targets={} \
                  sent={} waited_ms={} first_event_ms={} pause_ms={} took_ms={} retry_after_ms={} \
-                 version={} fingerprint={:016x} parts={}",
+                 version={} age_ms={} fingerprint={:016x} parts={}",
                 self.caller.id,
                 self.route.name,
                 self.customer.as_deref().unwrap_or("-"),
@@ -280,6 +286,7 @@
                 took.as_millis(),
                 retry_after.map_or(0, |delay| delay.as_millis()),
                 self.version,
+                confirmation::format_age(self.configuration_age),
                 self.fingerprint,
                 prompt_parts::format(&self.prompt_parts),
             ),
@@ -320,6 +327,10 @@
     caller.arrived + caller.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout)
 }
 
+fn configuration_age(entry: &Entry) -> Option<Duration> {
+    entry.confirmations.age(Collection::Configuration, entry.now())
+}
+
 struct Matched {
     configuration: Arc<Configuration>,
     route: Route,
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -88,6 +88,7 @@
         plain_fill: settings.placement.plain_fill,
         crash_refusal: settings.crash_refusal(),
         heartbeat_interval: settings.heartbeat_interval(),
+        in_force_time: settings.in_force_time(),
     };
     let entry = Rc::new(Entry::new(clock.clone(), options, adapter.protocol, metrics));
     let sync = Rc::new(StateSync {
@@ -102,7 +103,7 @@
     });
     start_heartbeats(&sync, &settings, &clock).await?;
     serve(&entry, &sync, &settings, adapter, &registry).await?;
-    for collection in [Collection::Configuration, Collection::Targets] {
+    for collection in Collection::ALL {
         actix_rt::spawn(Rc::clone(&sync).follow(collection));
     }
     actix_rt::spawn(crash_store::load(Rc::clone(&sync)));
@@ -241,6 +242,7 @@
     let now = entry.now();
     sync.apply_due_removals();
     sync.release_withheld();
+    sync.report_ages();
     entry.crashes.borrow_mut().expire(now);
     let (requests, parts) = entry.crashes.borrow().refused_counts();
     entry.metrics.refused(requests, parts);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -17,6 +17,7 @@
 use crate::direct::backlog::Backlog;
 use crate::direct::cluster_state::ClusterState;
 use crate::direct::configuration::Configuration;
+use crate::direct::confirmation::Confirmations;
 use crate::direct::crash_history::{Crash, CrashReport};
 use crate::direct::crash_memory::{Attempt, CrashMemory, SubjectCrash};
 use crate::direct::crash_probe::Probe;
@@ -68,6 +69,8 @@
     pub crash_refusal: Duration,
     /// The time between two heartbeats of entries.
     pub heartbeat_interval: Duration,
+    /// The time within which a change in the store is in force at all entries.
+    pub in_force_time: Duration,
 }
 
 /// The state that the tasks of one entry process share.
@@ -80,6 +83,8 @@
     pub protocol: TargetProtocol,
     /// The configuration and the target list.
     pub cluster_state: RefCell<ClusterState>,
+    /// When the store last confirmed them.
+    pub confirmations: Confirmations,
     /// The targets with their loads and states.
     pub targets: RefCell<Targets>,
     /// The other entries.
@@ -129,6 +134,7 @@
             clock,
             protocol,
             cluster_state: RefCell::default(),
+            confirmations: Confirmations::default(),
             targets: RefCell::new(targets),
             peers: RefCell::default(),
             metrics,
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -17,11 +17,12 @@
 use tokio::time;
 
 use crate::direct::cluster_state::{ClusterState, KnownVersions, TargetRecord};
+use crate::direct::entry::Entry;
 use crate::direct::http::Codecs;
 use crate::direct::internal::{self, ExchangeError, InternalRequest};
 use crate::direct::peers::{self, Heartbeat, Load, RankNotice};
 use crate::direct::permits;
-use crate::direct::store::{Item, Position};
+use crate::direct::store::{Collection, Item, Position};
 use crate::direct::sync::StateSync;
 use crate::telemetry::events;
 
@@ -167,9 +168,16 @@
         rates: entry.targets.borrow().limits.reports(sequence, now),
         permit_request: None,
         permit_reply: None,
+        configuration_age_ms: age_ms(entry, Collection::Configuration),
+        targets_age_ms: age_ms(entry, Collection::Targets),
     }
 }
 
+fn age_ms(entry: &Entry, collection: Collection) -> Option<u64> {
+    let age = entry.confirmations.age(collection, entry.now())?;
+    Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Receives heartbeats until the process ends.
 pub async fn receive(sync: Rc<StateSync>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0_u8; 64 * 1024];
@@ -210,7 +218,9 @@
     let name = heartbeat.name.clone();
     entry.merge_crashes(&mem::take(&mut heartbeat.crashes), &name);
     entry.merge_rates(&mem::take(&mut heartbeat.rates), &name);
-    let KnownVersions { version, targets_at } = heartbeat.known();
+    let known = heartbeat.known();
+    let KnownVersions { version, targets_at } = known;
+    let ages = [heartbeat.configuration_age_ms, heartbeat.targets_age_ms];
     let update = entry.peers.borrow_mut().record_heartbeat(heartbeat, from, now);
     if update.joined {
         events::log(
@@ -227,6 +237,7 @@
         entry.targets.borrow_mut().set_peer_loads(loads);
         entry.slots_changed.notify_one();
     }
+    sync.record_confirmed_by_peer(known, ages);
     let state = entry.cluster_state.borrow();
     if version > state.version() || targets_at > state.targets_at() {
         sync.outdated.notify_one();
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 
 use crate::direct::rate_limits::Grant;
 use crate::telemetry::metrics::{self, Result};
@@ -17,6 +19,8 @@
     answers: IntCounterVec,
     attempts: IntCounterVec,
     store_failures: IntCounterVec,
+    state_age: GaugeVec,
+    store_reader: IntGauge,
     store_era: IntGauge,
     store_returns: IntCounter,
     first_event: Histogram,
@@ -70,6 +74,15 @@
                 "Calls to the store that failed.",
                 &["collection"],
             )?,
+            state_age: {
+                let help = "Time since the store last confirmed what this entry knows.";
+                let opts = Opts::new("bitternwall_direct_state_age_seconds", help);
+                metrics::register(registry, GaugeVec::new(opts, &["collection"]))?
+            },
+            store_reader: gauge(
+                "bitternwall_direct_store_reader",
+                "1 while this entry reads the store on behalf of others.",
+            )?,
             store_era: gauge(
                 "bitternwall_direct_store_era",
                 "How many times the store came back from an older copy, as it states itself.",
@@ -167,6 +180,16 @@
         self.store_failures.with_label_values(&[collection]).inc();
     }
 
+    /// Sets the time since the store last confirmed a collection.
+    pub fn state_age(&self, collection: &str, age: Duration) {
+        self.state_age.with_label_values(&[collection]).set(age.as_secs_f64());
+    }
+
+    /// Sets whether this entry reads the store.
+    pub fn store_reader(&self, reader: bool) {
+        self.store_reader.set(i64::from(reader));
+    }
+
     /// Sets the store's era of the target list.
     pub fn store_era(&self, era: u64) {
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions are pure modules ([`configuration`], [`cluster_state`], [`pending_removals`],
 //! [`peers`], [`targets`], [`pass_time`], [`admission`], [`attempts`], [`event_stream`],
-//! [`stopping`], [`crash_history`]); the others do the I/O around them. The vocabulary of a
+//! [`stopping`], [`crash_history`], [`confirmation`]); the others do the I/O around them. The vocabulary of a
 //! platform's protocol stays in its adapter, which provides the functions of
 //! [`message::TargetProtocol`], [`store::Store`] and [`store::Formats`]. See docs/PLATFORM.md.
 
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod cluster_state;
 pub mod configuration;
+pub mod confirmation;
 pub mod crash_history;
 pub mod crash_memory;
 pub mod crash_probe;
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -100,6 +100,12 @@
     /// The reply to such a request, which comes with the name only.
     #[prost(message, optional, tag = "19")]
     pub permit_reply: Option<PermitReply>,
+    /// Milliseconds since the store last confirmed its configuration; absent before that.
+    #[prost(uint64, optional, tag = "20")]
+    pub configuration_age_ms: Option<u64>,
+    /// The same for its target list.
+    #[prost(uint64, optional, tag = "21")]
+    pub targets_age_ms: Option<u64>,
 }
 
 impl Heartbeat {
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -70,6 +70,9 @@
 }
 
 impl Collection {
+    /// All collections.
+    pub const ALL: [Self; 2] = [Self::Configuration, Self::Targets];
+
     /// Returns the name that logs and metrics use.
     pub fn name(self) -> &'static str {
         match self {
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time;
 
+use crate::direct::cluster_state::KnownVersions;
 use crate::direct::entry::{Entry, Options};
 use crate::direct::pending_removals::PendingRemovals;
 use crate::direct::store::{
@@ -83,6 +84,7 @@
             Ok(listing) => {
                 self.store_answered(collection, failures);
                 self.apply_listing(collection, listing.items, listing.position);
+                self.record_confirmed(collection);
                 Some(listing.position)
             }
             Err(error) => {
@@ -105,6 +107,7 @@
                     let pause =
                         if changes.changes.is_empty() { Duration::ZERO } else { COALESCE_DELAY };
                     self.apply_changes(collection, changes);
+                    self.record_confirmed(collection);
                     time::sleep(pause).await;
                 }
                 Err(StoreError::Compacted) => {
@@ -226,4 +229,50 @@
     pub(super) fn notify_changed(&self) {
         self.changed.notify_one();
     }
+
+    /// Records that the store has just confirmed what this entry knows of a collection.
+    fn record_confirmed(&self, collection: Collection) {
+        self.entry.confirmations.record(collection, self.entry.now());
+    }
+
+    /// Records what another entry knows, if that is the same as here, as of the ages that it states
+    /// for the configuration and the target list, in milliseconds.
+    pub fn record_confirmed_by_peer(&self, peer: KnownVersions, ages_ms: [Option<u64>; 2]) {
+        let known = self.entry.cluster_state.borrow().known();
+        let now = self.entry.now();
+        let same = [peer.version == known.version, peer.targets_at == known.targets_at];
+        for ((collection, age_ms), same) in Collection::ALL.into_iter().zip(ages_ms).zip(same) {
+            if let Some(age_ms) = age_ms.filter(|_| same) {
+                let at = now.saturating_sub(Duration::from_millis(age_ms));
+                self.entry.confirmations.record(collection, at);
+            }
+        }
+    }
+
+    /// Updates the metrics of the ages, and logs when one exceeds the time within which changes are
+    /// in force.
+    pub fn report_ages(&self) {
+        let now = self.entry.now();
+        let limit = self.entry.options.in_force_time;
+        let reader = self.is_reader();
+        self.entry.metrics.store_reader(reader);
+        for collection in Collection::ALL {
+            let Some(age) = self.entry.confirmations.age(collection, now) else { continue };
+            self.entry.metrics.state_age(collection.name(), age);
+            let event = match self.entry.confirmations.overdue_change(collection, limit, now) {
+                Some(true) => events::STATE_UNCONFIRMED,
+                Some(false) => events::STATE_CONFIRMED,
+                None => continue,
+            };
+            let KnownVersions { version, targets_at } = self.entry.cluster_state.borrow().known();
+            events::log(
+                event,
+                format_args!(
+                    "collection={} age_ms={} version={version} targets_at={targets_at} reader={reader}",
+                    collection.name(),
+                    age.as_millis()
+                ),
+            );
+        }
+    }
 }
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -72,6 +72,9 @@
     /// Timeout of a call, in milliseconds.
     #[serde(default = "default_call_timeout_ms")]
     pub call_timeout_ms: u64,
+    /// Time within which an accepted change is in force at all entries, in milliseconds.
+    #[serde(default = "default_in_force_ms")]
+    pub in_force_ms: u64,
 }
 
 /// RetrySettings are the retry budget: how many times requests may be sent again after a failure.
@@ -128,6 +131,8 @@
 const DEFAULT_IDLE_MS: u64 = 120_000;
 /// About a hundred times the usual duration of a call, so that a slow store does not time out.
 const DEFAULT_CALL_TIMEOUT_MS: u64 = 1_500;
+/// Longer than a call, so that a change is in force in time though one call gets no answer.
+const DEFAULT_IN_FORCE_MS: u64 = 2_000;
 /// A third of the time for which callers may cache the list, since some of them do so for all of
 /// it.
 const DEFAULT_KEEP_S: u32 = 2;
@@ -155,12 +160,21 @@
     DEFAULT_CALL_TIMEOUT_MS
 }
 
+fn default_in_force_ms() -> u64 {
+    DEFAULT_IN_FORCE_MS
+}
+
 impl DirectSettings {
     /// Returns the interval between heartbeats to other entries.
     pub fn heartbeat_interval(&self) -> Duration {
         Duration::from_millis(self.heartbeat_ms)
     }
 
+    /// Returns the time within which an accepted change is in force at all entries.
+    pub fn in_force_time(&self) -> Duration {
+        Duration::from_millis(self.store.in_force_ms)
+    }
+
     /// Returns the time for which a request is refused after targets crashed under it.
     pub fn crash_refusal(&self) -> Duration {
         Duration::from_millis(self.crash_refusal_ms)
@@ -195,6 +209,10 @@
             let timeout = settings.store.call_timeout_ms;
             common::check_range("store.call_timeout_ms", timeout, 10..=60_000)
         })
+        .or_else(|| {
+            let in_force = settings.store.in_force_ms;
+            common::check_range("store.in_force_ms", in_force, 100..=600_000)
+        })
         .or_else(|| common::check_range("retries.ratio", settings.retries.ratio, 0.0..=10.0))
         .or_else(|| {
             common::check_range("retries.allowance", settings.retries.allowance, 0.0..=1_000_000.0)
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -174,6 +174,12 @@
 /// one of the former era.
 pub const STORE_RETURNED: LogEvent =
     LogEvent { number: 7035, severity: Severity::Warning, title: "store came back" };
+/// The store last confirmed what this entry knows longer ago than changes may take to be in force.
+pub const STATE_UNCONFIRMED: LogEvent =
+    LogEvent { number: 7036, severity: Severity::Warning, title: "state unconfirmed" };
+/// The store has confirmed what this entry knows again.
+pub const STATE_CONFIRMED: LogEvent =
+    LogEvent { number: 7037, severity: Severity::Info, title: "state confirmed" };
 /// The first heartbeat of an incarnation of another entry was received.
 pub const PEER_JOINED: LogEvent =
     LogEvent { number: 7040, severity: Severity::Info, title: "entry joined" };
@@ -289,6 +295,8 @@
     CRASH_NOT_SAVED,
     CRASHES_NOT_READ,
     STORE_RETURNED,
+    STATE_UNCONFIRMED,
+    STATE_CONFIRMED,
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -26,6 +26,7 @@
         plain_fill: 2.0,
         crash_refusal: Duration::from_secs(600),
         heartbeat_interval: Duration::from_millis(100),
+        in_force_time: Duration::from_secs(2),
     };
     let protocol = TargetProtocol {
         encode: |_| actix_http::header::HeaderMap::new(),
