--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -31,6 +31,8 @@
     Refusing,
     /// Calls get no response for an hour; watches that wait already get status 503.
     Silent,
+    /// Calls get no response for an hour; watches that wait already go on once the store is back.
+    Stalled,
 }
 
 #[derive(Clone, Default)]
@@ -131,8 +133,7 @@
         })
     }
 
-    /// Sets how the store responds from now on; waiting watches end with 503 unless it is
-    /// [`Mode::Up`].
+    /// Sets how the store responds from now on.
     pub fn set_mode(&self, mode: Mode) {
         self.with(|state| state.mode = mode);
     }
@@ -163,7 +164,7 @@
         match mode {
             Mode::Up => None,
             Mode::Refusing => Some(HttpResponse::ServiceUnavailable().finish()),
-            Mode::Silent => {
+            Mode::Silent | Mode::Stalled => {
                 actix_rt::time::sleep(Duration::from_secs(3_600)).await;
                 Some(HttpResponse::ServiceUnavailable().finish())
             }
@@ -220,8 +221,13 @@
     for _ in 0..=polls {
         let (mode, compacted, revision) =
             store.with(|state| (state.mode, state.compacted, state.revision));
-        if mode != Mode::Up {
-            return HttpResponse::ServiceUnavailable().finish();
+        match mode {
+            Mode::Up => {}
+            Mode::Stalled => {
+                actix_rt::time::sleep(WATCH_POLL_INTERVAL).await;
+                continue;
+            }
+            Mode::Refusing | Mode::Silent => return HttpResponse::ServiceUnavailable().finish(),
         }
         if query.after < compacted || query.after > revision {
             return HttpResponse::Gone().finish();
