--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{HttpResponse, web};
@@ -46,6 +46,8 @@
     changes: Vec<(u64, String, Option<Vec<u8>>)>,
     compacted: u64,
     mode: Mode,
+    /// How long the store takes for each answer, beyond the time that a watch waits.
+    answer_delay: Duration,
     calls: u64,
     /// The leases granted, by id, with their times to live. They do not end.
     leases: BTreeMap<u64, Duration>,
@@ -104,8 +106,8 @@
     /// revisions are given out again, and a watch from one of them gets 410.
     pub fn restore(&self, copy: &Copy) {
         self.with(|state| {
-            let (era, mode, calls) = (state.era + 1, state.mode, state.calls);
-            *state = State { era, mode, calls, ..copy.0.clone() };
+            let State { mode, answer_delay, calls, .. } = *state;
+            *state = State { era: state.era + 1, mode, answer_delay, calls, ..copy.0.clone() };
         });
     }
 
@@ -114,8 +116,10 @@
         self.with(|state| state.stated_era = Some(era.map(str::to_owned)));
     }
 
-    /// Adds the header that all answers of the store carry.
-    fn stamp(&self, mut response: HttpResponse) -> HttpResponse {
+    /// Adds the header that all answers of the store carry, and delays the answer.
+    async fn answer(&self, mut response: HttpResponse) -> HttpResponse {
+        let delay = self.with(|state| state.answer_delay);
+        actix_rt::time::sleep(delay).await;
         let stated = self.with(|state| match &state.stated_era {
             Some(stated) => stated.clone(),
             None => Some(state.era.to_string()),
@@ -138,6 +142,11 @@
         self.with(|state| state.mode = mode);
     }
 
+    /// Sets how long each answer takes from now on, beyond the time that a watch waits.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        self.with(|state| state.answer_delay = delay);
+    }
+
     /// Discards the history up to the current revision; a watch from an earlier one gets 410.
     pub fn compact(&self) {
         self.with(|state| {
@@ -192,7 +201,7 @@
 
 async fn range(store: web::Data<PlatformStore>, query: web::Query<RangeQuery>) -> HttpResponse {
     let response = read_range(&store, &query).await;
-    store.stamp(response)
+    store.answer(response).await
 }
 
 async fn read_range(store: &PlatformStore, query: &RangeQuery) -> HttpResponse {
@@ -210,15 +219,15 @@
 
 async fn watch(store: web::Data<PlatformStore>, query: web::Query<WatchQuery>) -> HttpResponse {
     let response = wait_for_changes(&store, &query).await;
-    store.stamp(response)
+    store.answer(response).await
 }
 
 async fn wait_for_changes(store: &PlatformStore, query: &WatchQuery) -> HttpResponse {
     if let Some(response) = store.admit().await {
         return response;
     }
-    let polls = Duration::from_millis(query.wait_ms).as_millis() / WATCH_POLL_INTERVAL.as_millis();
-    for _ in 0..=polls {
+    let due = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
         let (mode, compacted, revision) =
             store.with(|state| (state.mode, state.compacted, state.revision));
         match mode {
@@ -233,13 +242,12 @@
             return HttpResponse::Gone().finish();
         }
         let (events, at) = store.with(|state| (events(state, query), state.revision));
-        if !events.is_empty() {
+        let left = due.saturating_duration_since(Instant::now());
+        if !events.is_empty() || left.is_zero() {
             return HttpResponse::Ok().json(json!({"events": events, "at": at}));
         }
-        actix_rt::time::sleep(WATCH_POLL_INTERVAL).await;
+        actix_rt::time::sleep(left.min(WATCH_POLL_INTERVAL)).await;
     }
-    let at = store.with(|state| state.revision);
-    HttpResponse::Ok().json(json!({"events": [], "at": at}))
 }
 
 #[derive(Deserialize)]
@@ -253,7 +261,7 @@
     request: web::Json<LeaseRequest>,
 ) -> HttpResponse {
     let response = add_lease(&store, request.ttl_ms).await;
-    store.stamp(response)
+    store.answer(response).await
 }
 
 async fn add_lease(store: &PlatformStore, ttl_ms: u64) -> HttpResponse {
@@ -286,7 +294,7 @@
 /// Writes items without preconditions. The keys of the operator and of servers are refused.
 async fn write(store: web::Data<PlatformStore>, request: web::Json<WriteRequest>) -> HttpResponse {
     let response = write_items(&store, &request).await;
-    store.stamp(response)
+    store.answer(response).await
 }
 
 async fn write_items(store: &PlatformStore, request: &WriteRequest) -> HttpResponse {
