The waits of store readers follow from the time for changes

Cause: a watch call that is sent while the store, or the way to it, is silent gets no answer, then or later. A reader took it for a watch without changes for 9.5 s. One change ends the calls of all readers, so all of them lost the next one together, and went on announcing that they read the store.

Change: the wait of a watch, the time after which it counts as unanswered, and the pauses between failed calls are shares of store.in_force_ms (direct::read_times). The first reader asks every 1.0 s to 1.2 s; the others wait long, but ask anew once no entry tells of a confirmation for 1.6 s. A slow store is given twice the time of its last answer, so it keeps its readers and connections (240 ms and 600 ms an answer tested).

Why it works: whatever is lost, the longest unanswered call, a new read and the way to the other entries fit into the time for changes; a property test holds the sum for all times from 1.5 s to 60 s.

--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Decisions are pure modules ([`configuration`], [`cluster_state`], [`pending_removals`],
 //! [`peers`], [`targets`], [`pass_time`], [`admission`], [`attempts`], [`event_stream`],
-//! [`stopping`], [`crash_history`], [`confirmation`]); the others do the I/O around them. The vocabulary of a
+//! [`stopping`], [`crash_history`], [`confirmation`],
+//! [`read_times`]); the others do the I/O around them. The vocabulary of a
 //! platform's protocol stays in its adapter, which provides the functions of
 //! [`message::TargetProtocol`], [`store::Store`] and [`store::Formats`]. See docs/PLATFORM.md.
 
@@ -39,6 +40,7 @@
 pub mod process;
 pub mod prompt_parts;
 pub mod rate_limits;
+pub mod read_times;
 pub mod relay;
 pub mod slot_wait;
 pub mod stopping;
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -325,16 +325,21 @@
         (size > 1 || !self.expects_others).then_some(size)
     }
 
-    /// Returns true if the entry of this name is a store reader: one of the first by hash of the
-    /// name among the live entries that the store answers.
-    pub fn is_reader(&self, name: &str, heartbeat_interval: Duration, now: Duration) -> bool {
+    /// Returns the position of the entry of this name among the store readers, which are the first by
+    /// hash of the name among the live entries that the store answers; `None` if it is none of them.
+    pub fn reader_position(
+        &self,
+        name: &str,
+        heartbeat_interval: Duration,
+        now: Duration,
+    ) -> Option<usize> {
         let local_hash = name_hash(name);
         let readers_before = self
             .live(heartbeat_interval, now)
             .filter(|peer| peer.heartbeat.reads_store && !peer.heartbeat.leaving)
             .filter(|peer| name_hash(&peer.heartbeat.name) < local_hash)
             .count();
-        readers_before < STORE_READERS
+        (readers_before < STORE_READERS).then_some(readers_before)
     }
 
     /// Returns the address of the entry that hands out the permits of a target; `None` if it is the
--- a/src/direct/store.rs
+++ b/src/direct/store.rs
@@ -137,15 +137,27 @@
     pub position: Position,
 }
 
+/// One watch call: it waits for changes of a collection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Watch {
+    /// The collection.
+    pub collection: Collection,
+    /// Changes later than this revision of the store's present era are returned.
+    pub after: u64,
+    /// How long the store waits for a change before it answers that there was none.
+    pub wait: Duration,
+    /// How much longer the answer may take before the call fails.
+    pub answer_time: Duration,
+}
+
 type Call<A, T> = Box<dyn Fn(A) -> LocalBoxFuture<'static, Result<T>>>;
 
 /// The calls that entries make to the store.
 pub struct Store {
     /// Reads a complete collection.
     pub list: Call<Collection, Listing>,
-    /// Waits for changes of a collection after a revision, up to the given time. The revision is
-    /// one of the store's present era.
-    pub watch: Call<(Collection, u64, Duration), Changes>,
+    /// Waits for changes of a collection.
+    pub watch: Call<Watch, Changes>,
     /// Reads the records of the requests under which targets crashed.
     pub list_crashes: Call<(), Vec<Item>>,
     /// Writes such a record, whatever its key held before. An error does not exclude that it is
--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -5,6 +5,7 @@
 //! store refuses fetches the state from any entry that has it. See docs/PLATFORM.md.
 
 use std::cell::Cell;
+use std::mem;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,26 +17,17 @@
 use crate::direct::cluster_state::KnownVersions;
 use crate::direct::entry::{Entry, Options};
 use crate::direct::pending_removals::PendingRemovals;
+use crate::direct::read_times::ReadTimes;
 use crate::direct::store::{
-    Change, Changes, Collection, Formats, Item, Position, Store, StoreError,
+    Change, Changes, Collection, Formats, Item, Position, Store, StoreError, Watch,
 };
 use crate::telemetry::events;
 
-/// How long one watch call waits for changes. A connection that has gone silent is detected after
-/// this time at the latest, and changes may arrive from another entry before.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
-
 /// Pause after a watch call that returned changes, so that changes close together cost one call.
 const COALESCE_DELAY: Duration = Duration::from_millis(150);
 
-/// First pause after a failed call; each further failure in a row doubles it.
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
-
-/// Longest pause after failed calls, so that a store that recovered is found soon.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_600);
-
 /// Pause between two checks whether this entry is a store reader.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Replicates the cluster state of one entry.
 pub struct StateSync {
@@ -59,36 +51,51 @@
     pub transfers: Arc<Semaphore>,
 }
 
+/// How the store has answered the calls for one collection.
+#[derive(Debug, Default)]
+struct Calls {
+    /// The number of calls that have failed since the last answer.
+    failures: u32,
+    /// The time that the last answer took, beyond the wait for changes.
+    answer_took: Duration,
+}
+
 impl StateSync {
     /// Reads and watches one collection while this entry is a store reader, until the process ends.
     pub async fn follow(self: Rc<Self>, collection: Collection) {
-        let mut failures = 0;
+        let mut calls = Calls::default();
         loop {
             if !self.is_reader() {
                 time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
-            let Some(at) = self.read(collection, &mut failures).await else { continue };
-            self.watch(collection, at, &mut failures).await;
+            let Some(at) = self.read(collection, &mut calls).await else { continue };
+            self.watch(collection, at, &mut calls).await;
         }
     }
 
-    fn is_reader(&self) -> bool {
+    fn reader_position(&self) -> Option<usize> {
         let Options { name, heartbeat_interval, .. } = &self.entry.options;
-        self.entry.peers.borrow().is_reader(name, *heartbeat_interval, self.entry.now())
+        self.entry.peers.borrow().reader_position(name, *heartbeat_interval, self.entry.now())
+    }
+
+    fn is_reader(&self) -> bool {
+        self.reader_position().is_some()
     }
 
     /// Reads a complete collection. Returns the position to watch from; `None` if the call failed.
-    async fn read(&self, collection: Collection, failures: &mut u32) -> Option<Position> {
+    async fn read(&self, collection: Collection, calls: &mut Calls) -> Option<Position> {
+        let began = self.entry.now();
         match (self.store.list)(collection).await {
             Ok(listing) => {
-                self.store_answered(collection, failures);
+                calls.answer_took = self.entry.now().saturating_sub(began);
+                self.store_answered(collection, calls);
                 self.apply_listing(collection, listing.items, listing.position);
                 self.record_confirmed(collection);
                 Some(listing.position)
             }
             Err(error) => {
-                self.store_failed(collection, failures, &error).await;
+                self.store_failed(collection, calls, &error, began).await;
                 None
             }
         }
@@ -96,13 +103,39 @@
 
     /// Watches a collection from a position, until a call fails, the store's era changes or this
     /// entry is no store reader.
-    async fn watch(&self, collection: Collection, mut at: Position, failures: &mut u32) {
-        while self.is_reader() {
-            match (self.store.watch)((collection, at.revision, WATCH_WAIT)).await {
+    async fn watch(&self, collection: Collection, mut at: Position, calls: &mut Calls) {
+        while let Some(position) = self.reader_position() {
+            let began = self.entry.now();
+            let times = self.read_times();
+            let call = Watch {
+                collection,
+                after: at.revision,
+                wait: times.watch_wait(position == 0, self.entry.random_fraction()),
+                answer_time: times.answer_time(calls.answer_took),
+            };
+            let due = began + call.wait;
+            let answer = tokio::select! {
+                answer = (self.store.watch)(call) => answer,
+                age = self.until_older(collection, times.max_age(calls.answer_took)), if position > 0 => {
+                    events::log(
+                        events::WATCH_GIVEN_UP,
+                        format_args!(
+                            "collection={} after={at} age_ms={}",
+                            collection.name(),
+                            age.as_millis()
+                        ),
+                    );
+                    return;
+                }
+            };
+            match answer {
                 // The revisions of the call and of the answer do not belong together.
                 Ok(changes) if changes.position.era != at.era => return,
                 Ok(changes) => {
-                    self.store_answered(collection, failures);
+                    if changes.changes.is_empty() {
+                        calls.answer_took = self.entry.now().saturating_sub(due);
+                    }
+                    self.store_answered(collection, calls);
                     at = changes.position.max(at);
                     let pause =
                         if changes.changes.is_empty() { Duration::ZERO } else { COALESCE_DELAY };
@@ -118,39 +151,68 @@
                     return;
                 }
                 Err(error) => {
-                    self.store_failed(collection, failures, &error).await;
+                    self.store_failed(collection, calls, &error, began).await;
                     return;
                 }
             }
         }
     }
 
-    fn store_answered(&self, collection: Collection, failures: &mut u32) {
+    /// Waits until no reader has had a collection confirmed for longer than `max_age`, and returns the
+    /// age.
+    async fn until_older(&self, collection: Collection, max_age: Duration) -> Duration {
+        loop {
+            let age = self.entry.confirmations.age(collection, self.entry.now());
+            match age.unwrap_or_default() {
+                age if age > max_age => return age,
+                age => time::sleep((max_age - age).max(ROLE_CHECK_INTERVAL)).await,
+            }
+        }
+    }
+
+    fn store_answered(&self, collection: Collection, calls: &mut Calls) {
         let now = self.entry.now();
-        if *failures > 0 {
+        let failures = mem::take(&mut calls.failures);
+        if failures > 0 {
             events::log(
                 events::STORE_RECOVERED,
                 format_args!("collection={} failures={failures}", collection.name()),
             );
             self.pending_removals.record_store_available(now);
         }
-        *failures = 0;
-        self.entry.store_answers.set(true);
+        if !self.entry.store_answers.replace(true) {
+            self.notify_changed();
+        }
     }
 
-    async fn store_failed(&self, collection: Collection, failures: &mut u32, error: &StoreError) {
-        if *failures == 0 {
+    /// Records and logs a failed call that began at a time, and pauses before the next one.
+    async fn store_failed(
+        &self,
+        collection: Collection,
+        calls: &mut Calls,
+        error: &StoreError,
+        began: Duration,
+    ) {
+        if calls.failures == 0 {
             events::log(
                 events::STORE_UNAVAILABLE,
                 format_args!("collection={} cause=\"{error}\"", collection.name()),
             );
         }
         self.entry.metrics.store_failed(collection.name());
-        self.entry.store_answers.set(false);
+        // The others choose another reader once they know.
+        if self.entry.store_answers.replace(false) {
+            self.notify_changed();
+        }
         self.pending_removals.record_store_unavailable();
-        let pause = (FIRST_RETRY_DELAY * 2_u32.pow((*failures).min(8))).min(MAX_RETRY_DELAY);
-        *failures = failures.saturating_add(1);
-        time::sleep(pause.mul_f64(0.75 + 0.5 * self.entry.random_fraction())).await;
+        calls.failures = calls.failures.saturating_add(1);
+        let took = self.entry.now().saturating_sub(began);
+        let draw = self.entry.random_fraction();
+        time::sleep(self.read_times().retry_pause(calls.failures, took, draw)).await;
+    }
+
+    fn read_times(&self) -> ReadTimes {
+        ReadTimes::new(self.entry.options.in_force_time)
     }
 
     fn apply_listing(&self, collection: Collection, items: Vec<Item>, at: Position) {
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -206,12 +206,13 @@
             common::check_range("crash_refusal_ms", refusal, 1_000..=600_000)
         })
         .or_else(|| {
-            let timeout = settings.store.call_timeout_ms;
-            common::check_range("store.call_timeout_ms", timeout, 10..=60_000)
+            let in_force = settings.store.in_force_ms;
+            common::check_range("store.in_force_ms", in_force, 1_500..=600_000)
         })
         .or_else(|| {
-            let in_force = settings.store.in_force_ms;
-            common::check_range("store.in_force_ms", in_force, 100..=600_000)
+            let StoreAddress { call_timeout_ms, in_force_ms, .. } = settings.store;
+            let max = in_force_ms.min(60_000);
+            common::check_range("store.call_timeout_ms", call_timeout_ms, 10..=max)
         })
         .or_else(|| common::check_range("retries.ratio", settings.retries.ratio, 0.0..=10.0))
         .or_else(|| {
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -180,6 +180,10 @@
 /// The store has confirmed what this entry knows again.
 pub const STATE_CONFIRMED: LogEvent =
     LogEvent { number: 7037, severity: Severity::Info, title: "state confirmed" };
+/// A watch was given up before its answer was due, since no entry has told of a recent confirmation of
+/// the state; the collection is read again.
+pub const WATCH_GIVEN_UP: LogEvent =
+    LogEvent { number: 7038, severity: Severity::Info, title: "watch given up" };
 /// The first heartbeat of an incarnation of another entry was received.
 pub const PEER_JOINED: LogEvent =
     LogEvent { number: 7040, severity: Severity::Info, title: "entry joined" };
@@ -297,6 +301,7 @@
     STORE_RETURNED,
     STATE_UNCONFIRMED,
     STATE_CONFIRMED,
+    WATCH_GIVEN_UP,
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -18,6 +18,8 @@
 mod lookups;
 #[path = "direct/rate_limits.rs"]
 mod rate_limits;
+#[path = "direct/read_times.rs"]
+mod read_times;
 #[path = "direct/replication.rs"]
 mod replication;
 #[path = "direct/stopping.rs"]
--- a/tests/direct/replication.rs
+++ b/tests/direct/replication.rs
@@ -188,7 +188,7 @@
                 let heartbeat = Heartbeat { reads_store: reads(name), ..heartbeat(name, 1) };
                 peers.record_heartbeat(heartbeat, from(host), Duration::ZERO);
             }
-            peers.is_reader(local, HEARTBEAT_INTERVAL, Duration::ZERO)
+            peers.reader_position(local, HEARTBEAT_INTERVAL, Duration::ZERO).is_some()
         };
         names.iter().filter(|name| is_reader(name)).cloned().collect()
     };
@@ -201,7 +201,7 @@
 
 #[test]
 fn an_entry_without_peers_reads_the_store_itself() {
-    assert!(Peers::default().is_reader("a", HEARTBEAT_INTERVAL, Duration::ZERO));
+    assert_eq!(Peers::default().reader_position("a", HEARTBEAT_INTERVAL, Duration::ZERO), Some(0));
 }
 
 #[test]
