A failed attempt is logged with the time that its target asked for

The logs of second1 tell when a target was sent requests again, but not that it had asked for three seconds: retry_after_ms of 7001 is that of the last target only.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -206,12 +206,13 @@
             events::ATTEMPT_FAILED,
             format_args!(
                 "id={} target={target} cause={} executed={:?} sent={} left_ms={} \
-                 fingerprint={:016x} parts={}",
+                 retry_after_ms={} fingerprint={:016x} parts={}",
                 self.caller.id,
                 failure.cause.name(),
                 failure.executed,
                 self.sent,
                 self.time_left().as_millis(),
+                failure.retry_after.map_or(0, |delay| delay.as_millis()),
                 self.fingerprint,
                 prompt_parts::format(&self.prompt_parts)
             ),
