--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -23,6 +23,8 @@
     /// The server does not execute the request and responds with 503 and
     /// `Bitternwall-Not-Executed`.
     NotExecuted,
+    /// The server executes the request and responds with status 503.
+    Unavailable,
     /// The server executes the request and closes the connection without a response.
     NoAnswer,
     /// The stream is truncated in the middle of an event, after this many complete events.
@@ -107,6 +109,10 @@
     unframed_streams: bool,
     /// The `Server-Limit` of all responses.
     limit: Option<String>,
+    /// The `Retry-After` of all responses with status 503.
+    retry_after: Vec<String>,
+    /// True if all responses say that the server leaves.
+    leaving: bool,
     /// The time from the head of a stream to its first event, and between its events.
     event_interval: Duration,
     /// The length to which documents are filled up.
@@ -185,9 +191,30 @@
         self.with(|state| state.limit = limit.map(str::to_owned));
     }
 
-    fn limit_header(&self) -> String {
-        let limit = self.with(|state| state.limit.clone());
-        limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"))
+    /// Makes all responses with status 503 carry these `Retry-After` headers.
+    pub fn ask_for_backoff(&self, retry_after: &[&str]) {
+        self.with(|state| {
+            state.retry_after = retry_after.iter().map(|s| (*s).to_owned()).collect()
+        });
+    }
+
+    /// Sets whether all responses say that the server leaves.
+    pub fn announce_leaving(&self, leaving: bool) {
+        self.with(|state| state.leaving = leaving);
+    }
+
+    /// Returns the headers of all responses.
+    fn common_headers(&self) -> String {
+        let (limit, leaving) = self.with(|state| (state.limit.clone(), state.leaving));
+        let limit = limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"));
+        limit + if leaving { "Server-Leaving: 1\r\n" } else { "" }
+    }
+
+    /// Returns the headers of all responses with status 503.
+    fn unavailable_headers(&self) -> String {
+        let retry_after = self.with(|state| state.retry_after.clone());
+        let lines = retry_after.iter().map(|value| format!("Retry-After: {value}\r\n"));
+        self.common_headers() + &lines.collect::<String>()
     }
 
     /// Sets the time before each event of the streams that begin from now on.
@@ -278,7 +305,7 @@
         if fault == Some(Fault::NotExecuted) {
             let text = format!(
                 "HTTP/1.1 503 Service Unavailable\r\nBitternwall-Not-Executed: 1\r\n{}content-length: 0\r\n\r\n",
-                self.limit_header()
+                self.unavailable_headers()
             );
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
@@ -299,16 +326,20 @@
         let padding = self.with(|state| state.document_bytes).saturating_sub(body.len());
         body.extend(iter::repeat_n(' ', padding));
         let seal_header = format!("Bitternwall-Server-Seal: {}.seal\r\n", self.id);
-        let limit_header = self.limit_header();
+        let headers = match fault {
+            Some(Fault::Unavailable) => self.unavailable_headers(),
+            _ => self.common_headers(),
+        };
         let response = |id: &str, status: &str, seal: &str| {
             format!(
-                "HTTP/1.1 {status}\r\nBitternwall-Attempt-Id: {id}\r\n{seal}{limit_header}content-length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nBitternwall-Attempt-Id: {id}\r\n{seal}{headers}content-length: {}\r\n\r\n{body}",
                 body.len()
             )
         };
         let text = match fault {
             Some(Fault::NoAnswer) => return false,
             Some(Fault::Failure) => response(id, "500 Internal Server Error", &seal_header),
+            Some(Fault::Unavailable) => response(id, "503 Service Unavailable", &seal_header),
             Some(Fault::OtherAttempt) => response("other", "200 OK", &seal_header),
             Some(Fault::Unsigned) => response(id, "200 OK", ""),
             Some(Fault::LateAnswerFirst) => {
@@ -343,7 +374,7 @@
             "HTTP/1.1 200 OK\r\nBitternwall-Attempt-Id: {id}\r\nBitternwall-Server-Seal: {}.seal\r\n\
              {}content-type: text/event-stream\r\n{framing}\r\n",
             self.id,
-            self.limit_header()
+            self.common_headers()
         );
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
