--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -46,6 +46,7 @@
 pub mod stopping;
 pub mod store;
 pub mod sync;
+pub mod target_choice;
 mod target_list;
 mod target_state;
 pub mod targets;
--- a/src/direct/slot_wait.rs
+++ b/src/direct/slot_wait.rs
@@ -14,7 +14,8 @@
 use crate::direct::entry::Slot;
 use crate::direct::message::{Cause, LocalAnswer};
 use crate::direct::permits;
-use crate::direct::targets::{Criteria, NoChoice, Target};
+use crate::direct::target_choice::{Criteria, NoChoice};
+use crate::direct::targets::Target;
 use crate::problem::Executed;
 
 /// The result of waiting for a slot; the error is the answer for the caller.
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -1,5 +1,5 @@
-//! The targets of an entry on the direct path: which exist, how loaded each one is, and which one a
-//! request is sent to.
+//! The targets of an entry on the direct path: which exist, and how loaded each one is.
+//! [`target_choice`](crate::direct::target_choice) decides which one a request is sent to.
 //!
 //! Load pattern: many entries share few targets, and each entry sees only its own requests at once.
 //! The table adds the loads that the other entries last reported, so that all of them fill the
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
-use crate::direct::pass_time::{GroupPassTimes, PauseGoal};
-use crate::direct::rate_limits::{Permission, RateLimits};
+use crate::direct::pass_time::GroupPassTimes;
+use crate::direct::rate_limits::RateLimits;
 use crate::direct::target_state::TargetState;
 
 /// Ejection of a target that takes no work though it is idle: its group is forming again. The agent
@@ -20,26 +20,6 @@
 /// The share of a target's slots in use below which it counts as idle.
 const IDLE_SHARE: f64 = 0.5;
 
-/// Requests added to the load of a target in another data centre, which keeps traffic local while
-/// loads are about even.
-const REMOTE_PENALTY: f64 = 0.5;
-
-/// Upper bound of the random number added to a target's load: about the requests that all entries
-/// together send to a target between two heartbeats. Without it all of them would choose the same
-/// target.
-const LOAD_JITTER: f64 = 2.0;
-
-/// Requests added to the load of a target whose attempts all fail; fewer failures add a part.
-const FAILURE_PENALTY: f64 = 12.0;
-
-/// Requests added to the load of a target whose group is slow: more than any target has slots, so
-/// that it is chosen only if no other one has a slot.
-const SLOW_GROUP_PENALTY: f64 = 1_000.0;
-
-/// Failure rate below which a target is not avoided; plain services fail some requests on their
-/// own.
-const TOLERATED_FAILURE_RATE: f64 = 0.25;
-
 /// One server of a service, as the target list describes it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -77,58 +57,19 @@
     Broken,
 }
 
-/// The target that a request is sent to.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Choice {
-    /// A copy of the listed target.
-    pub target: Target,
-    /// Requests of all entries in flight there, as far as known, without this one.
-    pub load: u32,
-    /// True if the target has named a rate and the entry has no permit at hand.
-    pub needs_permit: bool,
-}
-
-/// The reason that no target takes a request now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NoChoice {
-    /// The service has no target, not counting those that are leaving or were tried.
-    NoTargets,
-    /// All targets are ejected after failures, or belong to groups that are closed.
-    AllUnavailable,
-    /// All available targets have named rates, and none has a permit left now.
-    AllLimited,
-    /// At least one target is available, but all available ones are full.
-    AllFull,
-}
-
-/// What a target must fulfil to take a request.
-#[derive(Clone, Copy, Debug)]
-pub struct Criteria<'a> {
-    /// The service that the target must run.
-    pub service: &'a str,
-    /// Requests in flight that a target may have for each of its slots.
-    pub fill: f64,
-    /// The limit of the pauses between events; `None` where the service streams nothing.
-    pub pause_goal: Option<PauseGoal>,
-    /// Ids of targets that the request was sent to already.
-    pub tried: &'a [String],
-    /// A uniform random number, which spreads requests over equal targets.
-    pub draw: u32,
-}
-
 /// The targets of an entry with their loads and states.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     /// The targets by id, as listed.
-    listed: Map<String, Target>,
+    pub(super) listed: Map<String, Target>,
     /// The local states by id, also of removed targets that still have requests in flight.
-    states: Map<String, TargetState>,
+    pub(super) states: Map<String, TargetState>,
     /// The requests of the other entries in flight, by id.
     peer_loads: Map<String, u32>,
-    group_pass_times: GroupPassTimes,
+    pub(super) group_pass_times: GroupPassTimes,
     /// The rates that targets named.
     pub(super) limits: RateLimits,
-    data_centre: String,
+    pub(super) data_centre: String,
 }
 
 impl Targets {
@@ -210,73 +151,6 @@
         f64::from(self.load(id)) < f64::from(slots) * IDLE_SHARE
     }
 
-    /// Returns the target that a request is sent to.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason that no target takes the request now.
-    pub fn choose(&self, criteria: &Criteria<'_>, now: Duration) -> Result<Choice, NoChoice> {
-        let mut reason = NoChoice::NoTargets;
-        let mut best: Option<(f64, Choice)> = None;
-        let slow = criteria
-            .pause_goal
-            .map(|goal| self.group_pass_times.slow(&goal, now))
-            .unwrap_or_default();
-        for target in self.listed.values() {
-            if target.service != criteria.service || target.leaving {
-                continue;
-            }
-            if criteria.tried.contains(&target.id) {
-                continue;
-            }
-            let state = self.states.get(&target.id);
-            if state.is_some_and(|state| !state.is_available(now)) {
-                reason = nearest_to_available(reason, NoChoice::AllUnavailable);
-                continue;
-            }
-            let load = self.load(&target.id);
-            let slots = f64::from(target.slots) * criteria.fill;
-            let limit = match (&criteria.pause_goal, state) {
-                (Some(goal), Some(state)) => {
-                    state.pass_time.concurrency_limit(goal, slots, load, now)
-                }
-                _ => slots,
-            };
-            let full = state.is_some_and(|state| state.full_until > now);
-            if full || f64::from(load) >= limit {
-                reason = nearest_to_available(reason, NoChoice::AllFull);
-                continue;
-            }
-            let permission = self.limits.permission(&target.id, now);
-            if matches!(permission, Permission::After(_)) {
-                reason = nearest_to_available(reason, NoChoice::AllLimited);
-                continue;
-            }
-            let group = state.and_then(|state| state.group.as_deref());
-            let penalty = match group.is_some_and(|group| slow.contains(&group)) {
-                true => SLOW_GROUP_PENALTY,
-                false => 0.0,
-            };
-            let score = self.score(target, state, load, criteria.draw) + penalty;
-            if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
-                let needs_permit = permission == Permission::MustAsk;
-                best = Some((score, Choice { target: target.clone(), load, needs_permit }));
-            }
-        }
-        best.map(|(_, choice)| choice).ok_or(reason)
-    }
-
-    /// Returns the load of a target with its penalties; the target with the lowest score is chosen.
-    fn score(&self, target: &Target, state: Option<&TargetState>, load: u32, draw: u32) -> f64 {
-        let failure_rate = state.map_or(0.0, |state| state.failure_rate);
-        let excess =
-            (failure_rate - TOLERATED_FAILURE_RATE).max(0.0) / (1.0 - TOLERATED_FAILURE_RATE);
-        let remote = if target.data_centre == self.data_centre { 0.0 } else { REMOTE_PENALTY };
-        let shuffled = hash_u32(&target.id) ^ draw;
-        let jitter = f64::from(shuffled.wrapping_mul(0x9E37_79B1) >> 16) / 65_536.0;
-        f64::from(load) + excess * FAILURE_PENALTY + remote + jitter * LOAD_JITTER
-    }
-
     /// Records that a request is about to be sent to a target.
     pub fn request_started(&mut self, id: &str) {
         self.states.entry(id.to_owned()).or_default().in_flight += 1;
@@ -363,36 +237,4 @@
             }
         }
     }
-
-    /// Returns when the first target of a service that is ejected, full or waits for a permit may be
-    /// sent requests again; `None` if there is none. Groups that an agent has reported closed don't
-    /// count.
-    pub fn next_available_at(&self, service: &str, now: Duration) -> Option<Duration> {
-        let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
-        let available_at = |target: &Target| {
-            let state = self.states.get(&target.id);
-            let until = state.map_or(now, |state| state.ejected_until.max(state.full_until));
-            match self.limits.permission(&target.id, now) {
-                Permission::After(permit) => until.max(permit),
-                Permission::Granted | Permission::MustAsk => until,
-            }
-        };
-        listed.map(available_at).filter(|until| *until > now).min()
-    }
-}
-
-/// Returns the reason of the two that is nearest to an available target.
-fn nearest_to_available(one: NoChoice, other: NoChoice) -> NoChoice {
-    match (one, other) {
-        (NoChoice::AllFull, _) | (_, NoChoice::AllFull) => NoChoice::AllFull,
-        (NoChoice::AllLimited, _) | (_, NoChoice::AllLimited) => NoChoice::AllLimited,
-        (NoChoice::AllUnavailable, _) | (_, NoChoice::AllUnavailable) => NoChoice::AllUnavailable,
-        (NoChoice::NoTargets, NoChoice::NoTargets) => NoChoice::NoTargets,
-    }
-}
-
-/// Returns a hash of an id that is uniform over `u32`.
-fn hash_u32(id: &str) -> u32 {
-    let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
-    u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
 }
--- a/tests/direct/target_choice.rs
+++ b/tests/direct/target_choice.rs
@@ -5,7 +5,8 @@
 use bitternwall::collections::Map;
 use bitternwall::direct::admission::ServiceLoad;
 use bitternwall::direct::pass_time::{PassTime, PauseGoal};
-use bitternwall::direct::targets::{Criteria, NoChoice, Outcome, Target, Targets};
+use bitternwall::direct::target_choice::{Criteria, NoChoice};
+use bitternwall::direct::targets::{Outcome, Target, Targets};
 
 const NOW: Duration = Duration::from_secs(100);
 
