A target that asks to be left alone gets nothing for that time

Cause: the Retry-After of a target's 503 went into the caller's answer and nowhere else. The target was left alone for 40 ms, or, if it seemed idle, taken for a rank of a closed group: then the whole group was paused for 600 ms, sound ranks too, and the target was tried again with the next request.

Change: a 503 with a retry-after begins a backoff of that target at this entry (direct::backoffs). Nothing is sent there until it ends, then one request at a time until one is answered. If all targets are in a backoff, the request waits or is refused at once with the time that is left. A refusal with a backoff closes no group, and a caller is told of a target's backoff only if all are in one. Values that cannot be read are logged and counted.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -28,6 +28,9 @@
 /// this long to form again.
 const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// The part of a backoff over which the callers that it held up return.
+const BACKOFF_SPREAD: f64 = 0.25;
+
 /// The longest retry-after, as a share of the time until the caller's deadline.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
 
@@ -125,6 +128,12 @@
         (OUTAGE_RETRY_AFTER + OUTAGE_RETRY_AFTER.mul_f64(draw)).min(max_delay)
     }
 
+    /// Returns the retry-after of a caller that found all targets in a backoff, of which the first ends
+    /// after `backoff`. `draw` is a uniform random number from 0 to 1, which spreads the returns.
+    pub fn retry_after_backoff(backoff: Duration, draw: f64) -> Duration {
+        backoff + (MIN_RETRY_AFTER + backoff.mul_f64(BACKOFF_SPREAD)).mul_f64(draw)
+    }
+
     /// Returns the retry-after of a caller refused for lack of slots, between 150 ms and 30 % of
     /// the time left. `draw` is a uniform random number from 0 to 1.
     pub fn retry_after(&self, time_left: Duration, draw: f64) -> Duration {
--- a/src/direct/attempts.rs
+++ b/src/direct/attempts.rs
@@ -46,6 +46,8 @@
     pub may_have_run: bool,
     /// The time until the request's deadline.
     pub time_left: Duration,
+    /// The time until a target of the service may be sent a request again, if all are in a backoff.
+    pub backoff_left: Option<Duration>,
 }
 
 /// What follows a failed attempt.
@@ -76,6 +78,11 @@
         (executed, _) => executed,
     };
     let caller_may_retry = executed == Executed::No || history.may_repeat;
-    let retry_after = failure.retry_after.or(caller_may_retry.then_some(RETRY_AFTER));
+    let asked = match failure.cause {
+        // Other targets may be free, so the target's own backoff does not concern the caller.
+        Cause::TargetFull => history.backoff_left,
+        _ => failure.retry_after,
+    };
+    let retry_after = asked.or(caller_may_retry.then_some(RETRY_AFTER));
     LocalAnswer { cause: failure.cause, executed, retry_after }
 }
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -166,6 +166,10 @@
             deliveries: self.deliveries,
             may_have_run: self.may_have_run,
             time_left: self.time_left(),
+            backoff_left: {
+                let targets = self.entry.targets.borrow();
+                targets.backoff_left(&self.service, self.entry.now())
+            },
         }
     }
 
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -247,7 +247,9 @@
     let (requests, parts) = entry.crashes.borrow().refused_counts();
     entry.metrics.refused(requests, parts);
     entry.targets.borrow_mut().prune_limits();
+    entry.targets.borrow_mut().backoffs.prune(now);
     entry.metrics.limited_targets(entry.targets.borrow().limits.limited());
+    entry.metrics.backing_off_targets(entry.targets.borrow().backoffs.count(now));
     entry.count_entries();
     let loads = entry.peers.borrow().loads(entry.options.heartbeat_interval, now);
     entry.targets.borrow_mut().set_peer_loads(loads);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -28,7 +28,7 @@
 use crate::direct::pool::Pool;
 use crate::direct::rate_limits::{Grant, RateReport};
 use crate::direct::stopping::Stopping;
-use crate::direct::targets::{Outcome, Targets};
+use crate::direct::targets::{Outcome, Target, Targets};
 use crate::entry::core::retry::Budget;
 use crate::telemetry::events;
 
@@ -326,6 +326,16 @@
         self.targets.borrow_mut().limits.grant(target, per_s, self.now())
     }
 
+    /// Records that a target asked to be left alone for a time.
+    pub fn record_backoff(&self, target: &Target, time: Duration) {
+        if self.targets.borrow_mut().record_backoff(target, time, self.now()) {
+            events::log(
+                events::TARGET_BACKOFF,
+                format_args!("target={} time_ms={}", target.id, time.as_millis()),
+            );
+        }
+    }
+
     /// Records the outcome of an attempt at a target, and logs an ejection that it causes.
     pub fn record_outcome(&self, target: &str, outcome: Outcome) {
         let now = self.now();
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -23,6 +23,7 @@
 use crate::direct::pool::Reuse;
 use crate::direct::relay::Relay;
 use crate::direct::slot_wait;
+use crate::direct::target_notices;
 use crate::direct::targets::{Outcome, Target};
 use crate::problem::Executed;
 use crate::telemetry::events;
@@ -116,7 +117,7 @@
                 let failure = Failure {
                     cause: Cause::Broken,
                     executed: Executed::Yes,
-                    retry_after: answer.retry_after,
+                    retry_after: answer.retry_after.unwrap_or_default(),
                 };
                 fallback = Some((Head { status: answer.status, headers: answer.headers }, body));
                 failure
@@ -192,10 +193,13 @@
         call.entry.record_outcome(&target.id, Outcome::Replaced);
         return Err(not_run(Cause::Unreachable, &answer));
     }
-    record_rate(call, target, &answer);
+    let backs_off = target_notices::record(call, target, &answer);
     if answer.not_run {
         call.record_target_refused();
-        let closed = call.pause_goal.is_some() && call.entry.targets.borrow().is_idle(&target.id);
+        // A target that asks to be left alone speaks for itself, not for its group.
+        let closed = !backs_off
+            && call.pause_goal.is_some()
+            && call.entry.targets.borrow().is_idle(&target.id);
         call.entry.record_outcome(&target.id, if closed { Outcome::Closed } else { Outcome::Full });
         call.entry.pool.put_back(target.addr, connection, answer.idle_limit);
         return Err(not_run(Cause::TargetFull, &answer));
@@ -237,22 +241,9 @@
     }
 }
 
-/// Records the rate that an answer names. One that cannot be decoded changes nothing.
-fn record_rate(call: &Call, target: &Target, answer: &TargetAnswer) {
-    match &answer.rate {
-        Ok(rate) => call.entry.record_rate(&target.id, *rate),
-        Err(error) => {
-            call.entry.metrics.header_unreadable();
-            events::log(
-                events::HEADER_UNREADABLE,
-                format_args!("id={} target={} cause=\"{error}\"", call.caller.id, target.id),
-            );
-        }
-    }
-}
-
 fn not_run(cause: Cause, answer: &TargetAnswer) -> Failure {
-    Failure { cause, executed: Executed::No, retry_after: answer.retry_after }
+    let retry_after = answer.retry_after.clone().unwrap_or_default();
+    Failure { cause, executed: Executed::No, retry_after }
 }
 
 fn record_broken(call: &Call, target: &Target, error: &AttemptError) -> Failure {
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -75,7 +75,7 @@
     /// True if another incarnation than the requested one answered.
     pub other_incarnation: bool,
     /// The retry-after, if the target sent one.
-    pub retry_after: Option<Duration>,
+    pub retry_after: Result<Option<Duration>, UnreadableValue>,
     /// How long the target keeps the connection idle, if it states that.
     pub idle_limit: Option<Duration>,
     /// The requests a second that the target takes from all entries together, if it names a limit.
@@ -137,6 +137,8 @@
     Full,
     /// The targets have named rates, and no permit becomes available in time.
     Limited,
+    /// All targets have asked to be left alone for longer than the request can wait.
+    BackingOff,
     /// The target refused the request because it is full or closed.
     TargetFull,
     /// The timeout of the caller or of the route has passed.
@@ -166,6 +168,7 @@
             Self::TargetsPaused => "targets_paused",
             Self::Full => "full",
             Self::Limited => "limited",
+            Self::BackingOff => "backing_off",
             Self::TargetFull => "target_full",
             Self::TimedOut => "timed_out",
             Self::Unreachable => "unreachable",
@@ -186,6 +189,7 @@
             Self::TargetsPaused => "All targets failed lately",
             Self::Full => "All places are taken",
             Self::Limited => "The targets take no more requests at present",
+            Self::BackingOff => "The targets have asked to be left alone",
             Self::TargetFull => "The target is full",
             Self::TimedOut => "Time is over",
             Self::Unreachable => "No target could be reached",
@@ -208,6 +212,7 @@
             Self::TargetsPaused => "/problems/targets-paused",
             Self::Full => "/problems/full",
             Self::Limited => "/problems/limited",
+            Self::BackingOff => "/problems/backing-off",
             Self::TargetFull => "/problems/target-full",
             Self::TimedOut => "/problems/timed-out",
             Self::Unreachable => "/problems/unreachable",
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -38,6 +38,7 @@
     refused_parts: IntGauge,
     permits: IntCounterVec,
     limited_targets: IntGauge,
+    backing_off_targets: IntGauge,
     configuration: IntGauge,
     in_progress: IntGauge,
 }
@@ -154,6 +155,10 @@
                 "bitternwall_direct_limited_targets",
                 "Targets that have named a rate of requests.",
             )?,
+            backing_off_targets: gauge(
+                "bitternwall_direct_backing_off_targets",
+                "Targets that have asked this entry to be left alone.",
+            )?,
             configuration: gauge(
                 "bitternwall_direct_configuration_version",
                 "The version of the configuration in force.",
@@ -278,6 +283,11 @@
         self.limited_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of targets that have asked to be left alone.
+    pub fn backing_off_targets(&self, targets: usize) {
+        self.backing_off_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
     /// Sets the version of the configuration in force.
     pub fn configuration(&self, version: u64) {
         self.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions are pure modules ([`configuration`], [`cluster_state`], [`pending_removals`],
 //! [`peers`], [`targets`], [`pass_time`], [`admission`], [`attempts`], [`event_stream`],
-//! [`stopping`], [`crash_history`], [`confirmation`],
+//! [`stopping`], [`crash_history`], [`confirmation`], [`backoffs`],
 //! [`read_times`]); the others do the I/O around them. The vocabulary of a
 //! platform's protocol stays in its adapter, which provides the functions of
 //! [`message::TargetProtocol`], [`store::Store`] and [`store::Formats`]. See docs/PLATFORM.md.
@@ -12,6 +12,7 @@
 pub mod answered_parts;
 pub mod attempts;
 pub mod backlog;
+pub mod backoffs;
 pub mod call;
 pub mod cluster_state;
 pub mod configuration;
@@ -48,6 +49,7 @@
 pub mod sync;
 pub mod target_choice;
 mod target_list;
+mod target_notices;
 mod target_state;
 pub mod targets;
 pub mod turn;
--- a/src/direct/slot_wait.rs
+++ b/src/direct/slot_wait.rs
@@ -67,14 +67,17 @@
             NoChoice::AllLimited => {
                 max_wait.max(admission::max_permit_wait(call.route.objective, call.time_left()))
             }
-            NoChoice::AllUnavailable => max_wait.max(admission::max_outage_wait(call.time_left())),
+            NoChoice::AllUnavailable | NoChoice::AllBackingOff => {
+                max_wait.max(admission::max_outage_wait(call.time_left()))
+            }
         };
         if waited >= max_wait {
             break Err(reason);
         }
         let available_at = entry.targets.borrow().next_available_at(&call.service, now);
         let too_late = available_at.is_some_and(|at| at > started + max_wait);
-        if reason == NoChoice::AllLimited && too_late {
+        let time_is_known = matches!(reason, NoChoice::AllLimited | NoChoice::AllBackingOff);
+        if time_is_known && too_late {
             break Err(reason);
         }
         let pause =
@@ -102,6 +105,7 @@
         NoChoice::AllUnavailable => Cause::TargetsPaused,
         NoChoice::AllFull => Cause::Full,
         NoChoice::AllLimited => Cause::Limited,
+        NoChoice::AllBackingOff => Cause::BackingOff,
     };
     let entry = &call.entry;
     let left = call.time_left();
@@ -118,6 +122,10 @@
             let turn = available_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
             load.retry_after(left, draw).max(turn)
         }
+        NoChoice::AllBackingOff => {
+            let backoff = available_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
+            ServiceLoad::retry_after_backoff(backoff, draw)
+        }
         NoChoice::NoTargets | NoChoice::AllUnavailable => {
             ServiceLoad::retry_after_outage(left, draw)
         }
--- a/src/direct/target_choice.rs
+++ b/src/direct/target_choice.rs
@@ -47,6 +47,8 @@
     AllUnavailable,
     /// All available targets have named rates, and none has a permit left now.
     AllLimited,
+    /// All targets that are not unavailable have asked to be left alone.
+    AllBackingOff,
     /// At least one target is available, but all available ones are full.
     AllFull,
 }
@@ -91,6 +93,10 @@
                 reason = nearest_to_available(reason, NoChoice::AllUnavailable);
                 continue;
             }
+            if self.backoffs.until(&target.id, now).is_some() {
+                reason = nearest_to_available(reason, NoChoice::AllBackingOff);
+                continue;
+            }
             let load = self.load(&target.id);
             let slots = f64::from(target.slots) * criteria.fill;
             let limit = match (&criteria.pause_goal, state) {
@@ -99,7 +105,9 @@
                 }
                 _ => slots,
             };
-            let full = state.is_some_and(|state| state.full_until > now);
+            let probed = self.backoffs.is_unproven(&target.id, now)
+                && state.is_some_and(|state| state.in_flight > 0);
+            let full = probed || state.is_some_and(|state| state.full_until > now);
             if full || f64::from(load) >= limit {
                 reason = nearest_to_available(reason, NoChoice::AllFull);
                 continue;
@@ -134,14 +142,15 @@
         f64::from(load) + excess * FAILURE_PENALTY + remote + jitter * LOAD_JITTER
     }
 
-    /// Returns when the first target of a service that is ejected, full or waits for a permit may be
-    /// sent requests again; `None` if there is none. Groups that an agent has reported closed don't
+    /// Returns when the first target of a service that is ejected, full, in a backoff or waits for a
+    /// permit may be sent requests again; `None` if there is none. Groups that an agent has reported closed don't
     /// count.
     pub fn next_available_at(&self, service: &str, now: Duration) -> Option<Duration> {
         let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
         let available_at = |target: &Target| {
             let state = self.states.get(&target.id);
             let until = state.map_or(now, |state| state.ejected_until.max(state.full_until));
+            let until = until.max(self.backoffs.until(&target.id, now).unwrap_or(now));
             match self.limits.permission(&target.id, now) {
                 Permission::After(permit) => until.max(permit),
                 Permission::Granted | Permission::MustAsk => until,
@@ -149,6 +158,15 @@
         };
         listed.map(available_at).filter(|until| *until > now).min()
     }
+
+    /// Returns the time until the first target of a service may be sent a request again, if all of
+    /// them are in a backoff.
+    pub fn backoff_left(&self, service: &str, now: Duration) -> Option<Duration> {
+        let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
+        let ends = listed.map(|target| self.backoffs.until(&target.id, now));
+        let first = ends.collect::<Option<Vec<_>>>()?.into_iter().min()?;
+        Some(first.saturating_sub(now))
+    }
 }
 
 /// Returns the reason of the two that is nearest to an available target.
@@ -157,6 +175,7 @@
         (NoChoice::AllFull, _) | (_, NoChoice::AllFull) => NoChoice::AllFull,
         (NoChoice::AllLimited, _) | (_, NoChoice::AllLimited) => NoChoice::AllLimited,
         (NoChoice::AllUnavailable, _) | (_, NoChoice::AllUnavailable) => NoChoice::AllUnavailable,
+        (NoChoice::AllBackingOff, _) | (_, NoChoice::AllBackingOff) => NoChoice::AllBackingOff,
         (NoChoice::NoTargets, NoChoice::NoTargets) => NoChoice::NoTargets,
     }
 }
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
+use crate::direct::backoffs::Backoffs;
 use crate::direct::pass_time::GroupPassTimes;
 use crate::direct::rate_limits::RateLimits;
 use crate::direct::target_state::TargetState;
@@ -69,6 +70,8 @@
     pub(super) group_pass_times: GroupPassTimes,
     /// The rates that targets named.
     pub(super) limits: RateLimits,
+    /// The backoffs that targets asked for.
+    pub(super) backoffs: Backoffs,
     pub(super) data_centre: String,
 }
 
@@ -90,6 +93,7 @@
         if restarted {
             self.limits.remove(&target.id);
         }
+        self.backoffs.record_listed(&target.id, target.started_unix_ms);
         self.listed.insert(target.id.clone(), target);
     }
 
@@ -173,9 +177,18 @@
             self.eject_group(id, now + FORMING_EJECTION);
             return Some(FORMING_EJECTION);
         }
+        if matches!(outcome, Outcome::Answered | Outcome::Failed) {
+            self.backoffs.record_answered(id, now);
+        }
         self.states.entry(id.to_owned()).or_default().record(outcome, now)
     }
 
+    /// Records that a target asked to be left alone for a time. Returns true if its backoff ends later
+    /// than known.
+    pub fn record_backoff(&mut self, target: &Target, time: Duration, now: Duration) -> bool {
+        self.backoffs.record(&target.id, target.started_unix_ms, time, now)
+    }
+
     /// Records whether the group of the target at an address takes requests, as the agent beside it
     /// reports. `group` is empty where the agent does not know the group. Returns the target's id
     /// if that changed.
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -45,6 +45,9 @@
 /// A value in a request or an answer could not be decoded and is ignored.
 pub const HEADER_UNREADABLE: LogEvent =
     LogEvent { number: 7014, severity: Severity::Warning, title: "header unreadable" };
+/// A target that turned a request away asked to be left alone for a time.
+pub const TARGET_BACKOFF: LogEvent =
+    LogEvent { number: 7016, severity: Severity::Info, title: "target backs off" };
 /// The rate of requests that a target takes has changed, as it named in an answer.
 pub const RATE_NAMED: LogEvent =
     LogEvent { number: 7015, severity: Severity::Info, title: "rate named" };
@@ -291,6 +294,7 @@
     GROUP_STATE,
     HEADER_UNREADABLE,
     RATE_NAMED,
+    TARGET_BACKOFF,
     DIRECT_CONFIG,
     VALUE_UNREADABLE,
     STORE_UNAVAILABLE,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -2,6 +2,8 @@
 
 #[path = "direct/answers.rs"]
 mod answers;
+#[path = "direct/backoffs.rs"]
+mod backoffs;
 #[path = "direct/budget.rs"]
 mod budget;
 #[path = "direct/connections.rs"]
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -113,6 +113,7 @@
     deliveries: 1,
     may_have_run: false,
     time_left: Duration::from_millis(500),
+    backoff_left: None,
 };
 
 fn failure(executed: Executed) -> Failure {
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -37,7 +37,7 @@
             sealed: false,
             not_run: false,
             other_incarnation: false,
-            retry_after: None,
+            retry_after: Ok(None),
             idle_limit: None,
             rate: Ok(None),
         },
--- a/tests/direct/target_choice.rs
+++ b/tests/direct/target_choice.rs
@@ -236,3 +236,48 @@
     let later = targets.choose(&wanted, NOW + Duration::from_secs(2)).expect("a free slot");
     assert!(["t0", "t1"].contains(&later.target.id.as_str()), "its average is outdated");
 }
+
+#[test]
+fn a_target_in_a_backoff_gets_nothing_and_its_group_goes_on() {
+    let mut targets = table(3);
+    for index in 0..3 {
+        targets.set_group_state(([127, 0, 0, 1], 1_000 + index).into(), "a", true, NOW);
+    }
+    let backoff = Duration::from_secs(3);
+    assert!(targets.record_backoff(&target("t0", 1_000), backoff, NOW));
+    targets.record("t0", Outcome::Full, NOW);
+    for draw in 0..20_u32 {
+        let now = NOW + backoff - Duration::from_millis(1);
+        let choice = targets.choose(&criteria(&[], draw.wrapping_mul(2_654_435_761)), now);
+        assert_ne!(choice.expect("the others are free").target.id, "t0");
+    }
+    assert_eq!(targets.backoff_left("model", NOW), None, "others are free");
+}
+
+#[test]
+fn targets_that_all_back_off_are_tried_one_request_at_a_time_afterwards() {
+    let mut targets = table(2);
+    targets.record_backoff(&target("t0", 1_000), Duration::from_secs(3), NOW);
+    targets.record_backoff(&target("t1", 1_001), Duration::from_secs(2), NOW);
+    assert_eq!(targets.choose(&criteria(&[], 0), NOW), Err(NoChoice::AllBackingOff));
+    assert_eq!(targets.backoff_left("model", NOW), Some(Duration::from_secs(2)));
+    let end = NOW + Duration::from_secs(2);
+    assert_eq!(targets.next_available_at("model", NOW), Some(end));
+    let choice = targets.choose(&criteria(&[], 0), end).expect("its backoff has ended");
+    assert_eq!(choice.target.id, "t1");
+    targets.request_started("t1");
+    assert_eq!(targets.choose(&criteria(&[], 0), end), Err(NoChoice::AllFull));
+    targets.record("t1", Outcome::Answered, end);
+    assert!(targets.choose(&criteria(&[], 0), end).is_ok(), "it takes requests again");
+}
+
+#[test]
+fn a_target_whose_record_lapses_and_returns_is_still_in_its_backoff() {
+    let mut targets = table(1);
+    targets.record_backoff(&target("t0", 1_000), Duration::from_secs(3), NOW);
+    targets.remove("t0");
+    targets.upsert(target("t0", 1_000));
+    assert_eq!(targets.choose(&criteria(&[], 0), NOW), Err(NoChoice::AllBackingOff));
+    targets.upsert(Target { started_unix_ms: Some(2), ..target("t0", 1_000) });
+    assert!(targets.choose(&criteria(&[], 0), NOW).is_ok(), "another incarnation");
+}
