A target that says that it leaves gets no new requests

Now the head of an answer with it, whatever its status, takes the target out of the choice for all new sends, for good: what one answer of an incarnation has said holds though later answers or the list say otherwise (direct::departures). A late answer of an earlier incarnation concerns neither this nor a backoff. What runs there goes on. A value other than 1 or 0 is logged, counted and changes nothing.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -248,6 +248,7 @@
     entry.metrics.refused(requests, parts);
     entry.targets.borrow_mut().prune_limits();
     entry.targets.borrow_mut().backoffs.prune(now);
+    entry.targets.borrow_mut().departures.prune(now);
     entry.metrics.limited_targets(entry.targets.borrow().limits.limited());
     entry.metrics.backing_off_targets(entry.targets.borrow().backoffs.count(now));
     entry.count_entries();
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -336,6 +336,13 @@
         }
     }
 
+    /// Records that a target has said that it leaves.
+    pub fn record_leaving(&self, target: &Target) {
+        if self.targets.borrow_mut().record_leaving(target, self.now()) {
+            events::log(events::TARGET_LEAVING, format_args!("target={}", target.id));
+        }
+    }
+
     /// Records the outcome of an attempt at a target, and logs an ejection that it causes.
     pub fn record_outcome(&self, target: &str, outcome: Outcome) {
         let now = self.now();
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -76,6 +76,8 @@
     pub other_incarnation: bool,
     /// The retry-after, if the target sent one.
     pub retry_after: Result<Option<Duration>, UnreadableValue>,
+    /// True if the target states that it leaves.
+    pub leaving: Result<bool, UnreadableValue>,
     /// How long the target keeps the connection idle, if it states that.
     pub idle_limit: Option<Duration>,
     /// The requests a second that the target takes from all entries together, if it names a limit.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions are pure modules ([`configuration`], [`cluster_state`], [`pending_removals`],
 //! [`peers`], [`targets`], [`pass_time`], [`admission`], [`attempts`], [`event_stream`],
-//! [`stopping`], [`crash_history`], [`confirmation`], [`backoffs`],
+//! [`stopping`], [`crash_history`], [`confirmation`], [`backoffs`], [`departures`],
 //! [`read_times`]); the others do the I/O around them. The vocabulary of a
 //! platform's protocol stays in its adapter, which provides the functions of
 //! [`message::TargetProtocol`], [`store::Store`] and [`store::Formats`]. See docs/PLATFORM.md.
@@ -22,6 +22,7 @@
 pub mod crash_probe;
 pub mod crash_store;
 pub mod daemon;
+pub mod departures;
 pub mod entry;
 pub mod event_stream;
 pub mod fleet;
--- a/src/direct/target_choice.rs
+++ b/src/direct/target_choice.rs
@@ -82,7 +82,7 @@
             .map(|goal| self.group_pass_times.slow(&goal, now))
             .unwrap_or_default();
         for target in self.listed.values() {
-            if target.service != criteria.service || target.leaving {
+            if target.service != criteria.service || !self.takes_work(target) {
                 continue;
             }
             if criteria.tried.contains(&target.id) {
@@ -146,7 +146,7 @@
     /// permit may be sent requests again; `None` if there is none. Groups that an agent has reported closed don't
     /// count.
     pub fn next_available_at(&self, service: &str, now: Duration) -> Option<Duration> {
-        let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
+        let listed = self.listed.values().filter(|t| t.service == service && self.takes_work(t));
         let available_at = |target: &Target| {
             let state = self.states.get(&target.id);
             let until = state.map_or(now, |state| state.ejected_until.max(state.full_until));
@@ -162,7 +162,7 @@
     /// Returns the time until the first target of a service may be sent a request again, if all of
     /// them are in a backoff.
     pub fn backoff_left(&self, service: &str, now: Duration) -> Option<Duration> {
-        let listed = self.listed.values().filter(|t| t.service == service && !t.leaving);
+        let listed = self.listed.values().filter(|t| t.service == service && self.takes_work(t));
         let ends = listed.map(|target| self.backoffs.until(&target.id, now));
         let first = ends.collect::<Option<Vec<_>>>()?.into_iter().min()?;
         Some(first.saturating_sub(now))
--- a/src/direct/target_notices.rs
+++ b/src/direct/target_notices.rs
@@ -9,13 +9,18 @@
 use crate::direct::targets::Target;
 use crate::telemetry::events;
 
-/// Records the rate that an answer names and the backoff that it asks for. Returns true if it asks
-/// for one.
+/// Records the rate that an answer names, that its target leaves, and the backoff that it asks for.
+/// Returns true if it asks for one.
 pub fn record(call: &Call, target: &Target, answer: &TargetAnswer) -> bool {
     match &answer.rate {
         Ok(rate) => call.entry.record_rate(&target.id, *rate),
         Err(error) => record_unreadable(call, target, error),
     }
+    match &answer.leaving {
+        Ok(true) => call.entry.record_leaving(target),
+        Ok(false) => {}
+        Err(error) => record_unreadable(call, target, error),
+    }
     if answer.status != StatusCode::SERVICE_UNAVAILABLE {
         return false;
     }
--- a/src/direct/targets.rs
+++ b/src/direct/targets.rs
@@ -10,6 +10,7 @@
 
 use crate::collections::{Map, Set};
 use crate::direct::backoffs::Backoffs;
+use crate::direct::departures::Departures;
 use crate::direct::pass_time::GroupPassTimes;
 use crate::direct::rate_limits::RateLimits;
 use crate::direct::target_state::TargetState;
@@ -72,6 +73,8 @@
     pub(super) limits: RateLimits,
     /// The backoffs that targets asked for.
     pub(super) backoffs: Backoffs,
+    /// The targets that have said that they leave.
+    pub(super) departures: Departures,
     pub(super) data_centre: String,
 }
 
@@ -186,7 +189,25 @@
     /// Records that a target asked to be left alone for a time. Returns true if its backoff ends later
     /// than known.
     pub fn record_backoff(&mut self, target: &Target, time: Duration, now: Duration) -> bool {
-        self.backoffs.record(&target.id, target.started_unix_ms, time, now)
+        self.is_current(target)
+            && self.backoffs.record(&target.id, target.started_unix_ms, time, now)
+    }
+
+    /// Records that a target has said that it leaves. Returns true if that is new.
+    pub fn record_leaving(&mut self, target: &Target, now: Duration) -> bool {
+        self.is_current(target) && self.departures.record(&target.id, target.started_unix_ms, now)
+    }
+
+    /// Returns false if another incarnation of a target is listed, so that what an answer of this one
+    /// said no longer counts.
+    fn is_current(&self, target: &Target) -> bool {
+        let listed = self.listed.get(&target.id);
+        listed.is_none_or(|listed| listed.started_unix_ms == target.started_unix_ms)
+    }
+
+    /// Returns true if a target takes new work, by its record and by its answers.
+    pub(super) fn takes_work(&self, target: &Target) -> bool {
+        !target.leaving && !self.departures.is_leaving(&target.id, target.started_unix_ms)
     }
 
     /// Records whether the group of the target at an address takes requests, as the agent beside it
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -48,6 +48,9 @@
 /// A target that turned a request away asked to be left alone for a time.
 pub const TARGET_BACKOFF: LogEvent =
     LogEvent { number: 7016, severity: Severity::Info, title: "target backs off" };
+/// A target has said in an answer that it leaves, and gets no new requests.
+pub const TARGET_LEAVING: LogEvent =
+    LogEvent { number: 7017, severity: Severity::Info, title: "target leaves" };
 /// The rate of requests that a target takes has changed, as it named in an answer.
 pub const RATE_NAMED: LogEvent =
     LogEvent { number: 7015, severity: Severity::Info, title: "rate named" };
@@ -295,6 +298,7 @@
     HEADER_UNREADABLE,
     RATE_NAMED,
     TARGET_BACKOFF,
+    TARGET_LEAVING,
     DIRECT_CONFIG,
     VALUE_UNREADABLE,
     STORE_UNAVAILABLE,
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -88,6 +88,11 @@
         });
     }
 
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.with(|state| state.entries.get(key).map(|(value, _)| value.clone()))
+    }
+
     /// Removes a key at a new revision.
     pub fn remove(&self, key: &str) {
         self.with(|state| {
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -38,6 +38,7 @@
             not_run: false,
             other_incarnation: false,
             retry_after: Ok(None),
+            leaving: Ok(false),
             idle_limit: None,
             rate: Ok(None),
         },
--- a/tests/direct/target_choice.rs
+++ b/tests/direct/target_choice.rs
@@ -281,3 +281,29 @@
     targets.upsert(Target { started_unix_ms: Some(2), ..target("t0", 1_000) });
     assert!(targets.choose(&criteria(&[], 0), NOW).is_ok(), "another incarnation");
 }
+
+#[test]
+fn a_target_that_said_that_it_leaves_gets_nothing_whatever_its_record_says() {
+    let mut targets = table(2);
+    assert!(targets.record_leaving(&target("t0", 1_000), NOW));
+    assert!(!targets.record_leaving(&target("t0", 1_000), NOW), "said again");
+    targets.remove("t0");
+    targets.upsert(target("t0", 1_000));
+    let choice = targets.choose(&criteria(&[], 0), NOW).expect("the other one");
+    assert_eq!(choice.target.id, "t1");
+    let tried = ["t1".to_owned()];
+    assert_eq!(targets.choose(&criteria(&tried, 0), NOW), Err(NoChoice::NoTargets));
+}
+
+#[test]
+fn what_an_earlier_incarnation_says_does_not_concern_the_next_one() {
+    let mut targets = table(1);
+    let earlier = target("t0", 1_000);
+    targets.record_leaving(&earlier, NOW);
+    targets.record_backoff(&earlier, Duration::from_secs(3), NOW);
+    targets.upsert(Target { started_unix_ms: Some(2), ..earlier.clone() });
+    assert!(targets.choose(&criteria(&[], 0), NOW).is_ok());
+    assert!(!targets.record_leaving(&earlier, NOW), "a late answer");
+    assert!(!targets.record_backoff(&earlier, Duration::from_secs(3), NOW), "a late answer");
+    assert!(targets.choose(&criteria(&[], 0), NOW).is_ok());
+}
