--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -18,9 +18,10 @@
 
 use crate::direct::cluster_state::{ClusterState, KnownVersions, TargetRecord};
 use crate::direct::entry::Entry;
+use crate::direct::heartbeat::{Heartbeat, Load, RankNotice};
 use crate::direct::http::Codecs;
 use crate::direct::internal::{self, ExchangeError, InternalRequest};
-use crate::direct::peers::{self, Heartbeat, Load, RankNotice};
+use crate::direct::peers;
 use crate::direct::permits;
 use crate::direct::store::{Collection, Item, Position};
 use crate::direct::sync::StateSync;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -29,6 +29,7 @@
 pub mod forward;
 pub mod framing;
 pub mod gossip;
+pub mod heartbeat;
 pub mod http;
 pub mod internal;
 pub mod listener;
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -6,15 +6,12 @@
 //! heartbeat goes to a part of the entries, in rotation.
 
 use std::cmp;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
 use crate::direct::cluster_state::KnownVersions;
-use crate::direct::crash_history::CrashReport;
-use crate::direct::permits::{PermitReply, PermitRequest};
-use crate::direct::rate_limits::RateReport;
-use crate::direct::store::Position;
+use crate::direct::heartbeat::{Heartbeat, PeerAddr};
 
 /// Heartbeat intervals without a heartbeat after which an entry's load and address no longer count.
 const MAX_MISSED_HEARTBEATS: u32 = 10;
@@ -38,138 +35,6 @@
 /// Store readers: entries that read the store on behalf of all others.
 pub const STORE_READERS: usize = 3;
 
-/// The periodic message of an entry to the others. An agent beside a rank sends it too, with `name`
-/// and `rank` only.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Heartbeat {
-    /// The sender's name, from its settings.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// A number that differs between the incarnations (runs) of the process.
-    #[prost(fixed64, tag = "2")]
-    pub incarnation: u64,
-    /// Sequence number of the heartbeat within this incarnation.
-    #[prost(uint64, tag = "3")]
-    pub sequence: u64,
-    /// The address at which callers connect, as `ip:port`.
-    #[prost(string, tag = "4")]
-    pub callers_addr: String,
-    /// The entry's data centre.
-    #[prost(string, tag = "5")]
-    pub data_centre: String,
-    /// True while it serves callers.
-    #[prost(bool, tag = "6")]
-    pub ready: bool,
-    /// The version of its configuration; 0 without one.
-    #[prost(uint64, tag = "7")]
-    pub version: u64,
-    /// The store's revision of its target list, in the era below; 0 without one.
-    #[prost(uint64, tag = "8")]
-    pub targets_at: u64,
-    /// True while the store answers it.
-    #[prost(bool, tag = "9")]
-    pub reads_store: bool,
-    /// Its requests in flight by target.
-    #[prost(message, repeated, tag = "10")]
-    pub loads: Vec<Load>,
-    /// Addresses of some live entries; see [`Peers::peers_to_announce`].
-    #[prost(message, repeated, tag = "11")]
-    pub known_peers: Vec<PeerAddr>,
-    /// True once the process is stopping.
-    #[prost(bool, tag = "12")]
-    pub leaving: bool,
-    /// The state of a rank, if an agent beside one sends the message.
-    #[prost(message, optional, tag = "13")]
-    pub rank: Option<RankNotice>,
-    /// Requests under which targets crashed, as the sender has them on record.
-    #[prost(message, repeated, tag = "14")]
-    pub crashes: Vec<CrashReport>,
-    /// The store's era of its target list.
-    #[prost(uint64, tag = "15")]
-    pub targets_era: u64,
-    /// The largest number of live entries that it has counted at once, so that an entry that has
-    /// just started knows the size of the fleet from one heartbeat.
-    #[prost(uint32, tag = "16")]
-    pub counted_entries: u32,
-    /// The rates that targets named in answers to the sender.
-    #[prost(message, repeated, tag = "17")]
-    pub rates: Vec<RateReport>,
-    /// A request for permits, which comes with the name only.
-    #[prost(message, optional, tag = "18")]
-    pub permit_request: Option<PermitRequest>,
-    /// The reply to such a request, which comes with the name only.
-    #[prost(message, optional, tag = "19")]
-    pub permit_reply: Option<PermitReply>,
-    /// Milliseconds since the store last confirmed its configuration; absent before that.
-    #[prost(uint64, optional, tag = "20")]
-    pub configuration_age_ms: Option<u64>,
-    /// The same for its target list.
-    #[prost(uint64, optional, tag = "21")]
-    pub targets_age_ms: Option<u64>,
-}
-
-impl Heartbeat {
-    /// Returns how recent the sender's cluster state is.
-    pub fn known(&self) -> KnownVersions {
-        let targets_at = Position { era: self.targets_era, revision: self.targets_at };
-        KnownVersions { version: self.version, targets_at }
-    }
-}
-
-/// A notice of an agent to the entries about its rank.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct RankNotice {
-    /// The address of the rank's engine, as `ip:port`; the target list has the same.
-    #[prost(string, tag = "1")]
-    pub engine: String,
-    /// True while the rank's group takes requests.
-    #[prost(bool, tag = "2")]
-    pub open: bool,
-    /// The id of the group; empty while the engine does not answer.
-    #[prost(string, tag = "3")]
-    pub group: String,
-}
-
-/// The load that an entry puts on one target.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Load {
-    /// The target's id.
-    #[prost(string, tag = "1")]
-    pub target: String,
-    /// The number of requests in flight.
-    #[prost(uint32, tag = "2")]
-    pub requests: u32,
-}
-
-/// The address at which an entry receives heartbeats.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct PeerAddr {
-    /// The IPv4 address, its first byte in the highest bits.
-    #[prost(fixed32, tag = "1")]
-    pub ip: u32,
-    /// The UDP port of heartbeats; the same TCP port serves the cluster state.
-    #[prost(uint32, tag = "2")]
-    pub port: u32,
-}
-
-impl PeerAddr {
-    /// Encodes an address; `None` for one that is not IPv4.
-    pub fn of(addr: SocketAddr) -> Option<Self> {
-        match addr {
-            SocketAddr::V4(addr) => {
-                Some(Self { ip: addr.ip().to_bits(), port: u32::from(addr.port()) })
-            }
-            SocketAddr::V6(_) => None,
-        }
-    }
-
-    /// Decodes the address; `None` if the port is out of range.
-    pub fn addr(self) -> Option<SocketAddr> {
-        let port = u16::try_from(self.port).ok()?;
-        Some(SocketAddrV4::new(Ipv4Addr::from_bits(self.ip), port).into())
-    }
-}
-
 /// One other entry.
 #[derive(Clone, Debug)]
 pub struct Peer {
--- a/src/direct/permits.rs
+++ b/src/direct/permits.rs
@@ -12,7 +12,7 @@
 
 use crate::collections::Map;
 use crate::direct::entry::Entry;
-use crate::direct::peers::Heartbeat;
+use crate::direct::heartbeat::Heartbeat;
 use crate::direct::rate_limits::Grant;
 
 /// Time for a reply. Entries of a region reply within a few milliseconds; a request waits meanwhile.
--- a/tests/direct/rate_limits.rs
+++ b/tests/direct/rate_limits.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::peers::{Heartbeat, Peers};
+use bitternwall::direct::heartbeat::Heartbeat;
+use bitternwall::direct::peers::Peers;
 use bitternwall::direct::rate_limits::{Grant, Permission, RateLimits, RateReport};
 use proptest::prelude::*;
 
--- a/tests/direct/replication.rs
+++ b/tests/direct/replication.rs
@@ -7,9 +7,8 @@
 use bitternwall::direct::addresses::{self, LocalEntry};
 use bitternwall::direct::cluster_state::{ClusterState, KnownVersions, TargetRecord};
 use bitternwall::direct::gossip;
-use bitternwall::direct::peers::{
-    self, FANOUT, Heartbeat, Load, MAX_PEER_ADDRS, PeerAddr, Peers, STORE_READERS,
-};
+use bitternwall::direct::heartbeat::{Heartbeat, Load, PeerAddr};
+use bitternwall::direct::peers::{self, FANOUT, MAX_PEER_ADDRS, Peers, STORE_READERS};
 use bitternwall::direct::pending_removals::{PendingRemovals, Removal};
 use bitternwall::direct::store::Position;
 use bitternwall::direct::targets::Target;
--- a/tests/direct/store_eras.rs
+++ b/tests/direct/store_eras.rs
@@ -5,7 +5,8 @@
 
 use bitternwall::direct::cluster_state::{ClusterState, KnownVersions, TargetRecord};
 use bitternwall::direct::crash_history::CrashHistory;
-use bitternwall::direct::peers::{Heartbeat, Peers};
+use bitternwall::direct::heartbeat::Heartbeat;
+use bitternwall::direct::peers::Peers;
 use bitternwall::direct::pending_removals::{PendingRemovals, Removal};
 use bitternwall::direct::store::Position;
 use bitternwall::direct::targets::Target;
