--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -90,7 +90,7 @@
 pub struct Arrival {
     /// When the server had read it.
     pub at: Instant,
-    /// The request.
+    /// The request, with the queued fault that it took.
     pub req: ExecutedRequest,
 }
 
@@ -292,9 +292,12 @@
 
     /// Responds to one request. Returns true if the connection stays open.
     async fn respond(&self, stream: &mut TcpStream, req: &ExecutedRequest) -> bool {
-        let arrival = Arrival { at: Instant::now(), req: req.clone() };
-        self.with(|state| state.arrivals.push(arrival));
+        let record = |fault| {
+            let req = ExecutedRequest { fault, ..req.clone() };
+            self.with(|state| state.arrivals.push(Arrival { at: Instant::now(), req }));
+        };
         if req.header("Bitternwall-Expect-Instance").is_some_and(|id| id != self.id) {
+            record(None);
             let text = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nBitternwall-Instance-Id: {}\r\ncontent-length: 0\r\n\r\n",
                 self.id
@@ -302,6 +305,7 @@
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
         let fault = self.take_fault().or_else(|| self.with(|state| state.constant_fault));
+        record(fault);
         if fault == Some(Fault::NotExecuted) {
             let text = format!(
                 "HTTP/1.1 503 Service Unavailable\r\nBitternwall-Not-Executed: 1\r\n{}content-length: 0\r\n\r\n",
