--- a/src/direct/sync.rs
+++ b/src/direct/sync.rs
@@ -114,9 +114,11 @@
                 answer_time: times.answer_time(calls.answer_took),
             };
             let due = began + call.wait;
+            let max_age = times.max_age(calls.answer_took);
             let answer = tokio::select! {
                 answer = (self.store.watch)(call) => answer,
-                age = self.until_older(collection, times.max_age(calls.answer_took)), if position > 0 => {
+                // The first reader asks often, so its own call tells soon whether the store answers.
+                age = self.until_older(collection, max_age), if position > 0 => {
                     events::log(
                         events::WATCH_GIVEN_UP,
                         format_args!(
@@ -158,8 +160,8 @@
         }
     }
 
-    /// Waits until no reader has had a collection confirmed for longer than `max_age`, and returns the
-    /// age.
+    /// Waits until the last confirmation of a collection, by any reader, is older than `max_age`.
+    /// Returns its age.
     async fn until_older(&self, collection: Collection, max_age: Duration) -> Duration {
         loop {
             let age = self.entry.confirmations.age(collection, self.entry.now());
