--- a/src/direct/confirmation.rs
+++ b/src/direct/confirmation.rs
@@ -1,6 +1,6 @@
 //! When the store last confirmed what an entry knows.
 //!
-//! An entry that hears of no change cannot tell whether there was none or whether the news are lost.
+//! An entry that hears of no change cannot tell whether there was none or whether it was lost.
 //! So it keeps the time of the last confirmation of each collection: an answer of the store, or the
 //! heartbeat of an entry that knows the same and states its own age. Logs and metrics show that age.
 //! See docs/PLATFORM.md.
