The direct path has rooms: connections, known, decisions, state, peering, exchange

Cause: 55 files lay in one folder, with a circle of five modules through entry.rs and one of three between exchange, forward and relay, so a reader could not tell decisions from I/O.

Change: moves only. Each room uses only those before it. To open the circles, Target and Outcome, the messages about permits, the table of permit calls, the silence limits and one attempt at a target became modules of their own. `exchange` is called `round_trip` now.

--- a/src/direct/addresses.rs
+++ b/src/direct/addresses.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::direct::peers::Peers;
+use crate::direct::known::peers::Peers;
 
 /// The most addresses in one answer; callers use no more.
 pub const MAX_ADDRESSES: usize = 64;
--- a/src/direct/http.rs
+++ b/src/direct/connections/http.rs
@@ -23,9 +23,9 @@
 use tokio::time;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::direct::event_stream::EventTooLong;
-use crate::direct::framing::{Framing, FramingTooLong};
-use crate::direct::turn::Turn;
+use crate::direct::connections::event_stream::EventTooLong;
+use crate::direct::connections::framing::{Framing, FramingTooLong};
+use crate::direct::connections::turn::Turn;
 use crate::telemetry::events;
 
 /// The result of an operation on a connection.
--- a/src/direct/listener.rs
+++ b/src/direct/connections/listener.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
 
-use crate::direct::backlog::{Backlog, CountedStream};
+use crate::direct::connections::backlog::{Backlog, CountedStream};
 use crate::telemetry::events;
 
 /// The result of starting a server.
--- /dev/null
+++ b/src/direct/connections/mod.rs
@@ -0,0 +1,11 @@
+//! Connections to callers, targets and other processes: HTTP/1.1, framing, pools and listeners.
+
+pub mod backlog;
+pub mod event_stream;
+pub mod framing;
+pub mod http;
+pub mod internal;
+pub mod listener;
+pub mod pool;
+pub mod process;
+pub mod turn;
--- a/src/direct/pool.rs
+++ b/src/direct/connections/pool.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use crate::collections::Map;
-use crate::direct::http::{Codecs, Connection, Result};
+use crate::direct::connections::http::{Codecs, Connection, Result};
 
 /// Longest idle time of a connection that is reused, if the target states no limit. It is below the
 /// five seconds after which HTTP servers commonly close an idle connection.
--- a/src/direct/process.rs
+++ b/src/direct/connections/process.rs
@@ -9,8 +9,8 @@
 use tokio::net::UdpSocket;
 
 use crate::daemon::signals;
-use crate::direct::backlog::Backlog;
-use crate::direct::listener;
+use crate::direct::connections::backlog::Backlog;
+use crate::direct::connections::listener;
 use crate::telemetry::{admin, logs};
 
 /// The result of running a daemon.
--- a/src/direct/admission.rs
+++ b/src/direct/decisions/admission.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::direct::configuration::AnswerForm;
+use crate::direct::known::configuration::AnswerForm;
 
 /// The longest wait for a slot, as a share of the route's objective.
 const MAX_WAIT_SHARE: f64 = 0.125;
--- a/src/direct/rate_limits.rs
+++ b/src/direct/decisions/rate_limits.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::collections::Map;
+use crate::direct::known::permit::{Grant, RateReport};
 
 /// Requests per second that a target is sent in any case. A target that gets nothing cannot say that
 /// it takes more again.
@@ -44,31 +45,6 @@
 /// Pause before an entry that got no reply is asked again.
 const NO_REPLY_PAUSE: Duration = Duration::from_millis(100);
 
-/// What an entry has seen of a target's rate, as entries send it to each other.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct RateReport {
-    /// The target's id.
-    #[prost(string, tag = "1")]
-    pub target: String,
-    /// Requests per second; `None` once the target no longer names a rate.
-    #[prost(double, optional, tag = "2")]
-    pub per_s: Option<f64>,
-    /// Milliseconds since the answer that showed it.
-    #[prost(uint64, tag = "3")]
-    pub age_ms: u64,
-}
-
-/// The reply to an entry that asked for permits.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Grant {
-    /// The entry may send so many requests.
-    Permits(u32),
-    /// All permits are taken; the next one is handed out after this time.
-    Denied(Duration),
-    /// The entry that was asked did not reply.
-    NoReply,
-}
-
 /// Whether a request may be sent to a target now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Permission {
--- a/src/direct/target_choice.rs
+++ b/src/direct/decisions/target_choice.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use crate::collections::Map;
-use crate::direct::pass_time::PauseGoal;
-use crate::direct::rate_limits::Permission;
-use crate::direct::target_state::TargetState;
-use crate::direct::targets::{Target, Targets};
+use crate::direct::decisions::pass_time::PauseGoal;
+use crate::direct::decisions::rate_limits::Permission;
+use crate::direct::decisions::target_state::TargetState;
+use crate::direct::decisions::targets::Targets;
+use crate::direct::known::target::Target;
 
 /// Requests added to the load of a target in another data centre, which keeps traffic local while
 /// loads are about even, for each heartbeat interval by which loads from there are older than those
--- a/src/direct/target_state.rs
+++ b/src/direct/decisions/target_state.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::direct::pass_time::PassTime;
-use crate::direct::target_silence::TargetSilence;
-use crate::direct::targets::Outcome;
+use crate::direct::decisions::pass_time::PassTime;
+use crate::direct::decisions::target_silence::TargetSilence;
+use crate::direct::known::target::Outcome;
 
 /// First ejection of a target that failed; each further failure in a row doubles it.
 const FIRST_EJECTION: Duration = Duration::from_millis(300);
--- a/src/direct/targets.rs
+++ b/src/direct/decisions/targets.rs
@@ -1,5 +1,5 @@
 //! The targets of an entry on the direct path: which exist, and how loaded each one is.
-//! [`target_choice`](crate::direct::target_choice) decides which one a request is sent to.
+//! [`target_choice`](crate::direct::decisions::target_choice) decides which one a request is sent to.
 //!
 //! Load pattern: many entries share few targets, and each entry sees only its own requests at once.
 //! The table adds the loads that the other entries last reported, so that all of them fill the
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
-use crate::direct::backoffs::Backoffs;
-use crate::direct::departures::Departures;
-use crate::direct::pass_time::GroupPassTimes;
-use crate::direct::rate_limits::RateLimits;
-use crate::direct::target_state::TargetState;
+use crate::direct::decisions::backoffs::Backoffs;
+use crate::direct::decisions::departures::Departures;
+use crate::direct::decisions::pass_time::GroupPassTimes;
+use crate::direct::decisions::rate_limits::RateLimits;
+use crate::direct::decisions::target_state::TargetState;
+use crate::direct::known::target::{Outcome, Target};
 
 /// Ejection of a target that takes no work though it is idle: its group is forming again. The agent
 /// beside it reports when it is open, if the agent runs.
@@ -22,43 +23,6 @@
 /// The share of a target's slots in use below which it counts as idle.
 const IDLE_SHARE: f64 = 0.5;
 
-/// One server of a service, as the target list describes it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Target {
-    /// The id of this incarnation, which the target itself checks.
-    pub id: String,
-    /// The name of the service that it runs.
-    pub service: String,
-    /// The address at which it accepts requests.
-    pub addr: SocketAddr,
-    /// The data centre that it runs in, compared with the entry's own.
-    pub data_centre: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// True once it takes no new work.
-    pub leaving: bool,
-    /// The start of this incarnation, in Unix milliseconds; `None` if the target does not state it.
-    pub started_unix_ms: Option<u64>,
-}
-
-/// The outcome of an attempt, as far as it concerns the target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// The target answered, with anything but a server error.
-    Answered,
-    /// The target answered with a server error.
-    Failed,
-    /// The target refused the request because it is full.
-    Full,
-    /// The target refused the request although it is idle, like a model server whose group is
-    /// forming again; the other ranks of the group refuse requests too.
-    Closed,
-    /// Another process answered at its address, so this incarnation has ended.
-    Replaced,
-    /// The target could not be reached, fell silent, or its answer was truncated or invalid.
-    Broken,
-}
-
 /// The targets of an entry with their loads and states.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -70,11 +34,11 @@
     peer_loads: Map<String, u32>,
     pub(super) group_pass_times: GroupPassTimes,
     /// The rates that targets named.
-    pub(super) limits: RateLimits,
+    pub(in crate::direct) limits: RateLimits,
     /// The backoffs that targets asked for.
-    pub(super) backoffs: Backoffs,
+    pub(in crate::direct) backoffs: Backoffs,
     /// The targets that have said that they leave.
-    pub(super) departures: Departures,
+    pub(in crate::direct) departures: Departures,
     pub(super) data_centre: String,
     /// Heartbeat intervals between two loads that an entry of another data centre sends.
     pub(super) remote_load_age: f64,
--- a/src/direct/crash_probe.rs
+++ b/src/direct/exchange/crash_probe.rs
@@ -8,11 +8,10 @@
 use std::time::Duration;
 
 use futures_util::FutureExt as _;
-use futures_util::future::{LocalBoxFuture, Shared};
 use tokio::time;
 
-use crate::direct::entry::Entry;
-use crate::direct::targets::Target;
+use crate::direct::known::target::Target;
+use crate::direct::state::entry::{Entry, Probe};
 
 /// Time to establish a connection. A host that does not answer in time says nothing about its
 /// target, and a request may wait for the result before it is sent to another target.
@@ -25,9 +24,6 @@
 /// Connections that are opened one after the other while each one is closed by the target.
 const MAX_PROBES: u32 = 3;
 
-/// A probe in progress; all requests that lost their connection to the target wait for one probe.
-pub type Probe = Shared<LocalBoxFuture<'static, ()>>;
-
 /// Waits until it is known whether a target to which a connection was lost has ended, or that this
 /// cannot be known. A target that has ended is recorded.
 pub async fn check(entry: &Rc<Entry>, target: &Target) {
--- a/src/direct/prompt_parts.rs
+++ b/src/direct/exchange/prompt_parts.rs
@@ -2,8 +2,8 @@
 
 use std::mem;
 
-use crate::direct::entry::Entry;
 use crate::direct::message::CallerRequest;
+use crate::direct::state::entry::Entry;
 use crate::telemetry::events;
 
 /// Limit of the parts of a prompt that are taken into account.
--- a/src/direct/relay.rs
+++ b/src/direct/exchange/relay.rs
@@ -9,16 +9,17 @@
 use futures_util::stream;
 use tokio::time;
 
-use crate::direct::attempts::{self, Failure, Next};
-use crate::direct::call::Call;
-use crate::direct::event_stream::EventSplitter;
-use crate::direct::forward::{self, StartedAnswer};
-use crate::direct::http::{Connection, HttpError};
+use crate::direct::connections::event_stream::EventSplitter;
+use crate::direct::connections::http::{Connection, HttpError};
+use crate::direct::decisions::attempts::{self, Failure, Next};
+use crate::direct::exchange::attempt::{self, StartedAnswer};
+use crate::direct::exchange::call::Call;
+use crate::direct::exchange::silence;
+use crate::direct::exchange::slot::Slot;
+use crate::direct::exchange::slot_wait;
+use crate::direct::known::target::{Outcome, Target};
 use crate::direct::message::{Answer, Cause, Head, Interrupted};
-use crate::direct::rank_notices;
-use crate::direct::slot::Slot;
-use crate::direct::slot_wait;
-use crate::direct::targets::{Outcome, Target};
+use crate::direct::peering::rank_notices;
 use crate::problem::Executed;
 use crate::telemetry::events;
 
@@ -136,8 +137,8 @@
         }
         let may_resume = !self.is_waiting
             && self.splitter.as_ref().is_some_and(|splitter| splitter.last_id().is_some())
-            && forward::may_move(&self.call);
-        let silent_after = may_resume.then(|| forward::silence_limit(&self.call)).flatten();
+            && silence::may_move(&self.call);
+        let silent_after = may_resume.then(|| silence::silence_limit(&self.call)).flatten();
         let limit = silent_after.map_or(left, |limit| limit.min(left));
         let reported_silent = async {
             match may_resume {
@@ -262,7 +263,7 @@
                 return false;
             };
             let id = last_id.to_string();
-            match forward::resume(&mut self.call, &target, slot, &id).await {
+            match attempt::resume(&mut self.call, &target, slot, &id).await {
                 Ok(started) => {
                     self.call.entry.metrics.resumed();
                     self.switch_to(started, last_id);
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange/round_trip.rs
@@ -8,12 +8,12 @@
 use bytes::{Bytes, BytesMut};
 use tokio::time;
 
-use crate::direct::call::Call;
-use crate::direct::forward;
-use crate::direct::http::{Connection, HttpError, Request};
+use crate::direct::connections::http::{Connection, HttpError, Request};
+use crate::direct::exchange::call::Call;
+use crate::direct::exchange::silence;
+use crate::direct::known::target::Target;
 use crate::direct::message::{AttemptError, TargetAnswer, TargetRequest};
-use crate::direct::rank_notices;
-use crate::direct::targets::Target;
+use crate::direct::peering::rank_notices;
 
 /// The result of an exchange.
 type Result<T> = result::Result<T, AttemptError>;
@@ -59,7 +59,7 @@
     let started = call.entry.now();
     let read = read(call, connection);
     let reported_silent = async {
-        match forward::may_move(call) {
+        match silence::may_move(call) {
             true => rank_notices::until_silent(&call.entry, &target.id).await,
             false => future::pending().await,
         }
--- a/src/direct/slot.rs
+++ b/src/direct/exchange/slot.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use crate::direct::entry::Entry;
+use crate::direct::state::entry::Entry;
 
 /// A slot at a target that one request occupies until this is dropped.
 pub struct Slot {
--- a/src/direct/slot_wait.rs
+++ b/src/direct/exchange/slot_wait.rs
@@ -1,6 +1,6 @@
 //! Acquires a slot at a target for a request, and waits for one for a limited time.
 //!
-//! [`admission`] decides how long, and [`targets`](crate::direct::targets) which target.
+//! [`admission`] decides how long, and [`targets`](crate::direct::decisions::targets) which target.
 
 use std::rc::Rc;
 use std::result;
@@ -8,14 +8,14 @@
 
 use tokio::time;
 
-use crate::direct::admission::{self, ServiceLoad};
-use crate::direct::call::Call;
-use crate::direct::crash_memory::Subject;
+use crate::direct::decisions::admission::{self, ServiceLoad};
+use crate::direct::decisions::target_choice::{Criteria, NoChoice};
+use crate::direct::exchange::call::Call;
+use crate::direct::exchange::slot::Slot;
+use crate::direct::known::crash_memory::Subject;
+use crate::direct::known::target::Target;
 use crate::direct::message::{Cause, LocalAnswer};
-use crate::direct::permits;
-use crate::direct::slot::Slot;
-use crate::direct::target_choice::{Criteria, NoChoice};
-use crate::direct::targets::Target;
+use crate::direct::peering::permits;
 use crate::problem::Executed;
 use crate::telemetry::events;
 
--- a/src/direct/target_notices.rs
+++ b/src/direct/exchange/target_notices.rs
@@ -3,10 +3,10 @@
 
 use actix_http::StatusCode;
 
-use crate::direct::call::Call;
+use crate::direct::exchange::call::Call;
+use crate::direct::known::store::UnreadableValue;
+use crate::direct::known::target::Target;
 use crate::direct::message::TargetAnswer;
-use crate::direct::store::UnreadableValue;
-use crate::direct::targets::Target;
 use crate::telemetry::events;
 
 /// Records the rate that an answer names, that its target leaves, and the backoff that it asks for.
--- a/src/direct/cluster_state.rs
+++ b/src/direct/known/cluster_state.rs
@@ -13,9 +13,9 @@
 use bytes::Bytes;
 
 use crate::collections::Map;
-use crate::direct::configuration::Configuration;
-use crate::direct::store::Position;
-use crate::direct::targets::Target;
+use crate::direct::known::configuration::Configuration;
+use crate::direct::known::store::Position;
+use crate::direct::known::target::Target;
 
 /// One record of the target list, as stored.
 #[derive(Clone, Debug)]
--- a/src/direct/confirmation.rs
+++ b/src/direct/known/confirmation.rs
@@ -8,7 +8,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use crate::direct::store::Collection;
+use crate::direct::known::store::Collection;
 
 /// The last confirmation of one collection.
 #[derive(Debug, Default)]
--- a/src/direct/crash_history.rs
+++ b/src/direct/known/crash_history.rs
@@ -12,7 +12,7 @@
 //! And a complete answer to the request clears all crashes known by then.
 //!
 //! The same holds for the parts of prompts, which many requests share; see
-//! [`crash_memory`](crate::direct::crash_memory).
+//! [`crash_memory`](crate::direct::known::crash_memory).
 //!
 //! See docs/PLATFORM.md.
 
@@ -22,9 +22,9 @@
 use std::time::Duration;
 
 use crate::collections::Map;
-use crate::direct::answered_parts::{AnsweredParts, MAX_CRASH_LIMIT, MIN_CRASH_LIMIT};
-use crate::direct::companions;
-use crate::direct::crash_record::{ANNOUNCEMENT_TIME, Crash, CrashReport, Record};
+use crate::direct::known::answered_parts::{AnsweredParts, MAX_CRASH_LIMIT, MIN_CRASH_LIMIT};
+use crate::direct::known::companions;
+use crate::direct::known::crash_record::{ANNOUNCEMENT_TIME, Crash, CrashReport, Record};
 use crate::entry::core::crashes::MAX_CRASHES;
 
 /// Time after the end of an attempt in which the end of its target is attributed to it. The target
--- a/src/direct/crash_memory.rs
+++ b/src/direct/known/crash_memory.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::direct::crash_history::{CrashHistory, Dispatch};
-use crate::direct::crash_record::{Crash, CrashReport};
+use crate::direct::known::crash_history::{CrashHistory, Dispatch};
+use crate::direct::known::crash_record::{Crash, CrashReport};
 
 /// What a record of crashes is about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/direct/crash_record.rs
+++ b/src/direct/known/crash_record.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::direct::companions;
+use crate::direct::known::companions;
 
 /// Time for which heartbeats repeat a report, so that the loss of some of them does not matter.
 pub(super) const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(2);
--- a/src/direct/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -2,11 +2,10 @@
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
-use crate::direct::cluster_state::KnownVersions;
-use crate::direct::crash_record::CrashReport;
-use crate::direct::permits::{PermitReply, PermitRequest};
-use crate::direct::rate_limits::RateReport;
-use crate::direct::store::Position;
+use crate::direct::known::cluster_state::KnownVersions;
+use crate::direct::known::crash_record::CrashReport;
+use crate::direct::known::permit::{PermitReply, PermitRequest, RateReport};
+use crate::direct::known::store::Position;
 
 /// The periodic message of an entry to the others. An agent beside a rank sends it too, with `name`
 /// and `rank` only.
@@ -43,7 +42,7 @@
     #[prost(message, repeated, tag = "10")]
     pub loads: Vec<Load>,
     /// Addresses of some live entries; see
-    /// [`Peers::peers_to_announce`](crate::direct::peers::Peers::peers_to_announce).
+    /// [`Peers::peers_to_announce`](crate::direct::known::peers::Peers::peers_to_announce).
     #[prost(message, repeated, tag = "11")]
     pub known_peers: Vec<PeerAddr>,
     /// True once the process is stopping.
--- /dev/null
+++ b/src/direct/known/mod.rs
@@ -0,0 +1,16 @@
+//! What an entry knows of the fleet, its configuration and the crashes of targets, with ages. No I/O.
+
+pub mod answered_parts;
+pub mod cluster_state;
+mod companions;
+pub mod configuration;
+pub mod confirmation;
+pub mod crash_history;
+pub mod crash_memory;
+pub mod crash_record;
+pub mod heartbeat;
+pub mod peers;
+pub mod pending_removals;
+pub mod permit;
+pub mod store;
+pub mod target;
--- a/src/direct/peers.rs
+++ b/src/direct/known/peers.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use crate::collections::{Map, Set};
-use crate::direct::cluster_state::KnownVersions;
-use crate::direct::heartbeat::{Heartbeat, PeerAddr};
+use crate::direct::known::cluster_state::KnownVersions;
+use crate::direct::known::heartbeat::{Heartbeat, PeerAddr};
 
 /// Heartbeat intervals without a heartbeat after which an entry's load and address no longer count.
 const MAX_MISSED_HEARTBEATS: u32 = 10;
--- a/src/direct/pending_removals.rs
+++ b/src/direct/known/pending_removals.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::collections::Map;
-use crate::direct::targets::Target;
+use crate::direct::known::target::Target;
 
 /// Time after the store's recovery within which running targets are on the list again, as the
 /// platform guarantees, with a reserve for the change to reach this entry.
--- a/src/direct/store.rs
+++ b/src/direct/known/store.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
-use crate::direct::configuration::Configuration;
-use crate::direct::targets::Target;
+use crate::direct::known::configuration::Configuration;
+use crate::direct::known::target::Target;
 
 /// The result of a call to the store.
 pub type Result<T> = result::Result<T, StoreError>;
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
 
-use crate::direct::http;
-use crate::direct::store::UnreadableValue;
+use crate::direct::connections::http;
+use crate::direct::known::store::UnreadableValue;
 use crate::problem::{Executed, Problem};
 
 /// One attempt of a caller, received completely.
--- a/src/direct/crash_store.rs
+++ b/src/direct/peering/crash_store.rs
@@ -11,10 +11,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use crate::direct::crash_memory::Subject;
-use crate::direct::crash_record::CrashReport;
-use crate::direct::store::{Item, SavedItem, UnreadableValue};
-use crate::direct::sync::StateSync;
+use crate::direct::known::crash_memory::Subject;
+use crate::direct::known::crash_record::CrashReport;
+use crate::direct::known::store::{Item, SavedItem, UnreadableValue};
+use crate::direct::peering::sync::StateSync;
 use crate::telemetry::events;
 
 /// The name of the records in logs and metrics.
--- a/src/direct/fleet.rs
+++ b/src/direct/peering/fleet.rs
@@ -11,9 +11,9 @@
 use prost::Message as _;
 use xxhash_rust::xxh3;
 
-use crate::direct::http::Codecs;
-use crate::direct::internal::{self, InternalRequest};
-use crate::direct::sync::StateSync;
+use crate::direct::connections::http::Codecs;
+use crate::direct::connections::internal::{self, InternalRequest};
+use crate::direct::peering::sync::StateSync;
 
 /// The path at which an entry serves [`FleetMessage`].
 const FLEET_PATH: &str = "/fleet";
--- a/src/direct/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -16,15 +16,15 @@
 use tokio::net::UdpSocket;
 use tokio::time;
 
-use crate::direct::cluster_state::{ClusterState, KnownVersions, TargetRecord};
-use crate::direct::entry::Entry;
-use crate::direct::heartbeat::{Heartbeat, Load};
-use crate::direct::http::Codecs;
-use crate::direct::internal::{self, ExchangeError, InternalRequest};
-use crate::direct::permits;
-use crate::direct::rank_notices;
-use crate::direct::store::{Collection, Item, Position};
-use crate::direct::sync::StateSync;
+use crate::direct::connections::http::Codecs;
+use crate::direct::connections::internal::{self, ExchangeError, InternalRequest};
+use crate::direct::known::cluster_state::{ClusterState, KnownVersions, TargetRecord};
+use crate::direct::known::heartbeat::{Heartbeat, Load};
+use crate::direct::known::store::{Collection, Item, Position};
+use crate::direct::peering::permits;
+use crate::direct::peering::rank_notices;
+use crate::direct::peering::sync::StateSync;
+use crate::direct::state::entry::Entry;
 use crate::telemetry::events;
 
 /// Bytes of the longest datagram; less than what common links carry in one packet after its
--- /dev/null
+++ b/src/direct/peering/mod.rs
@@ -0,0 +1,9 @@
+//! The talk between entries, and the replication of the cluster state from the store.
+
+pub mod crash_store;
+pub mod fleet;
+pub mod gossip;
+pub mod permits;
+pub mod rank_notices;
+pub mod sync;
+mod target_list;
--- a/src/direct/rank_notices.rs
+++ b/src/direct/peering/rank_notices.rs
@@ -3,8 +3,8 @@
 
 use std::net::SocketAddr;
 
-use crate::direct::entry::Entry;
-use crate::direct::heartbeat::RankNotice;
+use crate::direct::known::heartbeat::RankNotice;
+use crate::direct::state::entry::Entry;
 use crate::telemetry::events;
 
 /// Records a notice. An address that cannot be parsed, or that no target has, is ignored.
--- a/src/direct/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -14,13 +14,13 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time;
 
-use crate::direct::cluster_state::KnownVersions;
-use crate::direct::entry::{Entry, Options};
-use crate::direct::pending_removals::PendingRemovals;
-use crate::direct::read_times::ReadTimes;
-use crate::direct::store::{
+use crate::direct::decisions::read_times::ReadTimes;
+use crate::direct::known::cluster_state::KnownVersions;
+use crate::direct::known::pending_removals::PendingRemovals;
+use crate::direct::known::store::{
     Change, Changes, Collection, Formats, Item, Position, Store, StoreError, Watch,
 };
+use crate::direct::state::entry::{Entry, Options};
 use crate::telemetry::events;
 
 /// Pause after a watch call that returned changes, so that changes close together cost one call.
@@ -47,7 +47,7 @@
     pub withheld_until: Cell<Option<Duration>>,
     /// Permits for entries that fetch the cluster state; [`MAX_TRANSFERS`] in all.
     ///
-    /// [`MAX_TRANSFERS`]: crate::direct::gossip::MAX_TRANSFERS
+    /// [`MAX_TRANSFERS`]: crate::direct::peering::gossip::MAX_TRANSFERS
     pub transfers: Arc<Semaphore>,
 }
 
--- a/src/direct/target_list.rs
+++ b/src/direct/peering/target_list.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use crate::collections::Set;
-use crate::direct::cluster_state::TargetRecord;
-use crate::direct::pending_removals::Removal;
-use crate::direct::store::{Item, Position};
-use crate::direct::sync::StateSync;
+use crate::direct::known::cluster_state::TargetRecord;
+use crate::direct::known::pending_removals::Removal;
+use crate::direct::known::store::{Item, Position};
+use crate::direct::peering::sync::StateSync;
 use crate::telemetry::events;
 
 /// Time for which a target that was leaving or gone stays unused when the store's copy lists it
--- a/src/direct/entry.rs
+++ b/src/direct/state/entry.rs
@@ -7,27 +7,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::{LocalBoxFuture, Shared};
 use rand::Rng as _;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::collections::Map;
-use crate::direct::admission::ServiceLoad;
-use crate::direct::backlog::Backlog;
-use crate::direct::cluster_state::ClusterState;
-use crate::direct::configuration::Configuration;
-use crate::direct::confirmation::Confirmations;
-use crate::direct::crash_memory::{Attempt, CrashMemory, SubjectCrash};
-use crate::direct::crash_probe::Probe;
-use crate::direct::crash_record::{Crash, CrashReport};
+use crate::direct::connections::backlog::Backlog;
+use crate::direct::connections::pool::Pool;
+use crate::direct::decisions::admission::ServiceLoad;
+use crate::direct::decisions::stopping::Stopping;
+use crate::direct::decisions::targets::Targets;
+use crate::direct::known::cluster_state::ClusterState;
+use crate::direct::known::configuration::Configuration;
+use crate::direct::known::confirmation::Confirmations;
+use crate::direct::known::crash_memory::{Attempt, CrashMemory, SubjectCrash};
+use crate::direct::known::crash_record::{Crash, CrashReport};
+use crate::direct::known::peers::Peers;
+use crate::direct::known::permit::{Grant, RateReport};
+use crate::direct::known::target::{Outcome, Target};
 use crate::direct::message::TargetProtocol;
-use crate::direct::metrics::Metrics;
-use crate::direct::peers::Peers;
-use crate::direct::permits::Permits;
-use crate::direct::pool::Pool;
-use crate::direct::rate_limits::{Grant, RateReport};
-use crate::direct::stopping::Stopping;
-use crate::direct::targets::{Outcome, Target, Targets};
+use crate::direct::state::metrics::Metrics;
+use crate::direct::state::permit_calls::Permits;
 use crate::entry::core::retry::Budget;
 use crate::telemetry::events;
 
@@ -49,6 +50,9 @@
 /// The window to which the retry allowance applies; the settings do not change it.
 const ALLOWANCE_WINDOW: Duration = Duration::from_secs(10);
 
+/// A probe in progress; all requests that lost their connection to the target wait for one probe.
+pub type Probe = Shared<LocalBoxFuture<'static, ()>>;
+
 /// The options of an entry, from its settings.
 #[derive(Clone, Debug)]
 pub struct Options {
--- a/src/direct/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -6,7 +6,7 @@
     GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
-use crate::direct::rate_limits::Grant;
+use crate::direct::known::permit::Grant;
 use crate::telemetry::metrics::{self, Result};
 
 /// Bucket bounds of the histograms in seconds, around the objectives of first events and documents.
--- /dev/null
+++ b/src/direct/state/mod.rs
@@ -0,0 +1,5 @@
+//! The state that the tasks of one entry process share.
+
+pub mod entry;
+pub mod metrics;
+pub mod permit_calls;
--- a/src/ranks/engine.rs
+++ b/src/ranks/engine.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use tokio::time;
 
-use crate::direct::http::{self, HttpError, Request};
-use crate::direct::pool::{Pool, Reuse};
-use crate::direct::store::UnreadableValue;
+use crate::direct::connections::http::{self, HttpError, Request};
+use crate::direct::connections::pool::{Pool, Reuse};
+use crate::direct::known::store::UnreadableValue;
 use crate::ranks::report::{
     EngineProtocol, ExpertCounts, HeldExperts, Order, OrderOutcome, RankReport,
 };
--- a/src/ranks/messaging.rs
+++ b/src/ranks/messaging.rs
@@ -7,7 +7,7 @@
 use prost::Message as _;
 use tokio::time;
 
-use crate::direct::heartbeat::{Heartbeat, RankNotice};
+use crate::direct::known::heartbeat::{Heartbeat, RankNotice};
 use crate::ranks::daemon::{Agent, DECISION_INTERVAL, FLEET_POLL_INTERVAL};
 use crate::ranks::engine::EngineError;
 use crate::ranks::expert_counts;
--- a/src/ranks/ordering.rs
+++ b/src/ranks/ordering.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 
 use crate::collections::Map;
-use crate::direct::heartbeat::PeerAddr;
+use crate::direct::known::heartbeat::PeerAddr;
 use crate::ranks::daemon::Agent;
 use crate::ranks::order_tree;
 use crate::ranks::orders::{self, OrderAnswer, OrderAnswers, OrderMessage};
--- a/src/ranks/orders.rs
+++ b/src/ranks/orders.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use prost::Message as _;
 
-use crate::direct::heartbeat::PeerAddr;
-use crate::direct::http::Codecs;
-use crate::direct::internal::{self, InternalRequest};
+use crate::direct::connections::http::Codecs;
+use crate::direct::connections::internal::{self, InternalRequest};
+use crate::direct::known::heartbeat::PeerAddr;
 use crate::ranks::map_codec;
 use crate::ranks::messages::StateMessage;
 use crate::ranks::order_tree;
--- a/src/ranks/report.rs
+++ b/src/ranks/report.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 
-use crate::direct::http::Request;
-use crate::direct::store::UnreadableValue;
+use crate::direct::connections::http::Request;
+use crate::direct::known::store::UnreadableValue;
 use crate::expert_map::map::ExpertMap;
 
 /// The result of parsing an engine's answer.
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::attempts::{self, Failure, History, Next};
-use bitternwall::direct::event_stream::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
+use bitternwall::direct::connections::event_stream::{
+    EventSplitter, EventTooLong, MAX_EVENT_BYTES,
+};
+use bitternwall::direct::decisions::attempts::{self, Failure, History, Next};
 use bitternwall::direct::message::{Cause, LocalAnswer};
 use bitternwall::problem::Executed;
 use bytes::{Bytes, BytesMut};
--- a/tests/direct/backoffs.rs
+++ b/tests/direct/backoffs.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::attempts::{self, Failure, History};
-use bitternwall::direct::backoffs::Backoffs;
+use bitternwall::direct::decisions::attempts::{self, Failure, History};
+use bitternwall::direct::decisions::backoffs::Backoffs;
 use bitternwall::direct::message::Cause;
 use bitternwall::problem::Executed;
 use proptest::prelude::*;
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, SystemTime};
 
 use bitternwall::clock::{Clock, ManualClock};
-use bitternwall::direct::entry::{Entry, Options};
-use bitternwall::direct::heartbeat::Heartbeat;
+use bitternwall::direct::known::heartbeat::Heartbeat;
 use bitternwall::direct::message::{TargetAnswer, TargetProtocol};
-use bitternwall::direct::metrics::Metrics;
+use bitternwall::direct::state::entry::{Entry, Options};
+use bitternwall::direct::state::metrics::Metrics;
 use prometheus::Registry;
 
 /// Retries that the operator allows in a window in addition to the share of requests.
--- a/tests/direct/crash_history.rs
+++ b/tests/direct/crash_history.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::crash_history::CrashHistory;
-use bitternwall::direct::crash_record::{Crash, CrashReport};
+use bitternwall::direct::known::crash_history::CrashHistory;
+use bitternwall::direct::known::crash_record::{Crash, CrashReport};
 use bitternwall::entry::core::crashes::MAX_CRASHES;
 use proptest::prelude::*;
 
--- a/tests/direct/crash_store.rs
+++ b/tests/direct/crash_store.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, SystemTime};
 
-use bitternwall::direct::crash_record::CrashReport;
-use bitternwall::direct::crash_store;
-use bitternwall::direct::store::Item;
+use bitternwall::direct::known::crash_record::CrashReport;
+use bitternwall::direct::known::store::Item;
+use bitternwall::direct::peering::crash_store;
 use bytes::Bytes;
 
 const REPORT: CrashReport = CrashReport {
--- a/tests/direct/crashing_parts.rs
+++ b/tests/direct/crashing_parts.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, SystemTime};
 
-use bitternwall::direct::crash_memory::{CrashMemory, Subject, SubjectCrash};
-use bitternwall::direct::crash_record::CrashReport;
-use bitternwall::direct::crash_store;
-use bitternwall::direct::store::Item;
+use bitternwall::direct::known::crash_memory::{CrashMemory, Subject, SubjectCrash};
+use bitternwall::direct::known::crash_record::CrashReport;
+use bitternwall::direct::known::store::Item;
+use bitternwall::direct::peering::crash_store;
 use proptest::prelude::*;
 
 const TTL: Duration = Duration::from_secs(600);
--- a/tests/direct/group_load.rs
+++ b/tests/direct/group_load.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use bitternwall::collections::Map;
-use bitternwall::direct::pass_time::PauseGoal;
-use bitternwall::direct::target_choice::Criteria;
-use bitternwall::direct::targets::{Target, Targets};
+use bitternwall::direct::decisions::pass_time::PauseGoal;
+use bitternwall::direct::decisions::target_choice::Criteria;
+use bitternwall::direct::decisions::targets::Targets;
+use bitternwall::direct::known::target::Target;
 
 const RANKS: u16 = 72;
 const SLOTS: u32 = 10;
--- a/tests/direct/lookups.rs
+++ b/tests/direct/lookups.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::configuration::{
+use bitternwall::direct::known::configuration::{
     AnswerForm, Configuration, Customer, Parts, Repeatability, RequestLimits, Route, Share,
 };
 
--- a/tests/direct/rate_limits.rs
+++ b/tests/direct/rate_limits.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::heartbeat::Heartbeat;
-use bitternwall::direct::peers::Peers;
-use bitternwall::direct::rate_limits::{Grant, Permission, RateLimits, RateReport};
+use bitternwall::direct::decisions::rate_limits::{Permission, RateLimits};
+use bitternwall::direct::known::heartbeat::Heartbeat;
+use bitternwall::direct::known::peers::Peers;
+use bitternwall::direct::known::permit::{Grant, RateReport};
 use proptest::prelude::*;
 
 const TARGET: &str = "i-1";
--- a/tests/direct/read_times.rs
+++ b/tests/direct/read_times.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::confirmation::Confirmations;
-use bitternwall::direct::read_times::ReadTimes;
-use bitternwall::direct::store::Collection;
+use bitternwall::direct::decisions::read_times::ReadTimes;
+use bitternwall::direct::known::confirmation::Confirmations;
+use bitternwall::direct::known::store::Collection;
 use proptest::prelude::*;
 
 const USUAL_ANSWER: Duration = Duration::from_millis(4);
--- a/tests/direct/replication.rs
+++ b/tests/direct/replication.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bitternwall::direct::addresses::{self, LocalEntry};
-use bitternwall::direct::cluster_state::{ClusterState, KnownVersions, TargetRecord};
-use bitternwall::direct::gossip;
-use bitternwall::direct::heartbeat::{Heartbeat, Load, PeerAddr};
-use bitternwall::direct::peers::{self, FANOUT, MAX_PEER_ADDRS, Peers, STORE_READERS};
-use bitternwall::direct::pending_removals::{PendingRemovals, Removal};
-use bitternwall::direct::store::Position;
-use bitternwall::direct::targets::Target;
+use bitternwall::direct::known::cluster_state::{ClusterState, KnownVersions, TargetRecord};
+use bitternwall::direct::known::heartbeat::{Heartbeat, Load, PeerAddr};
+use bitternwall::direct::known::peers::{self, FANOUT, MAX_PEER_ADDRS, Peers, STORE_READERS};
+use bitternwall::direct::known::pending_removals::{PendingRemovals, Removal};
+use bitternwall::direct::known::store::Position;
+use bitternwall::direct::known::target::Target;
+use bitternwall::direct::peering::gossip;
 use bytes::Bytes;
 use proptest::prelude::*;
 
--- a/tests/direct/silent_targets.rs
+++ b/tests/direct/silent_targets.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use bitternwall::collections::Map;
-use bitternwall::direct::target_choice::{Criteria, NoChoice};
-use bitternwall::direct::targets::{Outcome, Targets};
+use bitternwall::direct::decisions::target_choice::{Criteria, NoChoice};
+use bitternwall::direct::decisions::targets::Targets;
+use bitternwall::direct::known::target::Outcome;
 use bitternwall::ranks::messages::{RankMessage, StateMessage};
 use bitternwall::ranks::status::Members;
 
--- a/tests/direct/stopping.rs
+++ b/tests/direct/stopping.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::admission::ServiceLoad;
-use bitternwall::direct::configuration::AnswerForm;
-use bitternwall::direct::stopping::{Phase, Stopping};
+use bitternwall::direct::decisions::admission::ServiceLoad;
+use bitternwall::direct::decisions::stopping::{Phase, Stopping};
+use bitternwall::direct::known::configuration::AnswerForm;
 
 const GRACE: Duration = Duration::from_secs(8);
 const KEEP: Duration = Duration::from_secs(2);
--- a/tests/direct/store_eras.rs
+++ b/tests/direct/store_eras.rs
@@ -3,13 +3,13 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::cluster_state::{ClusterState, KnownVersions, TargetRecord};
-use bitternwall::direct::crash_history::CrashHistory;
-use bitternwall::direct::heartbeat::Heartbeat;
-use bitternwall::direct::peers::Peers;
-use bitternwall::direct::pending_removals::{PendingRemovals, Removal};
-use bitternwall::direct::store::Position;
-use bitternwall::direct::targets::Target;
+use bitternwall::direct::known::cluster_state::{ClusterState, KnownVersions, TargetRecord};
+use bitternwall::direct::known::crash_history::CrashHistory;
+use bitternwall::direct::known::heartbeat::Heartbeat;
+use bitternwall::direct::known::peers::Peers;
+use bitternwall::direct::known::pending_removals::{PendingRemovals, Removal};
+use bitternwall::direct::known::store::Position;
+use bitternwall::direct::known::target::Target;
 use bytes::Bytes;
 use proptest::prelude::*;
 
--- a/tests/direct/target_choice.rs
+++ b/tests/direct/target_choice.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bitternwall::collections::Map;
-use bitternwall::direct::admission::ServiceLoad;
-use bitternwall::direct::pass_time::{PassTime, PauseGoal};
-use bitternwall::direct::target_choice::{Criteria, NoChoice};
-use bitternwall::direct::targets::{Outcome, Target, Targets};
+use bitternwall::direct::decisions::admission::ServiceLoad;
+use bitternwall::direct::decisions::pass_time::{PassTime, PauseGoal};
+use bitternwall::direct::decisions::target_choice::{Criteria, NoChoice};
+use bitternwall::direct::decisions::targets::Targets;
+use bitternwall::direct::known::target::{Outcome, Target};
 
 const NOW: Duration = Duration::from_secs(100);
 
--- a/tests/large_groups/orders.rs
+++ b/tests/large_groups/orders.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitternwall::direct::heartbeat::PeerAddr;
+use bitternwall::direct::known::heartbeat::PeerAddr;
 use bitternwall::expert_map::map::{ExpertMap, Shape};
 use bitternwall::ranks::map_codec;
 use bitternwall::ranks::order_tree;
