--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -6,6 +6,8 @@
 mod backoffs;
 #[path = "direct/budget.rs"]
 mod budget;
+#[path = "direct/choice_replay.rs"]
+mod choice_replay;
 #[path = "direct/connections.rs"]
 mod connections;
 #[path = "direct/crash_history.rs"]
