Operators empty a data centre by a resource, and take it back

There was none: each target had to be drained by itself.

Change: a resource of the kind `data_centre` with `evacuated`, the command `bitternwall evacuate [--undo]`, and the finding `DataCentreEvacuated` of `explain`. Entries leave its targets out, and their agents refuse what a stale entry sends. Version, audit and InForce are those of all resources.

Result: the new process test passes (a stream there ends whole, nothing new starts, a stale entry is refused, and the data centre serves again after the undo); before, the kind did not exist.

--- a/src/agent/config_view.rs
+++ b/src/agent/config_view.rs
@@ -10,7 +10,8 @@
 pub struct ConfigView {
     /// The revision in force; zero if none is known.
     pub revision: u64,
-    /// True if the resource of the agent's target requests a drain.
+    /// True if the resource of the agent's target requests a drain, or that of its data centre an
+    /// evacuation.
     pub drain: bool,
     /// The kind of the target's service; `None` if the service is not declared.
     pub kind: Option<kinds::ServiceKind>,
@@ -84,7 +85,8 @@
         let target = config.target_by_name(&self.target).map(|(_, target)| &target.spec);
         ConfigView {
             revision: self.replica.revision(),
-            drain: target.is_some_and(|target| target.drain),
+            drain: target
+                .is_some_and(|target| target.drain || config.is_evacuated(&target.data_centre)),
             kind: service.map(|service| service.kind),
             claim_shards: service.map_or(0, |service| service.claim_shards),
             confirmed_at: Duration::ZERO,
--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -133,7 +133,11 @@
     serde_path_to_error::deserialize(&mut deserializer).map(|document| vec![document])
 }
 
-async fn apply_one(client: &Client, document: &Document) -> Result<(ApplyOutcome, Document)> {
+/// Creates a resource, or replaces it if its specification differs.
+pub(super) async fn apply_one(
+    client: &Client,
+    document: &Document,
+) -> Result<(ApplyOutcome, Document)> {
     let current = match client.read(document.kind, &document.metadata.name).await {
         Ok(current) => current,
         Err(CliError::Refused { status: 404, .. }) => {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -21,6 +21,7 @@
         .subcommand(audit())
         .subcommand(change())
         .subcommand(drain())
+        .subcommand(evacuate())
         .subcommand(explain())
         .subcommand(trace())
         .subcommand(check())
@@ -128,6 +129,23 @@
         )
 }
 
+fn evacuate() -> Command {
+    Command::new("evacuate")
+        .about("Empties a data centre: its targets finish what runs and take nothing new")
+        .arg(
+            Arg::new("data-centre")
+                .value_name("DATA_CENTRE")
+                .required(true)
+                .help("Name of the data centre, as its targets state it"),
+        )
+        .arg(
+            Arg::new("undo")
+                .long("undo")
+                .action(ArgAction::SetTrue)
+                .help("Take it back into service"),
+        )
+}
+
 fn explain() -> Command {
     Command::new("explain")
         .about("Tells why a target gets work or a group has its map, and what would change it")
@@ -189,7 +207,7 @@
 fn kind() -> Arg {
     Arg::new("kind")
         .value_name("KIND")
-        .value_parser(["customer", "service", "policy", "target", "group"])
+        .value_parser(["customer", "service", "policy", "target", "group", "data_centre"])
         .required(true)
         .help("Kind of the resources")
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -19,7 +19,7 @@
 use crate::cli::client::Client;
 use crate::cli::error::{CliError, Result};
 use crate::cli::options::{Action, Options, Output};
-use crate::resources::documents::Document;
+use crate::resources::documents::{Document, Metadata};
 use crate::resources::kinds::Kind;
 
 /// Runs one command and writes its result to `out`.
@@ -50,6 +50,9 @@
             show::change(&change, output, out)
         }
         Action::Drain { target, drain } => set_drain(&client, &target, drain, output, out).await,
+        Action::Evacuate { data_centre, evacuated } => {
+            set_evacuated(&client, &data_centre, evacuated, output, out).await
+        }
         Action::ExplainTarget { name } => explain::target(&client, &name, output, out).await,
         Action::ExplainGroup { name, loads } => {
             explain::group(&client, &name, loads.as_deref(), output, out).await
@@ -105,6 +108,29 @@
     show::document(&document, output, out)
 }
 
+/// Empties a data centre or takes it back. A data centre that is not declared is declared by that.
+async fn set_evacuated(
+    client: &Client,
+    data_centre: &str,
+    evacuated: bool,
+    output: Output,
+    out: &mut impl Write,
+) -> Result<()> {
+    let document = Document {
+        kind: Kind::DataCentre,
+        metadata: Metadata {
+            name: data_centre.to_owned(),
+            generation: 0,
+            resource_version: None,
+            change_id: None,
+        },
+        spec: serde_json::json!({ "evacuated": evacuated }),
+        status: None,
+    };
+    let (_, document) = apply::apply_one(client, &document).await?;
+    show::document(&document, output, out)
+}
+
 /// Hashes the key in the first line of the input. It is not an argument because arguments are
 /// visible in the process list and the shell's history.
 fn hash_key(input: impl Read, out: &mut impl Write) -> Result<()> {
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -83,6 +83,13 @@
         /// False to return the target to service.
         drain: bool,
     },
+    /// `evacuate`
+    Evacuate {
+        /// The data centre's name.
+        data_centre: String,
+        /// False to take the data centre back into service.
+        evacuated: bool,
+    },
     /// `explain target`
     ExplainTarget {
         /// The target's name.
@@ -154,6 +161,10 @@
         "drain" => {
             Action::Drain { target: text(matches, "target")?, drain: !matches.get_flag("undo") }
         }
+        "evacuate" => Action::Evacuate {
+            data_centre: text(matches, "data-centre")?,
+            evacuated: !matches.get_flag("undo"),
+        },
         "explain" => explain(matches)?,
         "trace" => Action::Trace { id: text(matches, "id")?, files: paths(matches, "file")? },
         "check" => Action::Check { role: role(matches)?, file: path(matches, "file")? },
@@ -213,7 +224,7 @@
 
 fn kind(matches: &ArgMatches) -> Result<Kind> {
     let value = text(matches, "kind")?;
-    let allowed = "customer, service, policy, target or group";
+    let allowed = "customer, service, policy, target, group or data_centre";
     value.parse().map_err(|_| CliError::Argument { argument: "KIND", value, allowed })
 }
 
--- a/src/config/derive.rs
+++ b/src/config/derive.rs
@@ -35,12 +35,13 @@
 pub(super) fn view(state: &state::State) -> view::View {
     let mut view = view::View::empty_at(state.revision());
     let resources = resources(state, &mut view);
-    let adders: [(kinds::Kind, AddResource); 5] = [
+    let adders: [(kinds::Kind, AddResource); 6] = [
         (kinds::Kind::Customer, add_customer),
         (kinds::Kind::Service, add_service),
         (kinds::Kind::Policy, add_policy),
         (kinds::Kind::Target, add_target),
         (kinds::Kind::Group, add_group),
+        (kinds::Kind::DataCentre, add_data_centre),
     ];
     for (kind, add) in adders {
         for (_, resource) in resources.iter().filter(|(resource_kind, _)| *resource_kind == kind) {
@@ -146,3 +147,11 @@
     view.groups.push(view::Group { name: resource.name.to_owned(), service, ranks, spec });
     Ok(())
 }
+
+fn add_data_centre(view: &mut view::View, resource: &Resource) -> envelope::Result<()> {
+    let spec: kinds::DataCentreSpec = resource.parse()?;
+    if spec.evacuated {
+        view.evacuated.insert(resource.name.to_owned());
+    }
+    Ok(())
+}
--- a/src/config/envelope.rs
+++ b/src/config/envelope.rs
@@ -114,6 +114,7 @@
         Some(("policy", name)) => Ok((kinds::Kind::Policy, name)),
         Some(("target", name)) => Ok((kinds::Kind::Target, name)),
         Some(("group", name)) => Ok((kinds::Kind::Group, name)),
+        Some(("data_centre", name)) => Ok((kinds::Kind::DataCentre, name)),
         _ => Err(EnvelopeError::UnknownKey { key: key.to_owned() }),
     }
 }
--- a/src/config/view.rs
+++ b/src/config/view.rs
@@ -3,7 +3,7 @@
 //! An invalid resource is skipped and reported by [`View::skipped`], so that one bad value does
 //! not disable the others: see docs/CONFIGURATION.md.
 
-use crate::collections::Map;
+use crate::collections::{Map, Set};
 use crate::config::{envelope, state};
 use crate::resources::kinds;
 
@@ -92,6 +92,8 @@
     pub(super) services_by_model: Map<String, ServiceId>,
     pub(super) targets_by_name: Map<String, TargetId>,
     pub(super) grants: Map<(CustomerId, ServiceId), Grant>,
+    /// The names of the data centres that operators have emptied.
+    pub(super) evacuated: Set<String>,
     pub(super) skipped: Vec<envelope::EnvelopeError>,
 }
 
@@ -181,6 +183,11 @@
         &self.groups
     }
 
+    /// Returns true if operators have emptied a data centre.
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
     /// Returns the errors of the resources, or parts of policies, that were skipped.
     pub fn skipped(&self) -> &[envelope::EnvelopeError] {
         &self.skipped
--- a/src/entry/core/explain.rs
+++ b/src/entry/core/explain.rs
@@ -25,6 +25,8 @@
     DeclarationSkipped,
     /// Operators set its declaration to drain.
     DrainDeclared,
+    /// Operators have emptied its data centre.
+    DataCentreEvacuated,
     /// The entry has no link to its agent.
     NotLinked,
     /// There are so many targets that the entry links only to nearer ones.
@@ -171,6 +173,12 @@
         let remedy = format!("`bitternwall drain {} --undo` ends the drain.", declared.name);
         findings.push(blocking(Reason::DrainDeclared, message, remedy));
     }
+    let data_centre = &declared.spec.data_centre;
+    if world.tables.view.is_evacuated(data_centre) {
+        let message = format!("Operators have emptied its data centre {data_centre:?}.");
+        let remedy = format!("`bitternwall evacuate {data_centre} --undo` takes it back.");
+        findings.push(blocking(Reason::DataCentreEvacuated, message, remedy));
+    }
     if target.incarnation.is_none() {
         findings.push(not_linked(world, declared));
     } else {
--- a/src/entry/core/routing.rs
+++ b/src/entry/core/routing.rs
@@ -112,6 +112,7 @@
     let declared = view.targets_of(service).map(|(_, declared)| declared);
     declared
         .filter(|declared| !declared.spec.drain)
+        .filter(|declared| !view.is_evacuated(&declared.spec.data_centre))
         .filter(|declared| !avoided.contains(&declared.name))
         .filter_map(|declared| {
             let target = world.tables.targets.get(&declared.name)?;
--- a/src/resources/kinds.rs
+++ b/src/resources/kinds.rs
@@ -21,12 +21,15 @@
     /// Targets that form the ranks of one model instance: they advance in lock-step and share an
     /// expert map.
     Group,
+    /// A data centre that operators have emptied, or have taken back into service.
+    #[serde(rename = "data_centre")]
+    DataCentre,
 }
 
 impl Kind {
     /// All kinds. A resource refers only to resources of kinds before its own.
-    pub const ALL: [Self; 5] =
-        [Self::Customer, Self::Service, Self::Policy, Self::Target, Self::Group];
+    pub const ALL: [Self; 6] =
+        [Self::Customer, Self::Service, Self::Policy, Self::Target, Self::Group, Self::DataCentre];
 
     /// Returns the name used in store keys and API paths.
     pub fn as_str(self) -> &'static str {
@@ -36,6 +39,7 @@
             Self::Policy => "policy",
             Self::Target => "target",
             Self::Group => "group",
+            Self::DataCentre => "data_centre",
         }
     }
 }
@@ -49,7 +53,8 @@
 /// The error for a text that is not the name of a kind.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 #[error(
-    "Unknown kind of resource {text:?}; allowed are customer, service, policy, target and group."
+    "Unknown kind of resource {text:?}; allowed are customer, service, policy, target, group and \
+     data_centre."
 )]
 pub struct UnknownKind {
     /// The rejected text.
@@ -170,6 +175,16 @@
     pub cost_weight: u32,
 }
 
+/// The specification of a data centre. It need not be declared before targets name it; one that is
+/// not declared is in service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DataCentreSpec {
+    /// True to empty the data centre: its targets finish what runs and take nothing new.
+    #[serde(default)]
+    pub evacuated: bool,
+}
+
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 const DEFAULT_CLAIM_SHARDS: u32 = 4;
 const DEFAULT_WEIGHT: u32 = 1;
--- a/src/resources/specs.rs
+++ b/src/resources/specs.rs
@@ -10,7 +10,8 @@
 use serde_path_to_error::{Path, Segment};
 
 use crate::resources::kinds::{
-    CustomerSpec, GroupSpec, Kind, Operation, PolicySpec, ServiceKind, ServiceSpec, TargetSpec,
+    CustomerSpec, DataCentreSpec, GroupSpec, Kind, Operation, PolicySpec, ServiceKind, ServiceSpec,
+    TargetSpec,
 };
 use crate::resources::names;
 
@@ -68,6 +69,8 @@
     Target(TargetSpec),
     /// The specification of a group.
     Group(GroupSpec),
+    /// The specification of a data centre.
+    DataCentre(DataCentreSpec),
 }
 
 impl Spec {
@@ -94,6 +97,7 @@
             Self::Policy(spec) => serde_json::to_value(spec),
             Self::Target(spec) => serde_json::to_value(spec),
             Self::Group(spec) => serde_json::to_value(spec),
+            Self::DataCentre(spec) => serde_json::to_value(spec),
         };
         value.expect("specifications have string keys only")
     }
@@ -101,7 +105,7 @@
     /// Returns the resources that the specification refers to.
     pub fn references(&self) -> Vec<Reference<'_>> {
         match self {
-            Self::Customer(_) | Self::Service(_) => Vec::new(),
+            Self::Customer(_) | Self::Service(_) | Self::DataCentre(_) => Vec::new(),
             Self::Policy(spec) => {
                 let customers = references("customers", Kind::Customer, &spec.customers);
                 customers.chain(references("services", Kind::Service, &spec.services)).collect()
@@ -121,6 +125,7 @@
             Kind::Policy => Self::Policy(parse(value)?),
             Kind::Target => Self::Target(parse(value)?),
             Kind::Group => Self::Group(parse(value)?),
+            Kind::DataCentre => Self::DataCentre(parse(value)?),
         })
     }
 
@@ -131,6 +136,7 @@
             Self::Policy(spec) => check_policy(spec),
             Self::Target(spec) => check_target(spec),
             Self::Group(spec) => check_group(spec),
+            Self::DataCentre(DataCentreSpec { evacuated: _ }) => Ok(()),
         }
     }
 }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -116,6 +116,43 @@
     assert_leaves(&fleet, streamed, target, Instant::now()).await;
 }
 
+async fn set_evacuated(fleet: &Fleet, data_centre: &str, evacuated: bool) {
+    let path = format!("/v1/resources/data_centre/{data_centre}");
+    let operator = |call| Call { token: fleet::OPERATOR_TOKEN, ..call };
+    let read = operator(Call::get(fleet.entry(0), &path)).send().await.expect("an answer");
+    let mut document = json!({
+        "kind": "data_centre",
+        "metadata": { "name": data_centre },
+        "spec": { "evacuated": evacuated },
+    });
+    let mut call = Call::post(fleet.entry(0), "/v1/resources/data_centre", &document);
+    if read.status == StatusCode::OK {
+        document["metadata"] = read.json()["metadata"].clone();
+        call = Call { method: "PUT", ..Call::post(fleet.entry(0), &path, &document) };
+    }
+    let answer = operator(call).send().await.expect("an answer");
+    assert!(answer.status.is_success(), "{}", String::from_utf8_lossy(&answer.body));
+}
+
+#[actix_rt::test]
+async fn a_data_centre_emptied_by_the_operator_takes_nothing_new_and_cuts_nothing() {
+    let fleet = start_fleet(2, 4, 0).await;
+    let (streamed, target) = open_long_stream(&fleet).await;
+    let data_centre = fleet.targets[target].data_centre;
+    set_evacuated(&fleet, data_centre, true).await;
+    assert_leaves(&fleet, streamed, target, Instant::now()).await;
+    assert_eq!(
+        ask_agent(fleet.targets[target].agent.address, 0).await,
+        Some(wire::RefusalReason::Draining),
+        "its agent refuses a stale entry"
+    );
+    set_evacuated(&fleet, data_centre, false).await;
+    let engine = fleet.targets[target].back_end.address;
+    let before = streams::runs(engine).await;
+    load_until(&fleet, "back", Instant::now() + LEAVING_LIMIT).await;
+    assert!(streams::runs(engine).await.started > before.started, "it serves again");
+}
+
 /// The host list lags, so that the agent learns late that its host leaves; the limit counts from
 /// then on.
 #[actix_rt::test]
--- a/tests/resources/races.rs
+++ b/tests/resources/races.rs
@@ -192,6 +192,7 @@
         Kind::Customer => json!({ "key_sha256": format!("{:064x}", number % 4) }),
         Kind::Service => json!({ "kind": "plain", "timeout_ms": number + 1 }),
         Kind::Policy => json!({ "customers": ["delta"], "services": ["dispatch"] }),
+        Kind::DataCentre => json!({ "evacuated": number.is_multiple_of(2) }),
         Kind::Target | Kind::Group => {
             json!({ "service": "dispatch", "agent": "10.0.0.1:9000", "data_centre": "ikeja" })
         }
