--- a/src/ranks/ordering.rs
+++ b/src/ranks/ordering.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
@@ -28,7 +29,7 @@
     };
     let recipients: Vec<SocketAddr> =
         message.recipients.iter().filter_map(|addr| addr.addr()).collect();
-    let subtrees = order_tree::split(&recipients);
+    let subtrees = order_tree::split(&recipients, agent.copy_time(&message));
     let passed_on = subtrees.iter().map(|subtree| agent.send_subtree(&message, subtree));
     let (own, others) =
         future::join(agent.carry_out(&order, epoch), future::join_all(passed_on)).await;
@@ -50,6 +51,10 @@
         OrderAnswer::of(engine, outcome, state, self.incarnation)
     }
 
+    fn copy_time(&self, message: &OrderMessage) -> Duration {
+        order_tree::copy_time(message.order_bytes(), self.settings.link_mbps)
+    }
+
     /// Sends an order to a subtree of agents and returns the answers that arrive in time.
     async fn send_subtree(
         &self,
@@ -103,12 +108,15 @@
             let unanswered = self.unanswered.borrow();
             batch.sort_by_key(|(engine, _)| unanswered.get(engine).copied().unwrap_or(0));
             let engines: Vec<SocketAddr> = batch.iter().map(|(engine, _)| *engine).collect();
+            let Some((_, first)) = batch.first() else { continue };
+            let message = OrderMessage::of(&first.order, first.epoch);
             let mut by_engine: Map<SocketAddr, RankOrder> = batch.into_iter().collect();
-            for subtree in order_tree::split(&engines) {
+            for subtree in order_tree::split(&engines, self.copy_time(&message)) {
                 let orders = subtree
                     .into_iter()
                     .filter_map(|engine| by_engine.remove(&engine).map(|order| (engine, order)));
-                actix_rt::spawn(Rc::clone(self).send_via_agents(orders.collect()));
+                let message = message.clone();
+                actix_rt::spawn(Rc::clone(self).send_via_agents(message, orders.collect()));
             }
         }
     }
@@ -127,9 +135,11 @@
     }
 
     /// Sends one order to a subtree of agents, and records the states and outcomes of its ranks.
-    async fn send_via_agents(self: Rc<Self>, orders: Vec<(SocketAddr, RankOrder)>) {
-        let Some((_, first)) = orders.first() else { return };
-        let message = OrderMessage::of(&first.order, first.epoch);
+    async fn send_via_agents(
+        self: Rc<Self>,
+        message: OrderMessage,
+        orders: Vec<(SocketAddr, RankOrder)>,
+    ) {
         let engines: Vec<SocketAddr> = orders.iter().map(|(engine, _)| *engine).collect();
         let answers = self.send_subtree(&message, &engines).await;
         let engine_of = |answer: &OrderAnswer| answer.engine.and_then(PeerAddr::addr);
--- a/src/ranks/orders.rs
+++ b/src/ranks/orders.rs
@@ -123,6 +123,12 @@
         message
     }
 
+    /// Returns the bytes of the message without the recipients, of which each agent has others.
+    pub fn order_bytes(&self) -> usize {
+        let recipients: usize = self.recipients.iter().map(|addr| addr.encoded_len() + 2).sum();
+        self.encoded_len().saturating_sub(recipients)
+    }
+
     /// Returns the order and the epoch, or `None` if the message contains no valid order.
     pub fn order(&self) -> Option<(Order, u64)> {
         let (version, step) = (self.version, self.step);
@@ -187,12 +193,13 @@
     codecs: &Codecs,
 ) -> internal::Result<OrderAnswers> {
     let others = engines.iter().skip(1).filter_map(|engine| PeerAddr::of(*engine));
+    let copy_time = order_tree::copy_time(message.order_bytes(), link_mbps);
     let message = OrderMessage { recipients: others.collect(), ..message.clone() };
     let body = Bytes::from(message.encode_to_vec());
     let request = InternalRequest {
         method: Method::POST,
         uri: Uri::from_static(ORDERS_PATH),
-        timeout: order_tree::time_limit(engines.len(), body.len(), link_mbps),
+        timeout: order_tree::time_limit(engines.len(), copy_time),
         body,
         max_answer_bytes: MAX_ANSWER_BYTES,
     };
--- a/tests/large_groups/orders.rs
+++ b/tests/large_groups/orders.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bitternwall::direct::known::heartbeat::PeerAddr;
-use bitternwall::expert_map::map::{ExpertMap, Shape};
+use bitternwall::expert_map::map::{ExpertMap, Layer, Shape};
 use bitternwall::ranks::map_codec;
 use bitternwall::ranks::order_tree;
 use bitternwall::ranks::orders::OrderMessage;
@@ -19,6 +19,9 @@
 const HANDLING_TIME: Duration = Duration::from_millis(6);
 /// Bytes of the packets of a connection and of the request's head, beside its body.
 const OVERHEAD_BYTES: usize = 500;
+/// Times that a copy of an order, of a map of 96 ranks and of one of 320 occupies a link.
+const COPY_TIMES: [Duration; 3] =
+    [Duration::from_micros(133), Duration::from_millis(8), Duration::from_millis(23)];
 
 fn shape(ranks: usize) -> Shape {
     Shape { ranks, layers: 16, experts: ranks * 2, slots_per_rank: 3 }
@@ -45,6 +48,10 @@
     (0..count).map(addr).collect()
 }
 
+fn copy_time(message: &OrderMessage) -> Duration {
+    order_tree::copy_time(message.order_bytes(), LINK_MBPS)
+}
+
 fn message_bytes(message: &OrderMessage, subtree: &[SocketAddr]) -> usize {
     let recipients = subtree[1..].iter().filter_map(|engine| PeerAddr::of(*engine)).collect();
     OrderMessage { recipients, ..message.clone() }.encoded_len() + OVERHEAD_BYTES
@@ -54,7 +61,7 @@
 fn last_arrival(message: &OrderMessage, recipients: &[SocketAddr], now: Duration) -> Duration {
     let mut sent_at = now;
     let mut last = now;
-    for subtree in order_tree::split(recipients) {
+    for subtree in order_tree::split(recipients, copy_time(message)) {
         let bits = u32::try_from(message_bytes(message, &subtree) * 8).expect("a few kilobytes");
         sent_at += Duration::from_secs_f64(f64::from(bits) / (LINK_MBPS * 1e6));
         last = last.max(last_arrival(message, &subtree[1..], sent_at + HANDLING_TIME));
@@ -87,30 +94,36 @@
     const PLAIN_MAP_BYTES: usize = 14_000;
     let order = Order::Prepare { version: 4_100, map: Arc::new(full_map(shape(96))) };
     let message = OrderMessage::of(&order, 1);
-    let subtrees = order_tree::split(&engines(95));
+    let subtrees = order_tree::split(&engines(95), copy_time(&message));
     let bytes: usize = subtrees.iter().map(|subtree| message_bytes(&message, subtree)).sum();
     assert!(bytes < 2 * PLAIN_MAP_BYTES, "{bytes} bytes leave the coordinator");
 }
 
 /// Adds all recipients of an order, in the order in which they get it.
-fn collect(recipients: &[SocketAddr], level: u32, reached: &mut Vec<(SocketAddr, u32)>) {
-    for subtree in order_tree::split(recipients) {
+fn collect(
+    recipients: &[SocketAddr],
+    copy_time: Duration,
+    level: u32,
+    reached: &mut Vec<(SocketAddr, u32)>,
+) {
+    for subtree in order_tree::split(recipients, copy_time) {
         reached.push((subtree[0], level));
-        collect(&subtree[1..], level + 1, reached);
+        collect(&subtree[1..], copy_time, level + 1, reached);
     }
 }
 
 proptest! {
     #[test]
-    fn an_order_reaches_each_rank_once(ranks in 1_usize..400) {
+    fn an_order_reaches_each_rank_once(ranks in 1_usize..400, copy_ms in 0_u64..60) {
         let engines = engines(ranks);
+        let copy_time = Duration::from_millis(copy_ms);
         let mut reached = Vec::new();
-        collect(&engines, 1, &mut reached);
+        collect(&engines, copy_time, 1, &mut reached);
         let distinct: BTreeSet<SocketAddr> = reached.iter().map(|(engine, _)| *engine).collect();
         prop_assert_eq!((reached.len(), distinct.len()), (ranks, ranks));
         let levels = reached.iter().map(|(_, level)| *level).max().unwrap_or(0);
-        let subtree = order_tree::split(&engines)[0].len();
-        prop_assert!(levels <= order_tree::depth(subtree), "{levels} levels");
+        let subtree = order_tree::split(&engines, copy_time)[0].len();
+        prop_assert!(levels <= order_tree::depth(subtree, copy_time), "{levels} levels");
     }
 
     #[test]
@@ -128,42 +141,62 @@
         prop_assert_eq!(decoded, Some(map));
     }
 
+    #[test]
+    fn a_map_of_ascending_experts_takes_little_more_than_the_number_of_choices(
+        held in prop::collection::vec(prop::collection::btree_set(0_usize..640, 3), 320),
+    ) {
+        /// log2 of the number of sets of 3 among 640 experts, and the bit that tells a full rank.
+        const BITS_PER_RANK: usize = 25 + 1;
+        let held = held.into_iter().map(|set| set.into_iter().collect());
+        let map = ExpertMap { layers: vec![Layer { held: held.collect() }] };
+        let encoded = map_codec::encode(&map);
+        prop_assert!(encoded.len() * 8 < 320 * (BITS_PER_RANK + 1), "{} bytes", encoded.len());
+        prop_assert_eq!(map_codec::decode(&encoded, 320), Some(map));
+    }
+
     #[test]
     fn bytes_that_are_no_map_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..40)) {
         if let Some(map) = map_codec::decode(&bytes, 3) {
             prop_assert!(map.layers.iter().all(|layer| layer.held.len() == 3));
         }
+        // The same as the sets of a map of two layers, 9 experts and 2 slots.
+        let sets = [&[3, 9, 0, 2, 2, 0], bytes.as_slice()].concat();
+        if let Some(map) = map_codec::decode(&sets, 3) {
+            let experts = map.layers.iter().flat_map(|layer| &layer.held).flatten();
+            prop_assert!(map.layers.len() == 2 && experts.max().is_none_or(|expert| *expert < 9));
+        }
     }
 }
 
 #[test]
 fn ranks_that_did_not_answer_pass_nothing_on() {
-    // The coordinator puts them last; of 95 recipients the last two thirds are leaves.
+    // The coordinator puts them last; of 95 recipients the last third are leaves.
     let engines = engines(95);
-    let mut reached = Vec::new();
-    collect(&engines, 1, &mut reached);
-    let leaf = |engine: &SocketAddr| {
-        let subtrees = order_tree::split(&engines);
-        !passes_on(&subtrees, engine)
-    };
-    assert!(engines[60..].iter().all(leaf));
+    for copy_time in COPY_TIMES {
+        let subtrees = order_tree::split(&engines, copy_time);
+        let leaf = |engine: &SocketAddr| !passes_on(&subtrees, copy_time, engine);
+        assert!(engines[60..].iter().all(leaf), "copies of {copy_time:?}");
+    }
 }
 
-fn passes_on(subtrees: &[Vec<SocketAddr>], engine: &SocketAddr) -> bool {
+fn passes_on(subtrees: &[Vec<SocketAddr>], copy_time: Duration, engine: &SocketAddr) -> bool {
     subtrees.iter().any(|subtree| {
         (subtree[0] == *engine && subtree.len() > 1)
-            || passes_on(&order_tree::split(&subtree[1..]), engine)
+            || passes_on(&order_tree::split(&subtree[1..], copy_time), copy_time, engine)
     })
 }
 
 #[test]
 fn a_subtree_has_time_for_each_of_its_levels() {
-    let (one, four) = (order_tree::depth(1), order_tree::depth(4));
-    assert_eq!((one, four, order_tree::depth(5), order_tree::depth(13)), (1, 2, 3, 3));
-    let limit = |agents: usize, bytes: usize| order_tree::time_limit(agents, bytes, LINK_MBPS);
-    for agents in 2..320 {
-        let subtree = order_tree::split(&engines(agents - 1))[0].len();
-        assert!(limit(agents, 6_000) > limit(subtree, 6_000), "{agents} agents");
+    let depth = |agents: usize| order_tree::depth(agents, Duration::ZERO);
+    assert_eq!((depth(1), depth(4), depth(5), depth(13)), (1, 2, 3, 3));
+    for copy_time in COPY_TIMES {
+        let limit = |agents: usize| order_tree::time_limit(agents, copy_time);
+        for agents in 2..320 {
+            let subtree = order_tree::split(&engines(agents - 1), copy_time)[0].len();
+            assert!(limit(agents) > limit(subtree), "{agents} agents");
+        }
     }
-    assert!(limit(32, 6_000) > limit(32, 100), "a map takes longer than a step");
+    let [step, map, _] = COPY_TIMES.map(|copy_time| order_tree::time_limit(32, copy_time));
+    assert!(map > step, "a map takes longer than a step");
 }
