Places go to the more urgent first where a service's requests differ in priority

Cause: priorities of routes and customers were parsed and used nowhere, so in shortage the most urgent kind was served no better than the least urgent. Change: a claim per request, ordered waiting at the entry, places kept for more urgent requests by those expected at all entries, the less urgent told to return later, and the urgency sent to the target's queue. Services whose requests are equally urgent are served as before.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -251,6 +251,9 @@
     entry.targets.borrow_mut().departures.prune(now);
     entry.metrics.limited_targets(entry.targets.borrow().limits.limited());
     entry.metrics.backing_off_targets(entry.targets.borrow().backoffs.count(now));
+    if let Some(configuration) = entry.configuration() {
+        entry.places.borrow_mut().retain_ranked(&configuration);
+    }
     entry.count_entries();
     let loads = entry.peers.borrow().loads(entry.options.heartbeat_interval, now);
     entry.targets.borrow_mut().set_peer_loads(loads);
--- a/src/direct/decisions/admission.rs
+++ b/src/direct/decisions/admission.rs
@@ -103,6 +103,16 @@
         Some(Duration::from_secs_f64(mean + deviation * EXPECTED_DEVIATIONS))
     }
 
+    /// Returns the mean time from the arrival of a request to the end of its answer; `None` if no
+    /// answer of the form has ended yet.
+    pub fn mean_answer_time(&self, form: AnswerForm) -> Option<Duration> {
+        let AnswerTime { mean, .. } = match form {
+            AnswerForm::Document => self.document_time,
+            AnswerForm::Events => self.stream_time,
+        }?;
+        Duration::try_from_secs_f64(mean).ok()
+    }
+
     /// Returns true if answers begin later than their objective on average, or if there has been
     /// none yet. A target that is silent then is most likely busy, and a retry at another one would
     /// add to the load.
@@ -135,12 +145,13 @@
     }
 
     /// Returns the retry-after of a caller refused for lack of slots, between 150 ms and 30 % of
-    /// the time left. `draw` is a uniform random number from 0 to 1.
-    pub fn retry_after(&self, time_left: Duration, draw: f64) -> Duration {
+    /// the time left. `draw` is a uniform random number from 0 to 1, and places are expected to be
+    /// free after `place_after`.
+    pub fn retry_after(&self, time_left: Duration, draw: f64, place_after: Duration) -> Duration {
         let max_delay = time_left.mul_f64(MAX_RETRY_AFTER_SHARE);
         let range =
             max_delay.saturating_sub(MIN_RETRY_AFTER).mul_f64(self.refused_share.sqrt() * draw);
-        (MIN_RETRY_AFTER + range).min(max_delay)
+        (MIN_RETRY_AFTER.max(place_after.mul_f64(draw)) + range).min(max_delay)
     }
 }
 
--- a/src/direct/decisions/mod.rs
+++ b/src/direct/decisions/mod.rs
@@ -3,6 +3,8 @@
 pub mod admission;
 pub mod attempts;
 pub mod backoffs;
+pub mod claims;
+pub mod demand;
 pub mod departures;
 pub mod pass_time;
 pub mod rate_limits;
--- a/src/direct/decisions/target_choice.rs
+++ b/src/direct/decisions/target_choice.rs
@@ -96,8 +96,10 @@
     /// rank. Loads are a little old, so some ranks look free though all slots together are taken, and
     /// all entries see the same last free places: they let in fewer requests the fewer places are left.
     /// `draw` is a uniform random number.
-    pub fn is_crowded(&self, draw: u32) -> bool {
-        let room = (self.capacity - f64::from(self.load)) / (self.capacity * LAST_PLACES).max(1.0);
+    /// `kept` is the share of the capacity that is kept for other requests.
+    pub fn is_crowded(&self, draw: u32, kept: f64) -> bool {
+        let capacity = self.capacity * (1.0 - kept);
+        let room = (capacity - f64::from(self.load)) / (capacity * LAST_PLACES).max(1.0);
         room <= f64::from(draw >> 8) / f64::from(1_u32 << 24)
     }
 }
@@ -115,6 +117,8 @@
     pub tried: &'a [String],
     /// A uniform random number, which spreads requests over equal targets.
     pub draw: u32,
+    /// The share of a group's capacity that this request may not use, from 0 to 1.
+    pub kept: f64,
 }
 
 impl Targets {
@@ -132,7 +136,9 @@
             .unwrap_or_default();
         let groups = self.group_loads(criteria, now);
         let is_crowded = |group: &str| {
-            groups.iter().any(|load| load.group == group && load.is_crowded(criteria.draw))
+            groups
+                .iter()
+                .any(|load| load.group == group && load.is_crowded(criteria.draw, criteria.kept))
         };
         for target in self.listed.values() {
             if target.service != criteria.service || !self.takes_work(target) {
--- a/src/direct/exchange/call.rs
+++ b/src/direct/exchange/call.rs
@@ -43,6 +43,10 @@
     pub service: String,
     /// The name of the customer that holds the key; `None` if the route needs no key.
     pub customer: Option<String>,
+    /// How urgent it is, by the customer's priority or else the route's; 0 is the most urgent.
+    pub urgency: u8,
+    /// True if the requests for the service differ in urgency.
+    pub ranked: bool,
     /// Limit of requests in flight at a target, for each of its slots.
     pub fill: f64,
     /// The limit of the pauses in its answer, if a model server streams it.
@@ -107,7 +111,7 @@
     }
 
     fn start(entry: &Rc<Entry>, mut caller: CallerRequest, matched: Matched) -> Self {
-        let Matched { configuration, route, service, customer } = matched;
+        let Matched { configuration, route, service, customer, urgency } = matched;
         let engine = configuration.service(&service).and_then(|service| service.engine.as_ref());
         let fill = match engine {
             Some(_) => entry.options.engine_fill,
@@ -125,8 +129,10 @@
         Self {
             entry: Rc::clone(entry),
             route,
+            ranked: configuration.is_ranked(&service),
             service,
             customer,
+            urgency,
             fill,
             pause_goal,
             version: configuration.version,
@@ -341,6 +347,7 @@
     route: Route,
     service: String,
     customer: Option<String>,
+    urgency: u8,
 }
 
 fn match_request(entry: &Entry, caller: &CallerRequest) -> Result<Matched, LocalAnswer> {
@@ -354,6 +361,7 @@
     let Some(route) = configuration.route(&caller.host, caller.uri.path()).cloned() else {
         return Err(LocalAnswer::not_run(Cause::NoRoute, None));
     };
+    let mut urgency = route.priority;
     let customer = match configuration.keys_required && !route.public {
         false => None,
         true => {
@@ -361,6 +369,7 @@
             let Some(customer) = holder else {
                 return Err(LocalAnswer::not_run(Cause::UnknownKey, None));
             };
+            urgency = customer.priority.unwrap_or(urgency);
             Some(customer.name.clone())
         }
     };
@@ -377,5 +386,5 @@
             return Err(LocalAnswer::not_run(Cause::Stopping, Some(STOPPING_RETRY_AFTER)));
         }
     }
-    Ok(Matched { configuration, route, service, customer })
+    Ok(Matched { configuration, route, service, customer, urgency })
 }
--- a/src/direct/exchange/mod.rs
+++ b/src/direct/exchange/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 pub mod call;
+mod claim;
 pub mod crash_probe;
 pub mod forward;
 pub mod prompt_parts;
--- a/src/direct/exchange/round_trip.rs
+++ b/src/direct/exchange/round_trip.rs
@@ -47,6 +47,7 @@
         time_left: call.time_left(),
         only_target: &target.id,
         customer: call.customer.as_deref(),
+        urgency: call.ranked.then_some(call.urgency),
         resume_after,
     };
     let request = Request {
--- a/src/direct/exchange/slot_wait.rs
+++ b/src/direct/exchange/slot_wait.rs
@@ -2,6 +2,7 @@
 //!
 //! [`admission`] decides how long, and [`targets`](crate::direct::decisions::targets) which target.
 
+use std::future;
 use std::rc::Rc;
 use std::result;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use crate::direct::decisions::admission::{self, ServiceLoad};
 use crate::direct::decisions::target_choice::{Criteria, NoChoice};
 use crate::direct::exchange::call::Call;
+use crate::direct::exchange::claim::Claim;
 use crate::direct::exchange::slot::Slot;
 use crate::direct::known::crash_memory::Subject;
 use crate::direct::known::target::Target;
@@ -32,6 +34,7 @@
 pub async fn acquire(call: &mut Call, max_wait: Duration) -> Result<(Target, Slot)> {
     let entry = Rc::clone(&call.entry);
     let started = entry.now();
+    let mut claim = Claim::join(call);
     let result = loop {
         let now = entry.now();
         let refused = entry.crashes.borrow().refused_for(call.fingerprint, &call.prompt_parts, now);
@@ -44,7 +47,15 @@
             return Err(LocalAnswer { cause, executed, retry_after: Some(left) });
         }
         entry.refresh_peer_loads();
-        let chosen = entry.targets.borrow().choose(&criteria(call), now);
+        let mut wanted = criteria(call);
+        if let Some(claim) = &mut claim {
+            wanted.kept = claim.kept(call, &wanted);
+        }
+        let is_turn = claim.as_ref().is_none_or(|claim| claim.ahead() == 0);
+        let chosen = match is_turn {
+            true => entry.targets.borrow().choose(&wanted, now),
+            false => Err(NoChoice::AllFull),
+        };
         let reason = match chosen {
             Ok(choice) if choice.needs_permit => {
                 permits::acquire(&entry, &choice.target.id).await;
@@ -69,6 +80,10 @@
         if waited >= max_wait {
             break Err(reason);
         }
+        let is_hopeless = claim.as_ref().is_some_and(|claim| claim.is_hopeless(max_wait - waited));
+        if reason == NoChoice::AllFull && is_hopeless {
+            break Err(reason);
+        }
         let available_at = entry.targets.borrow().next_available_at(&call.service, now);
         let too_late = available_at.is_some_and(|at| at > started + max_wait);
         let time_is_known = matches!(reason, NoChoice::AllLimited | NoChoice::AllBackingOff);
@@ -77,8 +92,20 @@
         }
         let pause =
             available_at.map_or(max_wait, |at| at.saturating_sub(now)).min(max_wait - waited);
+        let turn = async {
+            match &claim {
+                Some(claim) => claim.turn().await,
+                None => future::pending().await,
+            }
+        };
         tokio::select! {
-            () = entry.slots_changed.notified() => {}
+            () = entry.slots_changed.notified() => {
+                // Any of those who wait may hear of a change, and the first of them makes use of it.
+                if let Some(claim) = claim.as_ref().filter(|claim| claim.ahead() > 0) {
+                    claim.wake_first();
+                }
+            }
+            () = turn => {}
             () = time::sleep(pause) => {}
         }
     };
@@ -88,13 +115,16 @@
     match result {
         Ok(acquired) => {
             entry.with_service_load(&call.service, |load| load.record_admitted());
+            if let Some(claim) = &claim {
+                claim.record_served(call);
+            }
             Ok(acquired)
         }
-        Err(reason) => Err(no_slot(call, reason)),
+        Err(reason) => Err(no_slot(call, reason, claim.as_ref())),
     }
 }
 
-fn no_slot(call: &Call, reason: NoChoice) -> LocalAnswer {
+fn no_slot(call: &Call, reason: NoChoice, claim: Option<&Claim>) -> LocalAnswer {
     let cause = match reason {
         NoChoice::NoTargets => Cause::NoTarget,
         NoChoice::AllUnavailable => Cause::TargetsPaused,
@@ -107,18 +137,20 @@
         log_full(call);
     }
     let left = call.time_left();
-    let draw = entry.random_fraction();
+    // The more urgent return in the earlier part of the time over which returns are spread.
+    let draw = claim.map_or_else(|| entry.random_fraction(), |claim| claim.return_draw(call));
+    let place_after = claim.map_or(Duration::ZERO, Claim::place_after);
     let now = entry.now();
     let available_at = entry.targets.borrow().next_available_at(&call.service, now);
     let retry_after = entry.with_service_load(&call.service, |load| match reason {
         NoChoice::AllFull => {
             load.record_refused();
-            load.retry_after(left, draw)
+            load.retry_after(left, draw, place_after)
         }
         NoChoice::AllLimited => {
             load.record_refused();
             let turn = available_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
-            load.retry_after(left, draw).max(turn)
+            load.retry_after(left, draw, Duration::ZERO).max(turn)
         }
         NoChoice::AllBackingOff => {
             let backoff = available_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
@@ -128,6 +160,9 @@
             ServiceLoad::retry_after_outage(left, draw)
         }
     });
+    if let Some(claim) = claim {
+        claim.log_refused(call, retry_after);
+    }
     let executed = if call.may_have_run { Executed::Unknown } else { Executed::No };
     LocalAnswer { cause, executed, retry_after: Some(retry_after) }
 }
@@ -165,5 +200,6 @@
         pause_goal: call.pause_goal,
         tried: &call.tried,
         draw: rand::random(),
+        kept: 0.0,
     }
 }
--- a/src/direct/known/configuration.rs
+++ b/src/direct/known/configuration.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use crate::collections::Map;
+use crate::collections::{Map, Set};
 
 /// How often a request of a route may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -156,6 +156,8 @@
     /// True if requests need an API key, except on public routes.
     pub keys_required: bool,
     routes: Map<String, Vec<Route>>,
+    /// The services whose requests differ in priority.
+    ranked_services: Set<String>,
     services: Map<String, Service>,
     customers: Vec<Customer>,
     keys: Map<String, usize>,
@@ -179,6 +181,7 @@
 impl Configuration {
     /// Indexes the parts.
     pub fn new(parts: Parts) -> Self {
+        let ranked_services = ranked_services(&parts);
         let mut routes: Map<String, Vec<Route>> = Map::default();
         for route in parts.routes {
             routes.entry(route.host.to_ascii_lowercase()).or_default().push(route);
@@ -200,6 +203,7 @@
             limits: parts.limits,
             keys_required,
             routes,
+            ranked_services,
             services,
             customers,
             keys,
@@ -220,6 +224,12 @@
         self.keys.get(key).and_then(|index| self.customers.get(*index))
     }
 
+    /// Returns true if the requests for a service differ in priority, so that one may go before
+    /// another.
+    pub fn is_ranked(&self, service: &str) -> bool {
+        self.ranked_services.contains(service)
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
@@ -235,3 +245,23 @@
         self.routes.values().map(Vec::len).sum()
     }
 }
+
+/// Returns the services whose requests differ in priority, by their routes and customers.
+fn ranked_services(parts: &Parts) -> Set<String> {
+    let overrides: Set<Option<u8>> =
+        parts.customers.iter().flatten().map(|customer| customer.priority).collect();
+    let mut priorities: Map<&str, Set<u8>> = Map::default();
+    for route in &parts.routes {
+        let of_customers = overrides.iter().filter(|_| !route.public);
+        let possible = of_customers.map(|priority| priority.unwrap_or(route.priority));
+        let mut possible: Set<u8> = possible.collect();
+        if route.public || overrides.is_empty() {
+            possible.insert(route.priority);
+        }
+        for share in &route.shares {
+            priorities.entry(&share.service).or_default().extend(&possible);
+        }
+    }
+    let ranked = priorities.into_iter().filter(|(_, priorities)| priorities.len() > 1);
+    ranked.map(|(service, _)| service.to_owned()).collect()
+}
--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -76,6 +76,9 @@
     /// The same for its target list.
     #[prost(uint64, optional, tag = "21")]
     pub targets_age_ms: Option<u64>,
+    /// The requests that come to the sender for services whose requests differ in urgency.
+    #[prost(message, repeated, tag = "26")]
+    pub demand: Vec<KindRate>,
 }
 
 impl Heartbeat {
@@ -119,6 +122,26 @@
     pub requests: u32,
 }
 
+/// How many requests of one urgency for a service come to an entry.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct KindRate {
+    /// The [`service_hash`] of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// The urgency; 0 is the most urgent.
+    #[prost(uint32, tag = "2")]
+    pub urgency: u32,
+    /// Requests in ten seconds, by the recent rate.
+    #[prost(uint32, tag = "3")]
+    pub per_10s: u32,
+}
+
+/// Returns the number that stands for a service's name in heartbeats, to keep them short.
+pub fn service_hash(service: &str) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
+    u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
+}
+
 /// The address at which an entry receives heartbeats.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct PeerAddr {
--- a/src/direct/known/peers.rs
+++ b/src/direct/known/peers.rs
@@ -11,7 +11,7 @@
 
 use crate::collections::{Map, Set};
 use crate::direct::known::cluster_state::KnownVersions;
-use crate::direct::known::heartbeat::{Heartbeat, PeerAddr};
+use crate::direct::known::heartbeat::{self, Heartbeat, PeerAddr};
 
 /// Heartbeat intervals without a heartbeat after which an entry's load and address no longer count.
 const MAX_MISSED_HEARTBEATS: u32 = 10;
@@ -224,6 +224,23 @@
         loads
     }
 
+    /// Returns the requests a second for a service that come to the other live entries and are more
+    /// urgent than `urgency`.
+    pub fn more_urgent_per_s(
+        &self,
+        service: &str,
+        urgency: u8,
+        heartbeat_interval: Duration,
+        now: Duration,
+    ) -> f64 {
+        let service = heartbeat::service_hash(service);
+        let live = self.live(heartbeat_interval, now);
+        let kinds = live.flat_map(|peer| &peer.heartbeat.demand);
+        let kinds = kinds.filter(|kind| kind.service == service);
+        let more_urgent = kinds.filter(|kind| kind.urgency < u32::from(urgency));
+        more_urgent.map(|kind| f64::from(kind.per_10s) / 10.0).sum()
+    }
+
     /// Returns the number of live entries, including the local one, and remembers the largest
     /// number for [`Peers::fleet_size`].
     pub fn count(&mut self, heartbeat_interval: Duration, now: Duration) -> u32 {
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -54,6 +54,9 @@
     pub only_target: &'a str,
     /// The name of the customer that holds the key, if the route needs one.
     pub customer: Option<&'a str>,
+    /// Its urgency in the target's own queue, 0 for the most urgent; `None` where all requests for
+    /// the service are equally urgent.
+    pub urgency: Option<u8>,
     /// The id of the event after which the answer resumes, if the entry resumes it. It takes
     /// precedence over that of the caller's request.
     pub resume_after: Option<&'a str>,
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -170,6 +170,7 @@
         permit_reply: None,
         configuration_age_ms: age_ms(entry, Collection::Configuration),
         targets_age_ms: age_ms(entry, Collection::Targets),
+        demand: entry.places.borrow().report(now),
     }
 }
 
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -29,6 +29,7 @@
 use crate::direct::message::TargetProtocol;
 use crate::direct::state::metrics::Metrics;
 use crate::direct::state::permit_calls::Permits;
+use crate::direct::state::places::Places;
 use crate::entry::core::retry::Budget;
 use crate::telemetry::events;
 
@@ -126,6 +127,8 @@
     pub rates_changed: Notify,
     /// The probes of targets in progress, by target id.
     pub probes: RefCell<Map<String, Probe>>,
+    /// The requests that wait for places, and the demand for them.
+    pub places: RefCell<Places>,
     service_loads: RefCell<Map<String, ServiceLoad>>,
     /// The size of the fleet that was logged last; 0 while it is unknown.
     known_entries: Cell<u32>,
@@ -160,6 +163,7 @@
             permits: Permits::default(),
             rates_changed: Notify::new(),
             probes: RefCell::default(),
+            places: RefCell::default(),
             service_loads: RefCell::default(),
             known_entries: Cell::new(0),
             budgets: RefCell::default(),
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -218,6 +218,12 @@
 /// The settings file could not be read again; the previous settings stay in force.
 pub const SETTINGS_REFUSED: LogEvent =
     LogEvent { number: 7052, severity: Severity::Error, title: "settings refused" };
+/// A request is refused a place, where requests for its service differ in urgency.
+pub const PLACE_REFUSED: LogEvent =
+    LogEvent { number: 7053, severity: Severity::Info, title: "place refused" };
+/// A request got a place after it had waited, where requests for its service differ in urgency.
+pub const PLACE_GRANTED: LogEvent =
+    LogEvent { number: 7054, severity: Severity::Info, title: "place granted" };
 /// The agent could not fetch the list of the other ranks from an entry, and tries the next one.
 pub const ENTRIES_UNREACHABLE: LogEvent =
     LogEvent { number: 8001, severity: Severity::Warning, title: "entries lost" };
--- a/tests/direct/group_load.rs
+++ b/tests/direct/group_load.rs
@@ -116,6 +116,7 @@
                 pause_goal: Some(goal),
                 tried: &[],
                 draw: draw.rotate_left(11),
+                kept: 0.0,
             };
             let Ok(choice) = entries[entry].choose(&criteria, now) else { continue };
             let target = choice.target.id;
--- a/tests/direct/silent_targets.rs
+++ b/tests/direct/silent_targets.rs
@@ -32,7 +32,8 @@
 }
 
 fn chosen(targets: &Targets, draw: u32, now: Duration) -> Result<String, NoChoice> {
-    let criteria = Criteria { service: "model", fill: 1.0, pause_goal: None, tried: &[], draw };
+    let criteria =
+        Criteria { service: "model", fill: 1.0, pause_goal: None, tried: &[], draw, kept: 0.0 };
     targets.choose(&criteria, now).map(|choice| choice.target.id)
 }
 
--- a/tests/direct/target_choice.rs
+++ b/tests/direct/target_choice.rs
@@ -30,7 +30,7 @@
 }
 
 fn criteria<'a>(tried: &'a [String], draw: u32) -> Criteria<'a> {
-    Criteria { service: "model", fill: 1.0, pause_goal: None, tried, draw }
+    Criteria { service: "model", fill: 1.0, pause_goal: None, tried, draw, kept: 0.0 }
 }
 
 #[test]
