--- a/tests/direct/choice_replay.rs
+++ b/tests/direct/choice_replay.rs
@@ -84,6 +84,7 @@
             pause_goal: model.then_some(GOAL),
             tried: &[],
             draw: draws.next(),
+            kept: 0.0,
         };
         match entries[entry].choose(&criteria, now) {
             Ok(choice) => {
