An emptied data centre gets no requests, and cold targets share one rate

Change: which data centres are being emptied is part of the replicated cluster state (known/standing.rs), read and watched together with the configuration; their targets get no request, retry or resumption, and a request that has no other target is refused at once. Cold targets (decisions/warmth.rs) have one rate that all entries share through the permits of named rates, without savings, with a short time to use them and with a part only while two entries may hand them out. Only where the settings have `store.evacuate_ms` and `cold`.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -89,6 +89,8 @@
         crash_refusal: settings.crash_refusal(),
         heartbeat_interval: settings.heartbeat_interval(),
         in_force_time: settings.in_force_time(),
+        empties_data_centres: settings.store.evacuate_ms.is_some(),
+        cold_tolerance: settings.cold_tolerance(),
     };
     let entry = Rc::new(Entry::new(clock.clone(), options, adapter.protocol, metrics));
     let sync = Rc::new(StateSync {
@@ -250,6 +252,7 @@
     entry.targets.borrow_mut().backoffs.prune(now);
     entry.targets.borrow_mut().departures.prune(now);
     entry.metrics.limited_targets(entry.targets.borrow().limits.limited());
+    entry.track_cold_targets();
     entry.metrics.backing_off_targets(entry.targets.borrow().backoffs.count(now));
     entry.count_entries();
     let loads = entry.peers.borrow().loads(entry.options.heartbeat_interval, now);
--- a/src/direct/decisions/mod.rs
+++ b/src/direct/decisions/mod.rs
@@ -12,3 +12,4 @@
 pub mod target_silence;
 mod target_state;
 pub mod targets;
+pub mod warmth;
--- a/src/direct/decisions/rate_limits.rs
+++ b/src/direct/decisions/rate_limits.rs
@@ -5,6 +5,10 @@
 //! the target named, and any other entry asks it before it sends a request there. So a rate that one
 //! entry does not use is left to the others, and entries that come or go change nothing but whom to
 //! ask. See docs/PLATFORM.md.
+//!
+//! Cold targets (see [`warmth`](crate::direct::decisions::warmth)) share their permits in the same way,
+//! but each single second counts for them. So no permits are saved up, they can be used for a short
+//! time only, and an entry that may not be the only one that hands them out hands out a part.
 
 use std::cmp;
 use std::collections::VecDeque;
@@ -23,6 +27,21 @@
 /// Time for which a permit can be used.
 const PERMIT_TTL: Duration = Duration::from_millis(500);
 
+/// The same for a cold target.
+const COLD_PERMIT_TTL: Duration = Duration::from_millis(100);
+
+/// Time after which all entries agree which of them hands out the permits of a target, once entries
+/// have come or gone.
+const HANDOVER_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time after the start of a process within which it hands out no permits of cold targets, since it
+/// has not heard of most of the other entries.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(1);
+
+/// The share of a cold target's permits that an entry hands out while another one may hand them out
+/// too.
+const SHARED_PART: f64 = 1.0 / 3.0;
+
 /// Pause before a target is tried again whose permits another request is asking for.
 const ASKING_PAUSE: Duration = Duration::from_millis(5);
 
@@ -56,6 +75,41 @@
     After(Duration),
 }
 
+/// The requests a second that a target is sent, from all entries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// Requests a second.
+    pub per_s: f64,
+    /// True if the target is cold, so that each single second counts.
+    pub cold: bool,
+}
+
+/// What an entry that is asked for permits knows of the other entries.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// True if this entry hands out the permits of the target.
+    pub is_owner: bool,
+    /// When the live entries last changed.
+    pub changed_at: Duration,
+    /// True if most of the entries are not heard.
+    pub is_minority: bool,
+}
+
+/// Whether this entry hands out the permits of a target, and since when.
+#[derive(Clone, Copy, Debug)]
+struct Ownership {
+    is_owner: bool,
+    /// `None` if it never was otherwise.
+    since: Option<Duration>,
+}
+
+/// The rate of a target that is cold until a time.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    per_s: f64,
+    until: Duration,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Limit {
     /// The rate that the target named; `None` once it is lifted.
@@ -71,6 +125,10 @@
     is_asking: bool,
     /// When the next permit is due, if this entry hands them out.
     next_permit: Option<Duration>,
+    cold: Option<Cold>,
+    /// True while the target was cold at the last call of [`RateLimits::warmth_changes`].
+    was_cold: bool,
+    ownership: Option<Ownership>,
 }
 
 /// The rates of the targets, by target id.
@@ -133,6 +191,40 @@
         self.limits.get(target)?.per_s
     }
 
+    /// Returns the rate that is in force for a target, by its own word and its warmth.
+    pub fn in_force(&self, target: &str, now: Duration) -> Option<Rate> {
+        self.limits.get(target)?.in_force(now)
+    }
+
+    /// Sets that a target is cold until a time and takes so many requests a second until then.
+    pub fn set_cold(&mut self, target: &str, per_s: f64, until: Duration, now: Duration) {
+        if until <= now && !self.limits.contains_key(target) {
+            return;
+        }
+        let limit = self.limits.entry(target.to_owned()).or_default();
+        limit.cold = (until > now).then_some(Cold { per_s, until });
+    }
+
+    /// Returns the number of targets that are cold.
+    pub fn cold(&self, now: Duration) -> usize {
+        self.limits.values().filter(|limit| limit.cold_rate(now).is_some()).count()
+    }
+
+    /// Returns the targets that have become cold since the last call, with their rates and the time
+    /// left, and those that have become warm, with `None`.
+    pub fn warmth_changes(&mut self, now: Duration) -> Vec<(String, Option<(f64, Duration)>)> {
+        let mut changes = Vec::new();
+        for (target, limit) in &mut self.limits {
+            let cold = limit.cold.filter(|cold| cold.until > now);
+            if limit.was_cold != cold.is_some() {
+                limit.was_cold = cold.is_some();
+                let left = cold.map(|cold| (cold.per_s, cold.until - now));
+                changes.push((target.clone(), left));
+            }
+        }
+        changes
+    }
+
     /// Returns the number of targets that have named a rate.
     pub fn limited(&self) -> usize {
         self.limits.values().filter(|limit| limit.per_s.is_some()).count()
@@ -140,9 +232,8 @@
 
     /// Returns whether a request may be sent to a target now.
     pub fn permission(&self, target: &str, now: Duration) -> Permission {
-        let Some(limit) = self.limits.get(target).filter(|limit| limit.per_s.is_some()) else {
-            return Permission::Granted;
-        };
+        let limited = self.limits.get(target).filter(|limit| limit.in_force(now).is_some());
+        let Some(limit) = limited else { return Permission::Granted };
         if limit.permits.iter().any(|until| *until > now) {
             return Permission::Granted;
         }
@@ -174,8 +265,12 @@
         limit.is_asking = false;
         match grant {
             Grant::Permits(count) => {
+                let ttl = match limit.cold_rate(now) {
+                    Some(_) => COLD_PERMIT_TTL,
+                    None => PERMIT_TTL,
+                };
                 limit.permits.retain(|until| *until > now);
-                limit.permits.extend((0..count).map(|_| now + PERMIT_TTL));
+                limit.permits.extend((0..count).map(|_| now + ttl));
             }
             Grant::Denied(after) => limit.asks_after = now + after,
             Grant::NoReply => limit.asks_after = now + NO_REPLY_PAUSE,
@@ -189,21 +284,41 @@
             return Grant::Denied(BURST_TIME);
         }
         let limit = self.limits.entry(target.to_owned()).or_default();
-        let rate = limit.per_s.map_or(per_s, |known| known.min(per_s)).max(MIN_RATE);
-        let interval = Duration::from_secs_f64((1.0 / rate).max(MIN_INTERVAL_S));
-        // What an earlier owner has handed out is not known, so the first permit comes later.
-        let next = limit.next_permit.unwrap_or(now + interval);
-        let saved = cmp::max(BURST_TIME, interval);
-        let next = next.clamp(now.saturating_sub(saved), now + interval);
-        if next > now {
-            limit.next_permit = Some(next);
-            return Grant::Denied(next - now);
+        let rate = limit.per_s.map_or(per_s, |known| known.min(per_s));
+        limit.grant(rate, BURST_TIME, now)
+    }
+
+    /// Hands out permits for a cold target in the same way.
+    pub fn grant_cold(&mut self, target: &str, per_s: f64, fleet: &Fleet, now: Duration) -> Grant {
+        if !is_rate(per_s) {
+            return Grant::Denied(BURST_TIME);
         }
-        let due = (now - next).as_nanos() / interval.as_nanos().max(1);
-        let due = u32::try_from(due).unwrap_or(u32::MAX).saturating_add(1);
-        let count = due.min(batch(rate));
-        limit.next_permit = Some(next + interval * count);
-        Grant::Permits(count)
+        if now < INTRODUCTION_TIME {
+            return Grant::Denied(INTRODUCTION_TIME - now);
+        }
+        self.record_owner(target, fleet, now);
+        let limit = self.limits.entry(target.to_owned()).or_default();
+        let known = limit.in_force(now).map_or(per_s, |known| known.per_s.min(per_s));
+        let part = if fleet.is_minority { SHARED_PART } else { limit.part(now) };
+        limit.grant(known * part, Duration::ZERO, now)
+    }
+
+    /// Records whether this entry hands out the permits of a target.
+    pub fn record_owner(&mut self, target: &str, fleet: &Fleet, now: Duration) {
+        let limit = self.limits.entry(target.to_owned()).or_default();
+        let is_owner = fleet.is_owner;
+        let since = match limit.ownership {
+            Some(known) if known.is_owner == is_owner => known.since,
+            Some(_) => Some(now),
+            None => is_owner.then_some(fleet.changed_at),
+        };
+        limit.ownership = Some(Ownership { is_owner, since });
+    }
+
+    /// Returns the cold targets.
+    pub fn cold_targets(&self, now: Duration) -> Vec<String> {
+        let cold = self.limits.iter().filter(|(_, limit)| limit.cold_rate(now).is_some());
+        cold.map(|(target, _)| target.clone()).collect()
     }
 
     /// Keeps only the targets for which a function returns true. Late reports may name targets that
@@ -219,6 +334,51 @@
 }
 
 impl Limit {
+    /// Hands out permits at a rate, with those saved up in a time at most.
+    fn grant(&mut self, rate: f64, saved: Duration, now: Duration) -> Grant {
+        let rate = rate.max(MIN_RATE);
+        let interval = Duration::from_secs_f64((1.0 / rate).max(MIN_INTERVAL_S));
+        // What an earlier owner has handed out is not known, so the first permit comes later.
+        let next = self.next_permit.unwrap_or(now + interval);
+        let saved = cmp::max(saved, interval);
+        let next = next.clamp(now.saturating_sub(saved), now + interval);
+        if next > now {
+            self.next_permit = Some(next);
+            return Grant::Denied(next - now);
+        }
+        let due = (now - next).as_nanos() / interval.as_nanos().max(1);
+        let due = u32::try_from(due).unwrap_or(u32::MAX).saturating_add(1);
+        let count = due.min(batch(rate));
+        self.next_permit = Some(next + interval * count);
+        Grant::Permits(count)
+    }
+
+    fn cold_rate(&self, now: Duration) -> Option<f64> {
+        self.cold.filter(|cold| cold.until > now).map(|cold| cold.per_s)
+    }
+
+    fn in_force(&self, now: Duration) -> Option<Rate> {
+        let cold = self.cold_rate(now);
+        let per_s = match (self.per_s, cold) {
+            (Some(named), Some(cold)) => named.min(cold),
+            (named, cold) => named.or(cold)?,
+        };
+        Some(Rate { per_s, cold: cold.is_some() })
+    }
+
+    /// Returns the share of the permits that this entry hands out. The former owner still is asked by
+    /// entries that have not seen the change.
+    fn part(&self, now: Duration) -> f64 {
+        let Some(Ownership { is_owner, since }) = self.ownership else { return SHARED_PART };
+        let is_recent = since.is_some_and(|since| now.saturating_sub(since) < HANDOVER_TIME);
+        let was_owner = !is_owner && since.is_some();
+        match (is_owner, is_recent) {
+            (true, false) => 1.0,
+            (false, true) if was_owner => 1.0,
+            _ => SHARED_PART,
+        }
+    }
+
     fn set(&mut self, per_s: Option<f64>, observed_at: Duration) -> bool {
         let changed = self.per_s != per_s;
         (self.per_s, self.observed_at) = (per_s, cmp::max(self.observed_at, observed_at));
--- a/src/direct/decisions/target_choice.rs
+++ b/src/direct/decisions/target_choice.rs
@@ -63,6 +63,8 @@
 pub enum NoChoice {
     /// The service has no target, not counting those that are leaving or were tried.
     NoTargets,
+    /// The operator is emptying the data centres of all targets.
+    AllEmptied,
     /// All targets are ejected after failures, or belong to groups that are closed.
     AllUnavailable,
     /// All available targets have named rates, and none has a permit left now.
@@ -135,12 +137,16 @@
             groups.iter().any(|load| load.group == group && load.is_crowded(criteria.draw))
         };
         for target in self.listed.values() {
-            if target.service != criteria.service || !self.takes_work(target) {
+            if target.service != criteria.service || self.is_leaving(target) {
                 continue;
             }
             if criteria.tried.contains(&target.id) {
                 continue;
             }
+            if self.is_emptied(target) {
+                reason = nearest_to_available(reason, NoChoice::AllEmptied);
+                continue;
+            }
             let state = self.states.get(&target.id);
             if state.is_some_and(|state| !state.is_available(now)) {
                 reason = nearest_to_available(reason, NoChoice::AllUnavailable);
@@ -201,7 +207,9 @@
             let Some(group) = state.group.as_deref() else { continue };
             let (load, slots, slowness) = groups.entry(group).or_default();
             *load += self.load(&target.id);
-            *slots += f64::from(target.slots) * criteria.fill;
+            if !self.is_emptied(target) {
+                *slots += f64::from(target.slots) * criteria.fill;
+            }
             *slowness = state.slowness_percent.max(*slowness);
         }
         let group_load = |(group, (load, slots, slowness))| {
@@ -265,6 +273,7 @@
         (NoChoice::AllLimited, _) | (_, NoChoice::AllLimited) => NoChoice::AllLimited,
         (NoChoice::AllUnavailable, _) | (_, NoChoice::AllUnavailable) => NoChoice::AllUnavailable,
         (NoChoice::AllBackingOff, _) | (_, NoChoice::AllBackingOff) => NoChoice::AllBackingOff,
+        (NoChoice::AllEmptied, _) | (_, NoChoice::AllEmptied) => NoChoice::AllEmptied,
         (NoChoice::NoTargets, NoChoice::NoTargets) => NoChoice::NoTargets,
     }
 }
--- a/src/direct/decisions/targets.rs
+++ b/src/direct/decisions/targets.rs
@@ -14,6 +14,8 @@
 use crate::direct::decisions::pass_time::GroupPassTimes;
 use crate::direct::decisions::rate_limits::RateLimits;
 use crate::direct::decisions::target_state::TargetState;
+use crate::direct::decisions::warmth::{Tolerance, Warmth};
+use crate::direct::known::configuration::ColdStart;
 use crate::direct::known::target::{Outcome, Target};
 
 /// Ejection of a target that takes no work though it is idle: its group is forming again. The agent
@@ -39,6 +41,14 @@
     pub(in crate::direct) backoffs: Backoffs,
     /// The targets that have said that they leave.
     pub(in crate::direct) departures: Departures,
+    /// What is known of the warmth of listed targets, by id.
+    pub(super) warmth: Map<String, Warmth>,
+    /// How the targets of services are while cold, by service.
+    pub(super) cold_starts: Map<String, ColdStart>,
+    /// How much more cold targets tolerate; `None` where they are not limited.
+    pub(super) tolerance: Option<Tolerance>,
+    /// The data centres that the operator is emptying.
+    pub(super) emptied: Set<String>,
     pub(super) data_centre: String,
     /// Heartbeat intervals between two loads that an entry of another data centre sends.
     pub(super) remote_load_age: f64,
@@ -70,6 +80,7 @@
     pub fn remove(&mut self, id: &str) {
         self.listed.remove(id);
         self.limits.remove(id);
+        self.warmth.remove(id);
         self.drop_unused_state(id);
     }
 
@@ -185,9 +196,15 @@
         listed.is_none_or(|listed| listed.started_unix_ms == target.started_unix_ms)
     }
 
-    /// Returns true if a target takes new work, by its record and by its answers.
+    /// Returns true if a target takes new work, by its record, by its answers and by the standing of
+    /// its data centre.
     pub(super) fn takes_work(&self, target: &Target) -> bool {
-        !target.leaving && !self.departures.is_leaving(&target.id, target.started_unix_ms)
+        !self.is_emptied(target) && !self.is_leaving(target)
+    }
+
+    /// Returns true if a target leaves, by its record or by its answers.
+    pub(super) fn is_leaving(&self, target: &Target) -> bool {
+        target.leaving || self.departures.is_leaving(&target.id, target.started_unix_ms)
     }
 
     /// Records whether the group of the target at an address takes requests, as the agent beside it
--- a/src/direct/exchange/call.rs
+++ b/src/direct/exchange/call.rs
@@ -347,7 +347,7 @@
     if entry.refusing.get() {
         return Err(LocalAnswer::not_run(Cause::Stopping, Some(STOPPING_RETRY_AFTER)));
     }
-    let Some(configuration) = entry.configuration() else {
+    let Some(configuration) = entry.configuration().filter(|_| entry.knows_standing()) else {
         let retry_after = Some(UNREADY_RETRY_AFTER);
         return Err(LocalAnswer::not_run(Cause::NoConfiguration, retry_after));
     };
--- a/src/direct/exchange/slot_wait.rs
+++ b/src/direct/exchange/slot_wait.rs
@@ -62,6 +62,7 @@
             NoChoice::AllLimited => {
                 max_wait.max(admission::max_permit_wait(call.route.objective, call.time_left()))
             }
+            NoChoice::AllEmptied => Duration::ZERO,
             NoChoice::AllUnavailable | NoChoice::AllBackingOff => {
                 max_wait.max(admission::max_outage_wait(call.time_left()))
             }
@@ -97,6 +98,7 @@
 fn no_slot(call: &Call, reason: NoChoice) -> LocalAnswer {
     let cause = match reason {
         NoChoice::NoTargets => Cause::NoTarget,
+        NoChoice::AllEmptied => Cause::Emptied,
         NoChoice::AllUnavailable => Cause::TargetsPaused,
         NoChoice::AllFull => Cause::Full,
         NoChoice::AllLimited => Cause::Limited,
@@ -124,7 +126,7 @@
             let backoff = available_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
             ServiceLoad::retry_after_backoff(backoff, draw)
         }
-        NoChoice::NoTargets | NoChoice::AllUnavailable => {
+        NoChoice::NoTargets | NoChoice::AllEmptied | NoChoice::AllUnavailable => {
             ServiceLoad::retry_after_outage(left, draw)
         }
     });
--- a/src/direct/known/cluster_state.rs
+++ b/src/direct/known/cluster_state.rs
@@ -14,6 +14,7 @@
 
 use crate::collections::Map;
 use crate::direct::known::configuration::Configuration;
+use crate::direct::known::standing::Standing;
 use crate::direct::known::store::Position;
 use crate::direct::known::target::Target;
 
@@ -36,6 +37,9 @@
     pub version: u64,
     /// The position of its target list; the lowest one without a list.
     pub targets_at: Position,
+    /// The position of what it knows of data centres that are being emptied; the lowest one for
+    /// nothing.
+    pub standing_at: Position,
 }
 
 /// A record that was removed from the target list.
@@ -54,6 +58,7 @@
     configuration: Option<(Arc<Configuration>, Bytes)>,
     records: Map<String, TargetRecord>,
     list_position: Option<Position>,
+    standing: Standing,
     /// Recent removals by key.
     removed: Map<String, RemovedRecord>,
     /// The records, by key with their revision, that the store's copy brought back although their
@@ -82,7 +87,18 @@
 
     /// Returns the version of the configuration and the position of the target list.
     pub fn known(&self) -> KnownVersions {
-        KnownVersions { version: self.version(), targets_at: self.targets_at() }
+        let standing_at = self.standing.position();
+        KnownVersions { version: self.version(), targets_at: self.targets_at(), standing_at }
+    }
+
+    /// Returns which data centres are being emptied.
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// Returns which data centres are being emptied, to change it.
+    pub fn standing_mut(&mut self) -> &mut Standing {
+        &mut self.standing
     }
 
     /// Replaces the configuration if the offered one is newer. Returns true if it was replaced.
--- a/src/direct/known/configuration.rs
+++ b/src/direct/known/configuration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::collections::Map;
+use crate::direct::known::store::UnreadableValue;
 
 /// How often a request of a route may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -117,6 +118,15 @@
     }
 }
 
+/// How the targets of a service are after their start, or when they come back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long a target is cold after its start.
+    pub time: Duration,
+    /// Requests a second that a cold target bears, from all entries together; above 0.
+    pub per_s: f64,
+}
+
 /// A set of targets that serve the same requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -126,6 +136,9 @@
     pub max_connections: u32,
     /// The properties of its model servers; `None` for plain services.
     pub engine: Option<EngineShape>,
+    /// How its targets are while cold; `None` if they bear as much as others, the field that cannot be
+    /// decoded if there is one.
+    pub cold: Result<Option<ColdStart>, UnreadableValue>,
 }
 
 /// A holder of API keys.
--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -76,13 +76,20 @@
     /// The same for its target list.
     #[prost(uint64, optional, tag = "21")]
     pub targets_age_ms: Option<u64>,
+    /// The store's era of what it knows of data centres that are being emptied.
+    #[prost(uint64, tag = "22")]
+    pub standing_era: u64,
+    /// The store's revision of that; 0 for nothing.
+    #[prost(uint64, tag = "23")]
+    pub standing_at: u64,
 }
 
 impl Heartbeat {
     /// Returns how recent the sender's cluster state is.
     pub fn known(&self) -> KnownVersions {
         let targets_at = Position { era: self.targets_era, revision: self.targets_at };
-        KnownVersions { version: self.version, targets_at }
+        let standing_at = Position { era: self.standing_era, revision: self.standing_at };
+        KnownVersions { version: self.version, targets_at, standing_at }
     }
 }
 
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -12,5 +12,6 @@
 pub mod peers;
 pub mod pending_removals;
 pub mod permit;
+pub mod standing;
 pub mod store;
 pub mod target;
--- a/src/direct/known/peers.rs
+++ b/src/direct/known/peers.rs
@@ -71,6 +71,9 @@
     addresses: Map<SocketAddr, Duration>,
     /// When an entry was last heard for the first time in its incarnation.
     last_joined: Option<Duration>,
+    /// The number of live entries that was counted last, and when it or an incarnation changed.
+    live_entries: u32,
+    changed_at: Duration,
     /// The local entry's data centre.
     data_centre: String,
     /// True if the settings name other entries.
@@ -115,6 +118,7 @@
         let loads = old.is_none_or(|old| old.heartbeat.loads != heartbeat.loads);
         if !same_incarnation {
             self.last_joined = Some(now);
+            self.changed_at = now;
         }
         let name = heartbeat.name.clone();
         self.peers.insert(name, Peer { heartbeat, last_received: now, addr: from });
@@ -229,10 +233,27 @@
     pub fn count(&mut self, heartbeat_interval: Duration, now: Duration) -> u32 {
         let live = u32::try_from(self.live(heartbeat_interval, now).count()).unwrap_or(u32::MAX);
         let entries = live.saturating_add(1);
+        if entries != self.live_entries {
+            (self.live_entries, self.changed_at) = (entries, now);
+        }
         self.counted_entries = self.counted_entries.max(entries);
         entries
     }
 
+    /// Returns when the live entries last changed, as far as this one has seen.
+    pub fn changed_at(&self) -> Duration {
+        self.changed_at
+    }
+
+    /// Returns true if at most half of the entries that were live at once are live now, so that the
+    /// others may be a fleet of their own that this entry does not hear.
+    pub fn is_minority(&self) -> bool {
+        match self.fleet_size() {
+            Some(size) => size > 1 && self.live_entries.saturating_mul(2) <= size,
+            None => true,
+        }
+    }
+
     /// Returns the largest number of live entries that the local one has counted, which heartbeats
     /// carry. It does not contain what others report, so that no number outlives all processes
     /// that counted it.
@@ -283,7 +304,8 @@
     }
 
     /// Returns a live entry that has a newer cluster state than the one known, in `data_centre` if
-    /// possible. A newer configuration goes before a newer target list. `draw` is any random
+    /// possible. What is newer of data centres that are
+    /// being emptied goes first, then a newer configuration. `draw` is any random
     /// number; it spreads the requests over the entries that have the newer state, so that a change
     /// reaches a fleet sooner than one entry could send it to all.
     pub fn find_newer(
@@ -303,7 +325,8 @@
             let index = draw.checked_rem(u64::try_from(candidates.len()).ok()?)?;
             candidates.get(usize::try_from(index).ok()?).copied()
         };
-        pick(&|heartbeat| heartbeat.version > known.version)
+        pick(&|heartbeat| heartbeat.known().standing_at > known.standing_at)
+            .or_else(|| pick(&|heartbeat| heartbeat.version > known.version))
             .or_else(|| pick(&|heartbeat| heartbeat.known().targets_at > known.targets_at))
     }
 }
--- a/src/direct/known/permit.rs
+++ b/src/direct/known/permit.rs
@@ -42,6 +42,9 @@
     /// A number that the reply repeats.
     #[prost(uint64, tag = "3")]
     pub id: u64,
+    /// True if the target is cold, so that no second may have more than the rate.
+    #[prost(bool, tag = "4")]
+    pub cold: bool,
 }
 
 /// The reply to a [`PermitRequest`].
--- a/src/direct/known/store.rs
+++ b/src/direct/known/store.rs
@@ -63,7 +63,8 @@
 /// A part of the store that entries replicate.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Collection {
-    /// The operator's configuration, a single item.
+    /// What the operator asks for: the configuration, a single item, and in deployments in which data
+    /// centres can be emptied one item for each that is.
     Configuration,
     /// The target list, with one item for each target.
     Targets,
@@ -165,11 +166,24 @@
     pub save_crash: Call<SavedItem, ()>,
 }
 
+/// What an item of [`Collection::Configuration`] is about, by its key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OperatorItem<'a> {
+    /// The configuration.
+    Configuration,
+    /// The data centre of this name is being emptied, whatever the value.
+    Emptied(&'a str),
+    /// Something else.
+    Other,
+}
+
 /// The decoders of stored values.
 #[derive(Clone, Copy)]
 pub struct Formats {
     /// Decodes a configuration.
     pub configuration: fn(&[u8]) -> result::Result<Configuration, UnreadableValue>,
+    /// Returns what an item is about, from its key.
+    pub operator_item: fn(&str) -> OperatorItem<'_>,
     /// Decodes a target from its key and value.
     pub target: fn(&str, &[u8]) -> result::Result<Target, UnreadableValue>,
 }
--- a/src/direct/known/target.rs
+++ b/src/direct/known/target.rs
@@ -1,6 +1,9 @@
 //! A target as the target list describes it, and what an attempt shows of it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::direct::known::store::UnreadableValue;
 
 /// One server of a service, as the target list describes it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,6 +22,9 @@
     pub leaving: bool,
     /// The start of this incarnation, in Unix milliseconds; `None` if the target does not state it.
     pub started_unix_ms: Option<u64>,
+    /// How much longer the target is cold, as of its record; `None` if the record does not say, the
+    /// field if it cannot be decoded.
+    pub cold_left: Result<Option<Duration>, UnreadableValue>,
 }
 
 /// The outcome of an attempt, as far as it concerns the target.
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -133,6 +133,8 @@
     Stopping,
     /// The service has no target that was not tried already.
     NoTarget,
+    /// The operator is emptying the data centres of all targets.
+    Emptied,
     /// All targets are ejected after failures, or their groups are closed.
     TargetsPaused,
     /// No slot became available in time.
@@ -167,6 +169,7 @@
             Self::TooLarge => "too_large",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
+            Self::Emptied => "emptied",
             Self::TargetsPaused => "targets_paused",
             Self::Full => "full",
             Self::Limited => "limited",
@@ -188,6 +191,7 @@
             Self::TooLarge => "Body too large",
             Self::Stopping => "The entry is stopping",
             Self::NoTarget => "No target is there",
+            Self::Emptied => "The data centres of all targets are being emptied",
             Self::TargetsPaused => "All targets failed lately",
             Self::Full => "All places are taken",
             Self::Limited => "The targets take no more requests at present",
@@ -211,6 +215,7 @@
             Self::TooLarge => "/problems/too-large",
             Self::Stopping => "/problems/stopping",
             Self::NoTarget => "/problems/no-target",
+            Self::Emptied => "/problems/emptied",
             Self::TargetsPaused => "/problems/targets-paused",
             Self::Full => "/problems/full",
             Self::Limited => "/problems/limited",
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -23,6 +23,7 @@
 use crate::direct::known::store::{Collection, Item, Position};
 use crate::direct::peering::permits;
 use crate::direct::peering::rank_notices;
+use crate::direct::peering::standing::StandingMessage;
 use crate::direct::peering::sync::StateSync;
 use crate::direct::state::entry::Entry;
 use crate::telemetry::events;
@@ -68,6 +69,9 @@
     /// The store's era of the list.
     #[prost(uint64, tag = "4")]
     targets_era: u64,
+    /// The data centres that are being emptied; absent where the requester knows as much.
+    #[prost(message, optional, tag = "5")]
+    standing: Option<StandingMessage>,
 }
 
 /// The query of a request for the cluster state: what the requester knows.
@@ -77,6 +81,8 @@
     version: u64,
     targets_era: u64,
     targets_at: u64,
+    standing_era: u64,
+    standing_at: u64,
 }
 
 /// One record of the target list.
@@ -158,6 +164,8 @@
         version: state.version(),
         targets_era: state.targets_at().era,
         targets_at: state.targets_at().revision,
+        standing_era: state.standing().position().era,
+        standing_at: state.standing().position().revision,
         reads_store: entry.store_answers.get(),
         loads: local_loads,
         known_peers,
@@ -219,7 +227,7 @@
     entry.merge_crashes(&mem::take(&mut heartbeat.crashes), &name);
     entry.merge_rates(&mem::take(&mut heartbeat.rates), &name);
     let known = heartbeat.known();
-    let KnownVersions { version, targets_at } = known;
+    let KnownVersions { version, targets_at, standing_at } = known;
     let ages = [heartbeat.configuration_age_ms, heartbeat.targets_age_ms];
     let update = entry.peers.borrow_mut().record_heartbeat(heartbeat, from, now);
     if update.joined {
@@ -238,7 +246,8 @@
     }
     sync.record_confirmed_by_peer(known, ages);
     let state = entry.cluster_state.borrow();
-    if version > state.version() || targets_at > state.targets_at() {
+    let own = state.known();
+    if version > own.version || targets_at > own.targets_at || standing_at > own.standing_at {
         sync.outdated.notify_one();
     }
 }
@@ -301,12 +310,17 @@
 /// Returns the URI of the state that is newer than the known one, or of the complete state if that
 /// URI is invalid.
 fn state_uri(known: KnownVersions) -> Uri {
-    let KnownVersions { version, targets_at: Position { era, revision } } = known;
-    let uri = format!("{STATE_PATH}?version={version}&targets_era={era}&targets_at={revision}");
+    let KnownVersions { version, targets_at, standing_at } = known;
+    let targets = format!("targets_era={}&targets_at={}", targets_at.era, targets_at.revision);
+    let standing = format!("standing_era={}&standing_at={}", standing_at.era, standing_at.revision);
+    let uri = format!("{STATE_PATH}?version={version}&{targets}&{standing}");
     uri.parse().unwrap_or(Uri::from_static(STATE_PATH))
 }
 
 fn apply_state(sync: &StateSync, state: ClusterStateMessage, source: &str) {
+    if let Some(standing) = state.standing {
+        sync.apply_standing_message(standing, source);
+    }
     if !state.configuration.is_empty() {
         sync.apply_configuration(&state.configuration, source);
     }
@@ -338,7 +352,8 @@
         return HttpResponse::TooManyRequests().finish();
     };
     let targets_at = Position { era: query.targets_era, revision: query.targets_at };
-    let known = KnownVersions { version: query.version, targets_at };
+    let standing_at = Position { era: query.standing_era, revision: query.standing_at };
+    let known = KnownVersions { version: query.version, targets_at, standing_at };
     let message = newer_state(&sync.entry.cluster_state.borrow(), known);
     let bytes = Bytes::from(message.encode_to_vec());
     let size = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
@@ -355,6 +370,7 @@
     let configuration = state.raw_configuration().filter(|_| state.version() > known.version);
     let mut message = ClusterStateMessage {
         configuration: configuration.cloned().unwrap_or_default(),
+        standing: StandingMessage::newer(state.standing(), known.standing_at),
         ..ClusterStateMessage::default()
     };
     if state.targets_at() > known.targets_at {
--- a/src/direct/peering/mod.rs
+++ b/src/direct/peering/mod.rs
@@ -5,5 +5,6 @@
 pub mod gossip;
 pub mod permits;
 pub mod rank_notices;
+mod standing;
 pub mod sync;
 mod target_list;
--- a/src/direct/peering/permits.rs
+++ b/src/direct/peering/permits.rs
@@ -2,6 +2,7 @@
 
 use prost::Message as _;
 
+use crate::direct::decisions::rate_limits::Rate;
 use crate::direct::known::heartbeat::Heartbeat;
 use crate::direct::known::permit::{Grant, PermitReply, PermitRequest};
 use crate::direct::state::entry::Entry;
@@ -24,18 +25,19 @@
 
 /// Asks for permits for a target, at the entry that hands them out.
 pub async fn acquire(entry: &Entry, target: &str) {
-    let Some(per_s) = entry.targets.borrow().limits.rate(target) else { return };
+    let Some(rate) = entry.targets.borrow().limits.in_force(target, entry.now()) else { return };
     entry.targets.borrow_mut().limits.begin_asking(target);
     let mut inquiry = Inquiry { entry, target, grant: Grant::NoReply };
     inquiry.grant = match entry.permit_owner(target) {
-        None => entry.grant_permits(target, per_s),
-        Some(owner) => entry.permits.ask(&entry.options.name, owner, target, per_s).await,
+        None => entry.grant_permits(target, rate),
+        Some(owner) => entry.permits.ask(&entry.options.name, owner, target, rate).await,
     };
 }
 
 /// Returns the reply to an entry that asks for permits, as a datagram.
 pub fn reply(entry: &Entry, request: &PermitRequest) -> Vec<u8> {
-    let grant = entry.grant_permits(&request.target, request.per_s);
+    let rate = Rate { per_s: request.per_s, cold: request.cold };
+    let grant = entry.grant_permits(&request.target, rate);
     let message = Heartbeat {
         name: entry.options.name.clone(),
         permit_reply: Some(PermitReply::new(request.id, grant)),
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -14,11 +14,13 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time;
 
+use crate::collections::Map;
 use crate::direct::decisions::read_times::ReadTimes;
 use crate::direct::known::cluster_state::KnownVersions;
 use crate::direct::known::pending_removals::PendingRemovals;
 use crate::direct::known::store::{
-    Change, Changes, Collection, Formats, Item, Position, Store, StoreError, Watch,
+    Change, Changes, Collection, Formats, Item, OperatorItem, Position, Store, StoreError,
+    UnreadableValue, Watch,
 };
 use crate::direct::state::entry::{Entry, Options};
 use crate::telemetry::events;
@@ -220,9 +222,19 @@
     fn apply_listing(&self, collection: Collection, items: Vec<Item>, at: Position) {
         match collection {
             Collection::Configuration => {
+                let mut emptied = Map::default();
                 for item in items {
-                    self.apply_configuration(&item.value, "store");
+                    match (self.formats.operator_item)(&item.key) {
+                        OperatorItem::Configuration => {
+                            self.apply_configuration(&item.value, "store");
+                        }
+                        OperatorItem::Emptied(data_centre) => {
+                            emptied.insert(data_centre.to_owned(), item.revision);
+                        }
+                        OperatorItem::Other => {}
+                    }
                 }
+                self.replace_standing(emptied, at, "store");
             }
             Collection::Targets => {
                 if at < self.entry.cluster_state.borrow().targets_at() {
@@ -245,16 +257,16 @@
         if changes.changes.is_empty() || outdated {
             return;
         }
+        let position = changes.position;
         for change in changes.changes {
             match (collection, change) {
-                (Collection::Configuration, Change::Put(item)) => {
-                    self.apply_configuration(&item.value, "store");
+                (Collection::Configuration, change) => {
+                    self.apply_operator_item(&change, position.era)
                 }
                 (Collection::Targets, Change::Put(item)) => self.put_target(item),
                 (Collection::Targets, Change::Removed { key, revision }) => {
                     self.remove_target(&key, revision);
                 }
-                (Collection::Configuration, Change::Removed { .. }) => {}
             }
         }
         if collection == Collection::Targets {
@@ -276,6 +288,7 @@
                             "version={version} before={old} routes={routes} from={source}"
                         ),
                     );
+                    self.apply_cold_starts();
                     self.entry.metrics.configuration(version);
                     self.notify_changed();
                 }
@@ -289,6 +302,15 @@
         }
     }
 
+    /// Logs and counts a field that cannot be decoded, in a value that is used otherwise.
+    pub(super) fn record_unreadable(&self, collection: &str, key: &str, error: &UnreadableValue) {
+        events::log(
+            events::VALUE_UNREADABLE,
+            format_args!("collection={collection} key={key:?} cause=\"{error}\""),
+        );
+        self.entry.metrics.value_unreadable();
+    }
+
     /// Makes the next heartbeat go to all entries at once.
     pub(super) fn notify_changed(&self) {
         self.changed.notify_one();
@@ -304,7 +326,8 @@
     pub fn record_confirmed_by_peer(&self, peer: KnownVersions, ages_ms: [Option<u64>; 2]) {
         let known = self.entry.cluster_state.borrow().known();
         let now = self.entry.now();
-        let same = [peer.version == known.version, peer.targets_at == known.targets_at];
+        let same_requests = peer.version == known.version && peer.standing_at == known.standing_at;
+        let same = [same_requests, peer.targets_at == known.targets_at];
         for ((collection, age_ms), same) in Collection::ALL.into_iter().zip(ages_ms).zip(same) {
             if let Some(age_ms) = age_ms.filter(|_| same) {
                 let at = now.saturating_sub(Duration::from_millis(age_ms));
@@ -328,7 +351,8 @@
                 Some(false) => events::STATE_CONFIRMED,
                 None => continue,
             };
-            let KnownVersions { version, targets_at } = self.entry.cluster_state.borrow().known();
+            let KnownVersions { version, targets_at, .. } =
+                self.entry.cluster_state.borrow().known();
             events::log(
                 event,
                 format_args!(
--- a/src/direct/peering/target_list.rs
+++ b/src/direct/peering/target_list.rs
@@ -1,7 +1,7 @@
 //! Applies changes of the target list to an entry: its records, its table of targets, and what an
 //! outage or a return of the store from an older copy means for both.
 
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
 use crate::collections::Set;
 use crate::direct::known::cluster_state::TargetRecord;
@@ -155,6 +155,9 @@
                 ended.push(target.id.clone());
             }
             if known != Some(&target) {
+                if let Err(error) = &target.cold_left {
+                    self.record_unreadable("targets", &target.id, error);
+                }
                 events::log(
                     events::TARGET_LISTED,
                     format_args!(
@@ -162,7 +165,8 @@
                         target.id, target.service, target.addr, target.leaving
                     ),
                 );
-                targets.upsert(target);
+                let age = target.started_unix_ms.and_then(|started| self.age(started));
+                targets.list(target, age, self.entry.now());
             }
         }
         drop(targets);
@@ -173,6 +177,12 @@
         self.notify_changed();
     }
 
+    /// Returns the time since a start by this host's clock; `None` for a start in the future.
+    fn age(&self, started_unix_ms: u64) -> Option<Duration> {
+        let wall = self.entry.clock.wall().duration_since(UNIX_EPOCH).ok()?;
+        wall.checked_sub(Duration::from_millis(started_unix_ms))
+    }
+
     /// Uses the targets again whose records the store's copy brought back, if they are still listed.
     pub fn release_withheld(&self) {
         let now = self.entry.now();
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,13 +17,14 @@
 use crate::direct::decisions::admission::ServiceLoad;
 use crate::direct::decisions::stopping::Stopping;
 use crate::direct::decisions::targets::Targets;
+use crate::direct::decisions::warmth::Tolerance;
 use crate::direct::known::cluster_state::ClusterState;
 use crate::direct::known::configuration::Configuration;
 use crate::direct::known::confirmation::Confirmations;
 use crate::direct::known::crash_memory::{Attempt, CrashMemory, SubjectCrash};
 use crate::direct::known::crash_record::{Crash, CrashReport};
 use crate::direct::known::peers::Peers;
-use crate::direct::known::permit::{Grant, RateReport};
+use crate::direct::known::permit::RateReport;
 use crate::direct::known::target::{Outcome, Target};
 use crate::direct::message::TargetProtocol;
 use crate::direct::state::metrics::Metrics;
@@ -74,6 +74,10 @@
     pub heartbeat_interval: Duration,
     /// The time within which a change in the store is in force at all entries.
     pub in_force_time: Duration,
+    /// True where the operator may empty data centres.
+    pub empties_data_centres: bool,
+    /// How much more cold targets tolerate than their rate; `None` where they are not limited.
+    pub cold_tolerance: Option<Tolerance>,
 }
 
 /// The state that the tasks of one entry process share.
@@ -181,7 +185,13 @@
     /// is not stopping.
     pub fn is_ready(&self) -> bool {
         let state = self.cluster_state.borrow();
-        !self.is_stopping() && state.configuration().is_some() && state.has_targets()
+        let may_send = state.has_targets() && self.knows_standing();
+        !self.is_stopping() && state.configuration().is_some() && may_send
+    }
+
+    /// Returns true unless data centres may be emptied of which the entry has not heard yet.
+    pub fn knows_standing(&self) -> bool {
+        !self.options.empties_data_centres || self.cluster_state.borrow().standing().is_known()
     }
 
     /// Returns true once the process has received a stop signal.
@@ -332,18 +342,6 @@
         }
     }
 
-    /// Returns the address of the entry that hands out a target's permits; `None` if this one does.
-    pub fn permit_owner(&self, target: &str) -> Option<SocketAddr> {
-        let Options { name, heartbeat_interval, .. } = &self.options;
-        let peers = self.peers.borrow();
-        peers.permit_owner(target, name, self.is_stopping(), *heartbeat_interval, self.now())
-    }
-
-    /// Hands out permits for a target whose rate is known as `per_s` to the entry that asks.
-    pub fn grant_permits(&self, target: &str, per_s: f64) -> Grant {
-        self.targets.borrow_mut().limits.grant(target, per_s, self.now())
-    }
-
     /// Records that a target asked to be left alone for a time.
     pub fn record_backoff(&self, target: &Target, time: Duration) {
         if self.targets.borrow_mut().record_backoff(target, time, self.now()) {
--- a/src/direct/state/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -38,6 +38,9 @@
     refused_parts: IntGauge,
     permits: IntCounterVec,
     limited_targets: IntGauge,
+    cold_targets: IntGauge,
+    emptied_data_centres: IntGauge,
+    values_unreadable: IntCounter,
     backing_off_targets: IntGauge,
     configuration: IntGauge,
     in_progress: IntGauge,
@@ -155,6 +158,18 @@
                 "bitternwall_direct_limited_targets",
                 "Targets that have named a rate of requests.",
             )?,
+            cold_targets: gauge(
+                "bitternwall_direct_cold_targets",
+                "Targets that are sent few requests since they are cold.",
+            )?,
+            emptied_data_centres: gauge(
+                "bitternwall_direct_emptied_data_centres",
+                "Data centres that the operator is emptying.",
+            )?,
+            values_unreadable: counter(
+                "bitternwall_direct_values_unreadable_total",
+                "Fields of records and configurations that could not be decoded and were passed over.",
+            )?,
             backing_off_targets: gauge(
                 "bitternwall_direct_backing_off_targets",
                 "Targets that have asked this entry to be left alone.",
@@ -170,6 +185,21 @@
         })
     }
 
+    /// Sets the number of targets that are cold.
+    pub fn cold_targets(&self, targets: usize) {
+        self.cold_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of data centres that the operator is emptying.
+    pub fn emptied_data_centres(&self, data_centres: usize) {
+        self.emptied_data_centres.set(i64::try_from(data_centres).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a field of a record or of a configuration that could not be decoded.
+    pub fn value_unreadable(&self) {
+        self.values_unreadable.inc();
+    }
+
     /// Counts a final answer. `cause` is `answered` for a target's, or the reason for another end.
     pub fn answered(&self, cause: &str) {
         self.answers.with_label_values(&[cause]).inc();
--- a/src/direct/state/mod.rs
+++ b/src/direct/state/mod.rs
@@ -3,3 +3,4 @@
 pub mod entry;
 pub mod metrics;
 pub mod permit_calls;
+mod permit_owners;
--- a/src/direct/state/permit_calls.rs
+++ b/src/direct/state/permit_calls.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 
 use crate::collections::Map;
+use crate::direct::decisions::rate_limits::Rate;
 use crate::direct::known::heartbeat::Heartbeat;
 use crate::direct::known::permit::{Grant, PermitReply, PermitRequest};
 
@@ -41,11 +42,12 @@
     }
 
     /// Asks an entry and waits for its reply.
-    pub async fn ask(&self, name: &str, owner: SocketAddr, target: &str, per_s: f64) -> Grant {
+    pub async fn ask(&self, name: &str, owner: SocketAddr, target: &str, rate: Rate) -> Grant {
         let Some(socket) = self.socket.get() else { return Grant::NoReply };
         let id = self.next_id.get() + 1;
         self.next_id.set(id);
-        let request = PermitRequest { target: target.to_owned(), per_s, id };
+        let Rate { per_s, cold } = rate;
+        let request = PermitRequest { target: target.to_owned(), per_s, id, cold };
         let message = Heartbeat {
             name: name.to_owned(),
             permit_request: Some(request),
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use crate::direct::decisions::warmth::Tolerance;
 use crate::settings::{InvalidValue, common};
 
 /// DirectSettings is the content of the settings file of `bitternwall-platform-entry`.
@@ -33,6 +34,10 @@
     /// How many requests are sent to a target concurrently.
     #[serde(default)]
     pub placement: ConcurrencySettings,
+    /// How much more cold targets tolerate than the requests a second that their service states; cold
+    /// targets are not limited without it.
+    #[serde(default)]
+    pub cold: Option<ColdSettings>,
     /// Interval between heartbeats to other entries, in milliseconds.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
@@ -75,6 +80,20 @@
     /// Time within which an accepted change is in force at all entries, in milliseconds.
     #[serde(default = "default_in_force_ms")]
     pub in_force_ms: u64,
+    /// Time within which the targets of a data centre get no requests any more once the operator asks
+    /// for that, in milliseconds. Without it such requests are not read.
+    #[serde(default)]
+    pub evacuate_ms: Option<u64>,
+}
+
+/// ColdSettings are the requests in one second that a cold target tolerates.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdSettings {
+    /// The factor of the requests a second that the service states.
+    pub overrun: f64,
+    /// Requests in one second in addition.
+    pub slack: f64,
 }
 
 /// RetrySettings are the retry budget: how many times requests may be sent again after a failure.
@@ -175,6 +194,12 @@
         Duration::from_millis(self.store.in_force_ms)
     }
 
+    /// Returns how much more cold targets tolerate; `None` where they are not limited.
+    pub fn cold_tolerance(&self) -> Option<Tolerance> {
+        let ColdSettings { overrun, slack } = *self.cold.as_ref()?;
+        Some(Tolerance { overrun, slack })
+    }
+
     /// Returns the time for which a request is refused after targets crashed under it.
     pub fn crash_refusal(&self) -> Duration {
         Duration::from_millis(self.crash_refusal_ms)
@@ -214,6 +239,15 @@
             let max = in_force_ms.min(60_000);
             common::check_range("store.call_timeout_ms", call_timeout_ms, 10..=max)
         })
+        .or_else(|| {
+            let evacuate_ms = settings.store.evacuate_ms?;
+            common::check_range("store.evacuate_ms", evacuate_ms, 1_500..=600_000)
+        })
+        .or_else(|| {
+            let cold = settings.cold.as_ref()?;
+            common::check_range("cold.overrun", cold.overrun, 1.0..=100.0)
+                .or_else(|| common::check_range("cold.slack", cold.slack, 0.0..=1_000_000.0))
+        })
         .or_else(|| common::check_range("retries.ratio", settings.retries.ratio, 0.0..=10.0))
         .or_else(|| {
             common::check_range("retries.allowance", settings.retries.allowance, 0.0..=1_000_000.0)
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -209,6 +209,15 @@
 /// divided by their number.
 pub const FLEET_GREW: LogEvent =
     LogEvent { number: 7043, severity: Severity::Info, title: "fleet grew" };
+/// The operator began to empty a data centre, or took that back.
+pub const STANDING_CHANGED: LogEvent =
+    LogEvent { number: 7044, severity: Severity::Warning, title: "data centre standing" };
+/// A target is cold, so all entries together send it few requests.
+pub const TARGET_COLD: LogEvent =
+    LogEvent { number: 7045, severity: Severity::Info, title: "target cold" };
+/// A target is no longer cold.
+pub const TARGET_WARM: LogEvent =
+    LogEvent { number: 7046, severity: Severity::Info, title: "target warm" };
 /// A connection could not be accepted.
 pub const ACCEPT_FAILED: LogEvent =
     LogEvent { number: 7050, severity: Severity::Error, title: "connection not accepted" };
@@ -325,6 +334,9 @@
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
     FLEET_GREW,
+    STANDING_CHANGED,
+    TARGET_COLD,
+    TARGET_WARM,
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -6,6 +6,8 @@
 mod backoffs;
 #[path = "direct/budget.rs"]
 mod budget;
+#[path = "direct/cold_targets.rs"]
+mod cold_targets;
 #[path = "direct/connections.rs"]
 mod connections;
 #[path = "direct/crash_history.rs"]
@@ -14,6 +16,8 @@
 mod crash_store;
 #[path = "direct/crashing_parts.rs"]
 mod crashing_parts;
+#[path = "direct/evacuation.rs"]
+mod evacuation;
 #[path = "direct/experts.rs"]
 mod experts;
 #[path = "direct/group_load.rs"]
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -27,6 +27,8 @@
         crash_refusal: Duration::from_secs(600),
         heartbeat_interval: Duration::from_millis(100),
         in_force_time: Duration::from_secs(2),
+        empties_data_centres: false,
+        cold_tolerance: None,
     };
     let protocol = TargetProtocol {
         encode: |_| actix_http::header::HeaderMap::new(),
--- a/tests/direct/replication.rs
+++ b/tests/direct/replication.rs
@@ -333,7 +333,7 @@
         let mut received = Vec::new();
         for index in (0..entries).filter(|index| !has.contains(index)) {
             draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
-            let known = KnownVersions { version: 1, targets_at: at(0) };
+            let known = KnownVersions { version: 1, ..KnownVersions::default() };
             let near = data_centre(index);
             let source =
                 peers.find_newer(known, &near, draw >> 33, HEARTBEAT_INTERVAL, Duration::ZERO);
@@ -364,7 +364,8 @@
     let ahead = Heartbeat { version: 3, targets_at: 9, ..heartbeat("a", 1) };
     peers.record_heartbeat(ahead, from(1), Duration::ZERO);
     let source = |version, targets_at| {
-        let known = KnownVersions { version, targets_at: at(targets_at) };
+        let targets_at = at(targets_at);
+        let known = KnownVersions { version, targets_at, ..KnownVersions::default() };
         peers
             .find_newer(known, "dc", 0, HEARTBEAT_INTERVAL, Duration::ZERO)
             .map(|peer| peer.heartbeat.name.as_str())
--- a/tests/direct/store_eras.rs
+++ b/tests/direct/store_eras.rs
@@ -150,7 +150,7 @@
     };
     peers.record_heartbeat(ahead, ([10, 0, 0, 1], 7_000).into(), Duration::ZERO);
     let source = |targets_at| {
-        let known = KnownVersions { version: 3, targets_at };
+        let known = KnownVersions { version: 3, targets_at, ..KnownVersions::default() };
         peers.find_newer(known, "dc", 0, HEARTBEAT_INTERVAL, Duration::ZERO).is_some()
     };
     assert!(source(position(1, 500)));
--- a/tests/direct/target_choice.rs
+++ b/tests/direct/target_choice.rs
@@ -20,6 +20,7 @@
         slots: 4,
         leaving: false,
         started_unix_ms: Some(1),
+        cold_left: Ok(None),
     }
 }
 
