--- a/src/direct/state/mod.rs
+++ b/src/direct/state/mod.rs
@@ -3,4 +3,5 @@
 pub mod entry;
 pub mod metrics;
 pub mod permit_calls;
+mod permit_owners;
 pub mod places;
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -8,6 +8,8 @@
 mod budget;
 #[path = "direct/choice_replay.rs"]
 mod choice_replay;
+#[path = "direct/cold_targets.rs"]
+mod cold_targets;
 #[path = "direct/connections.rs"]
 mod connections;
 #[path = "direct/crash_history.rs"]
@@ -16,6 +18,8 @@
 mod crash_store;
 #[path = "direct/crashing_parts.rs"]
 mod crashing_parts;
+#[path = "direct/evacuation.rs"]
+mod evacuation;
 #[path = "direct/experts.rs"]
 mod experts;
 #[path = "direct/group_load.rs"]
