A service that stays unavailable refuses at once

Cause: callers of a group that lacks ranks waited 1.6 s each for it, however long it had been closed (docs/measurements/small-fleets.md). After ten seconds without an available target requests no longer wait; event 7072.

--- a/src/direct/decisions/mod.rs
+++ b/src/direct/decisions/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempts;
 pub mod backoffs;
 pub mod departures;
+pub mod outages;
 pub mod pass_time;
 pub mod rate_limits;
 pub mod read_times;
--- a/src/direct/decisions/targets.rs
+++ b/src/direct/decisions/targets.rs
@@ -11,6 +11,7 @@
 use crate::collections::{Map, Set};
 use crate::direct::decisions::backoffs::Backoffs;
 use crate::direct::decisions::departures::Departures;
+use crate::direct::decisions::outages::Outages;
 use crate::direct::decisions::pass_time::GroupPassTimes;
 use crate::direct::decisions::rate_limits::RateLimits;
 use crate::direct::decisions::target_state::TargetState;
@@ -39,6 +40,8 @@
     pub(in crate::direct) backoffs: Backoffs,
     /// The targets that have said that they leave.
     pub(in crate::direct) departures: Departures,
+    /// The outages of services.
+    pub(in crate::direct) outages: Outages,
     pub(super) data_centre: String,
     /// Heartbeat intervals between two loads that an entry of another data centre sends.
     pub(super) remote_load_age: f64,
--- a/src/direct/exchange/mod.rs
+++ b/src/direct/exchange/mod.rs
@@ -4,6 +4,7 @@
 pub mod call;
 pub mod crash_probe;
 pub mod forward;
+mod outage;
 pub mod prompt_parts;
 pub mod relay;
 mod round_trip;
--- a/src/direct/exchange/slot_wait.rs
+++ b/src/direct/exchange/slot_wait.rs
@@ -11,6 +11,7 @@
 use crate::direct::decisions::admission::{self, ServiceLoad};
 use crate::direct::decisions::target_choice::{Criteria, NoChoice};
 use crate::direct::exchange::call::Call;
+use crate::direct::exchange::outage;
 use crate::direct::exchange::slot::Slot;
 use crate::direct::known::crash_memory::Subject;
 use crate::direct::known::target::Target;
@@ -23,7 +24,8 @@
 pub type Result<T> = result::Result<T, LocalAnswer>;
 
 /// Chooses a target and acquires a slot there, waiting up to `max_wait` for one. While all targets
-/// are unavailable the limit is that of [`admission::max_outage_wait`], if it is longer.
+/// are unavailable the limit is that of [`admission::max_outage_wait`], if it is longer and the
+/// outage is not a long one.
 ///
 /// # Errors
 ///
@@ -51,6 +53,7 @@
                 continue;
             }
             Ok(choice) => {
+                outage::record_available(call);
                 let slot = Slot::acquire(&entry, &choice.target.id);
                 break Ok((choice.target, slot));
             }
@@ -62,6 +65,7 @@
             NoChoice::AllLimited => {
                 max_wait.max(admission::max_permit_wait(call.route.objective, call.time_left()))
             }
+            NoChoice::AllUnavailable if outage::is_long(call) => max_wait,
             NoChoice::AllUnavailable | NoChoice::AllBackingOff => {
                 max_wait.max(admission::max_outage_wait(call.time_left()))
             }
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -218,6 +218,9 @@
 /// The settings file could not be read again; the previous settings stay in force.
 pub const SETTINGS_REFUSED: LogEvent =
     LogEvent { number: 7052, severity: Severity::Error, title: "settings refused" };
+/// A service has had no available target for so long that requests for it no longer wait.
+pub const OUTAGE_LASTS: LogEvent =
+    LogEvent { number: 7072, severity: Severity::Warning, title: "outage lasts" };
 /// The agent could not fetch the list of the other ranks from an entry, and tries the next one.
 pub const ENTRIES_UNREACHABLE: LogEvent =
     LogEvent { number: 8001, severity: Severity::Warning, title: "entries lost" };
@@ -328,6 +331,7 @@
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
+    OUTAGE_LASTS,
     ENTRIES_UNREACHABLE,
     ENTRIES_REACHABLE,
     ENGINE_UNREACHABLE,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -28,6 +28,8 @@
 mod replication;
 #[path = "direct/silent_targets.rs"]
 mod silent_targets;
+#[path = "direct/small_fleets.rs"]
+mod small_fleets;
 #[path = "direct/stopping.rs"]
 mod stopping;
 #[path = "direct/store_eras.rs"]
