What is held for slow callers has a budget

Cause: the entry read an answer from its target only as fast as its caller read, beyond 32 KB, so slow callers kept targets busy; bodies of requests were held without limit, and once more while they were sent. Change: a connection takes more than the kernel does while the budget of the process allows it, as much as is still free; a large body is admitted whole or refused at once; settings buffers.*, gauges, events 7070 and 7071.

--- a/src/direct/connections/framing.rs
+++ b/src/direct/connections/framing.rs
@@ -1,10 +1,11 @@
-//! The limit on the framing of chunked bodies.
+//! The framing of bodies, and the limit on that of chunked ones.
 //!
 //! Sizes of chunks, extensions and trailers are discarded as they arrive, so no limit on the length
 //! of an answer applies to them, and they could go on without end.
 
 use std::result;
 
+use actix_http::{ResponseHead, StatusCode, header};
 use bytes::Bytes;
 
 /// The result of counting framing.
@@ -44,3 +45,11 @@
         }
     }
 }
+
+/// Returns true if an answer has a body whose end is only marked by the end of the connection.
+pub(super) fn is_unframed(head: &ResponseHead) -> bool {
+    let bodyless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    !bodyless && !framed
+}
--- a/src/direct/connections/http.rs
+++ b/src/direct/connections/http.rs
@@ -15,7 +15,7 @@
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{
     ConnectionType, KeepAlive, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
-    ServiceConfigBuilder, StatusCode, Uri,
+    ServiceConfigBuilder, Uri,
 };
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -24,7 +24,7 @@
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
 use crate::direct::connections::event_stream::EventTooLong;
-use crate::direct::connections::framing::{Framing, FramingTooLong};
+use crate::direct::connections::framing::{self, Framing, FramingTooLong};
 use crate::direct::connections::turn::Turn;
 use crate::telemetry::events;
 
@@ -40,6 +40,10 @@
 /// The interim answers (1xx) that are skipped before one final answer.
 const MAX_INTERIM_HEADS: usize = 32;
 
+/// The longest body that is copied to be sent with its head at once. A target that reads slowly would
+/// otherwise make the entry hold a long one twice.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+
 /// The work on a piece besides the reading of its bytes, as a number of bytes.
 const PIECE_WORK_BYTES: usize = 512;
 
@@ -220,13 +224,18 @@
         head.headers = request.headers.clone();
         head.set_connection_type(ConnectionType::KeepAlive);
         let size = body_size(request);
-        let mut out = BytesMut::with_capacity(1024 + request.body.len());
+        let is_large = request.body.len() > MAX_COPIED_BODY_BYTES;
+        let mut out = BytesMut::with_capacity(1024 + request.body.len().min(MAX_COPIED_BODY_BYTES));
         let head = RequestHeadType::Owned(head);
         codec.encode(Message::Item((head, size)), &mut out)?;
-        if !request.body.is_empty() {
+        if !request.body.is_empty() && !is_large {
             codec.encode(Message::Chunk(Some(request.body.clone())), &mut out)?;
         }
         self.stream.write_all(&out).await?;
+        if is_large {
+            // The body has a length, so it is sent as it is.
+            self.stream.write_all(&request.body).await?;
+        }
         Ok(())
     }
 
@@ -267,7 +276,7 @@
         self.framing = Framing::default();
         self.keep_alive = codec.keep_alive();
         let has_body = codec.message_type() != MessageType::None;
-        self.unframed = is_unframed(head);
+        self.unframed = framing::is_unframed(head);
         self.stage = if self.unframed {
             self.keep_alive = false;
             Stage::UntilClose
@@ -384,11 +393,3 @@
         Err(_) => BodySize::Sized(u64::MAX),
     }
 }
-
-/// Returns true if an answer has a body whose end is only marked by the end of the connection.
-fn is_unframed(head: &ResponseHead) -> bool {
-    let bodyless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
-    !bodyless && !framed
-}
--- a/src/direct/connections/listener.rs
+++ b/src/direct/connections/listener.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
 
-use crate::direct::connections::backlog::{Backlog, CountedStream};
+use crate::direct::connections::backlog::{self, Backlog, CountedStream};
 use crate::telemetry::events;
 
 /// The result of starting a server.
@@ -79,10 +79,11 @@
     let service = factory.new_service(()).await.map_err(|_| ListenError::Routes { address })?;
     let service = Rc::new(service);
     let backlog = backlog.clone();
+    let leftovers = backlog::write_leftovers(idle_timeout);
     actix_rt::spawn(accept(listener, address, move |stream| {
         let service = Rc::clone(&service);
         let peer = stream.peer_addr().ok();
-        let stream = backlog.count(stream);
+        let stream = backlog.count(stream, leftovers.clone());
         actix_rt::spawn(async move {
             // An error means that the client or a timeout ended the connection, which is no fault.
             let ready = future::poll_fn(|cx| Service::<Accepted>::poll_ready(&*service, cx));
--- a/src/direct/connections/mod.rs
+++ b/src/direct/connections/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, targets and other processes: HTTP/1.1, framing, pools and listeners.
 
 pub mod backlog;
+pub mod buffers;
 pub mod event_stream;
 pub mod framing;
 pub mod http;
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -90,7 +90,9 @@
         heartbeat_interval: settings.heartbeat_interval(),
         in_force_time: settings.in_force_time(),
     };
-    let entry = Rc::new(Entry::new(clock.clone(), options, adapter.protocol, metrics));
+    let mut entry = Entry::new(clock.clone(), options, adapter.protocol, metrics);
+    entry.backlog = Backlog::within(settings.buffers.limits());
+    let entry = Rc::new(entry);
     let sync = Rc::new(StateSync {
         entry: Rc::clone(&entry),
         store: Rc::new((adapter.store)(&settings, &clock)),
@@ -240,6 +242,7 @@
 fn run_housekeeping(sync: &StateSync) {
     let entry = &sync.entry;
     let now = entry.now();
+    entry.report_buffers();
     sync.apply_due_removals();
     sync.release_withheld();
     sync.report_ages();
--- a/src/direct/exchange/round_trip.rs
+++ b/src/direct/exchange/round_trip.rs
@@ -83,9 +83,13 @@
     let answer = read_answer(call, connection).await?;
     let streamed = call.wants_events() && answer.status.is_success();
     let mut buf = BytesMut::new();
+    let buffers = call.entry.backlog.buffers();
+    let mut held = buffers.hold();
+    let limit = buffers.document_room(MAX_BUFFERED_BYTES);
     while let Some(piece) = connection.piece().await? {
         buf.extend_from_slice(&piece);
-        if (streamed && !buf.is_empty()) || buf.len() > MAX_BUFFERED_BYTES {
+        held.set(buf.len());
+        if (streamed && !buf.is_empty()) || buf.len() > limit {
             return Ok((answer, Body::Partial(buf.freeze())));
         }
     }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -129,6 +129,8 @@
     UnknownKey,
     /// The body exceeds the configured limit.
     TooLarge,
+    /// The body does not fit into the entry's buffers now.
+    BuffersFull,
     /// The entry is stopping and refuses new requests.
     Stopping,
     /// The service has no target that was not tried already.
@@ -165,6 +167,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::TooLarge => "too_large",
+            Self::BuffersFull => "buffers_full",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
             Self::TargetsPaused => "targets_paused",
@@ -186,6 +189,7 @@
             Self::NoRoute => "No route fits",
             Self::UnknownKey => "Unknown key",
             Self::TooLarge => "Body too large",
+            Self::BuffersFull => "The entry has no room for the body",
             Self::Stopping => "The entry is stopping",
             Self::NoTarget => "No target is there",
             Self::TargetsPaused => "All targets failed lately",
@@ -209,6 +213,7 @@
             Self::NoRoute => "/problems/no-route",
             Self::UnknownKey => "/problems/unknown-key",
             Self::TooLarge => "/problems/too-large",
+            Self::BuffersFull => "/problems/buffers-full",
             Self::Stopping => "/problems/stopping",
             Self::NoTarget => "/problems/no-target",
             Self::TargetsPaused => "/problems/targets-paused",
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -129,6 +129,8 @@
     service_loads: RefCell<Map<String, ServiceLoad>>,
     /// The size of the fleet that was logged last; 0 while it is unknown.
     known_entries: Cell<u32>,
+    /// True if buffers were short when that was logged last.
+    pub(super) buffers_were_short: Cell<bool>,
     budgets: RefCell<Map<String, (Budget, Duration)>>,
 }
 
@@ -162,6 +164,7 @@
             probes: RefCell::default(),
             service_loads: RefCell::default(),
             known_entries: Cell::new(0),
+            buffers_were_short: Cell::new(false),
             budgets: RefCell::default(),
             options,
         }
--- a/src/direct/state/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -41,6 +41,8 @@
     backing_off_targets: IntGauge,
     configuration: IntGauge,
     in_progress: IntGauge,
+    buffered_bytes: IntGauge,
+    refused_bodies: IntGauge,
 }
 
 impl Metrics {
@@ -167,6 +169,14 @@
                 "bitternwall_direct_requests_in_progress",
                 "Requests without a final answer.",
             )?,
+            buffered_bytes: gauge(
+                "bitternwall_direct_buffered_bytes",
+                "Bytes held for callers that read or send slowly, and bodies of requests.",
+            )?,
+            refused_bodies: gauge(
+                "bitternwall_direct_bodies_refused",
+                "Requests refused since their bodies did not fit into the buffers.",
+            )?,
         })
     }
 
@@ -297,4 +307,10 @@
     pub fn in_progress(&self, requests: usize) {
         self.in_progress.set(i64::try_from(requests).unwrap_or(i64::MAX));
     }
+
+    /// Shows the bytes buffered for callers, and the requests refused for their bodies so far.
+    pub fn buffers(&self, used: usize, refused_bodies: u64) {
+        self.buffered_bytes.set(i64::try_from(used).unwrap_or(i64::MAX));
+        self.refused_bodies.set(i64::try_from(refused_bodies).unwrap_or(i64::MAX));
+    }
 }
--- a/src/direct/state/mod.rs
+++ b/src/direct/state/mod.rs
@@ -1,5 +1,6 @@
 //! The state that the tasks of one entry process share.
 
+mod buffer_report;
 pub mod entry;
 pub mod metrics;
 pub mod permit_calls;
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -218,6 +218,12 @@
 /// The settings file could not be read again; the previous settings stay in force.
 pub const SETTINGS_REFUSED: LogEvent =
     LogEvent { number: 7052, severity: Severity::Error, title: "settings refused" };
+/// Buffers for callers became short, or free again.
+pub const BUFFERS_SHORT: LogEvent =
+    LogEvent { number: 7070, severity: Severity::Warning, title: "buffers short" };
+/// A request was refused since its body does not fit into the buffers.
+pub const BODY_REFUSED: LogEvent =
+    LogEvent { number: 7071, severity: Severity::Info, title: "body refused" };
 /// A service has had no available target for so long that requests for it no longer wait.
 pub const OUTAGE_LASTS: LogEvent =
     LogEvent { number: 7072, severity: Severity::Warning, title: "outage lasts" };
@@ -331,6 +337,8 @@
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
+    BUFFERS_SHORT,
+    BODY_REFUSED,
     OUTAGE_LASTS,
     ENTRIES_UNREACHABLE,
     ENTRIES_REACHABLE,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -28,6 +28,8 @@
 mod replication;
 #[path = "direct/silent_targets.rs"]
 mod silent_targets;
+#[path = "direct/slow_readers.rs"]
+mod slow_readers;
 #[path = "direct/small_fleets.rs"]
 mod small_fleets;
 #[path = "direct/stopping.rs"]
