--- a/tests/documentation/problems.rs
+++ b/tests/documentation/problems.rs
@@ -82,7 +82,7 @@
 /// docs/OPERATIONS.md lists the metrics of the platform's programs and no others.
 #[test]
 fn every_metric_of_the_direct_path_is_on_the_page_of_operations() {
-    let mut registered = literals("src/direct/metrics.rs", "bitternwall_direct_");
+    let mut registered = literals("src/direct/state/metrics.rs", "bitternwall_direct_");
     registered.append(&mut literals("src/ranks/metrics.rs", "bitternwall_rank_"));
     assert!(registered.len() > 10, "{registered:?}");
     let page = read("docs/OPERATIONS.md");
