--- a/src/direct/decisions/mod.rs
+++ b/src/direct/decisions/mod.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod demand;
 pub mod departures;
+pub mod outages;
 pub mod pass_time;
 pub mod rate_limits;
 pub mod read_times;
--- a/src/direct/decisions/targets.rs
+++ b/src/direct/decisions/targets.rs
@@ -11,6 +11,7 @@
 use crate::collections::{Map, Set};
 use crate::direct::decisions::backoffs::Backoffs;
 use crate::direct::decisions::departures::Departures;
+use crate::direct::decisions::outages::Outages;
 use crate::direct::decisions::pass_time::GroupPassTimes;
 use crate::direct::decisions::rate_limits::RateLimits;
 use crate::direct::decisions::target_state::TargetState;
@@ -49,6 +50,8 @@
     pub(super) tolerance: Option<Tolerance>,
     /// The data centres that the operator is emptying.
     pub(super) emptied: Set<String>,
+    /// The outages of services.
+    pub(in crate::direct) outages: Outages,
     pub(super) data_centre: String,
     /// Heartbeat intervals between two loads that an entry of another data centre sends.
     pub(super) remote_load_age: f64,
--- a/src/direct/exchange/mod.rs
+++ b/src/direct/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod claim;
 pub mod crash_probe;
 pub mod forward;
+mod outage;
 pub mod prompt_parts;
 pub mod relay;
 mod round_trip;
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -132,6 +132,8 @@
     UnknownKey,
     /// The body exceeds the configured limit.
     TooLarge,
+    /// The body does not fit into the entry's buffers now.
+    BuffersFull,
     /// The entry is stopping and refuses new requests.
     Stopping,
     /// The service has no target that was not tried already.
@@ -170,6 +172,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::TooLarge => "too_large",
+            Self::BuffersFull => "buffers_full",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
             Self::Emptied => "emptied",
@@ -192,6 +195,7 @@
             Self::NoRoute => "No route fits",
             Self::UnknownKey => "Unknown key",
             Self::TooLarge => "Body too large",
+            Self::BuffersFull => "The entry has no room for the body",
             Self::Stopping => "The entry is stopping",
             Self::NoTarget => "No target is there",
             Self::Emptied => "The data centres of all targets are being emptied",
@@ -216,6 +220,7 @@
             Self::NoRoute => "/problems/no-route",
             Self::UnknownKey => "/problems/unknown-key",
             Self::TooLarge => "/problems/too-large",
+            Self::BuffersFull => "/problems/buffers-full",
             Self::Stopping => "/problems/stopping",
             Self::NoTarget => "/problems/no-target",
             Self::Emptied => "/problems/emptied",
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -233,6 +233,15 @@
 /// A request got a place after it had waited, where requests for its service differ in urgency.
 pub const PLACE_GRANTED: LogEvent =
     LogEvent { number: 7054, severity: Severity::Info, title: "place granted" };
+/// Buffers for callers became short, or free again.
+pub const BUFFERS_SHORT: LogEvent =
+    LogEvent { number: 7070, severity: Severity::Warning, title: "buffers short" };
+/// A request was refused since its body does not fit into the buffers.
+pub const BODY_REFUSED: LogEvent =
+    LogEvent { number: 7071, severity: Severity::Info, title: "body refused" };
+/// A service has had no available target for so long that requests for it no longer wait.
+pub const OUTAGE_LASTS: LogEvent =
+    LogEvent { number: 7072, severity: Severity::Warning, title: "outage lasts" };
 /// The agent could not fetch the list of the other ranks from an entry, and tries the next one.
 pub const ENTRIES_UNREACHABLE: LogEvent =
     LogEvent { number: 8001, severity: Severity::Warning, title: "entries lost" };
@@ -346,6 +355,9 @@
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
+    BUFFERS_SHORT,
+    BODY_REFUSED,
+    OUTAGE_LASTS,
     ENTRIES_UNREACHABLE,
     ENTRIES_REACHABLE,
     ENGINE_UNREACHABLE,
