Few emptied data centres go in the heartbeat instead of a fetch

Cause (by reading, not traced): an entry that reads the store later than the others has a later position for the same standing. All the others then fetched from it alone, before they looked for a newer configuration, also where entries had just started during a storm of large configurations.

Change: heartbeats carry the standing where its names are short, and a newer configuration is fetched first again.

--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -5,6 +5,7 @@
 use crate::direct::known::cluster_state::KnownVersions;
 use crate::direct::known::crash_record::CrashReport;
 use crate::direct::known::permit::{PermitReply, PermitRequest, RateReport};
+use crate::direct::known::standing::StandingMessage;
 use crate::direct::known::store::Position;
 
 /// The periodic message of an entry to the others. An agent beside a rank sends it too, with `name`
@@ -82,6 +83,9 @@
     /// The store's revision of that; 0 for nothing.
     #[prost(uint64, tag = "23")]
     pub standing_at: u64,
+    /// The data centres that are being emptied, where they are few.
+    #[prost(message, optional, tag = "24")]
+    pub standing: Option<StandingMessage>,
 }
 
 impl Heartbeat {
--- a/src/direct/known/peers.rs
+++ b/src/direct/known/peers.rs
@@ -304,8 +304,8 @@
     }
 
     /// Returns a live entry that has a newer cluster state than the one known, in `data_centre` if
-    /// possible. What is newer of data centres that are
-    /// being emptied goes first, then a newer configuration. `draw` is any random
+    /// possible. A newer configuration goes first, the target
+    /// list last. `draw` is any random
     /// number; it spreads the requests over the entries that have the newer state, so that a change
     /// reaches a fleet sooner than one entry could send it to all.
     pub fn find_newer(
@@ -325,8 +325,8 @@
             let index = draw.checked_rem(u64::try_from(candidates.len()).ok()?)?;
             candidates.get(usize::try_from(index).ok()?).copied()
         };
-        pick(&|heartbeat| heartbeat.known().standing_at > known.standing_at)
-            .or_else(|| pick(&|heartbeat| heartbeat.version > known.version))
+        pick(&|heartbeat| heartbeat.version > known.version)
+            .or_else(|| pick(&|heartbeat| heartbeat.known().standing_at > known.standing_at))
             .or_else(|| pick(&|heartbeat| heartbeat.known().targets_at > known.targets_at))
     }
 }
--- a/src/direct/known/standing.rs
+++ b/src/direct/known/standing.rs
@@ -6,6 +6,12 @@
 use crate::collections::Map;
 use crate::direct::known::store::Position;
 
+/// Bytes of the longest list of data centres in a heartbeat. Entries fetch a longer one.
+const MAX_BRIEF_BYTES: usize = 200;
+
+/// Bytes of one data centre in a heartbeat beside its name.
+const NAME_OVERHEAD: usize = 16;
+
 /// The data centres that are being emptied. Their targets get no requests until the operator takes
 /// that back.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -60,3 +66,55 @@
         true
     }
 }
+
+/// Which data centres are being emptied, as entries send it to each other.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StandingMessage {
+    #[prost(message, repeated, tag = "1")]
+    emptied: Vec<EmptiedMessage>,
+    /// The store's era of what is known.
+    #[prost(uint64, tag = "2")]
+    era: u64,
+    /// The store's revision of that.
+    #[prost(uint64, tag = "3")]
+    revision: u64,
+}
+
+/// A data centre that is being emptied.
+#[derive(Clone, PartialEq, prost::Message)]
+struct EmptiedMessage {
+    #[prost(string, tag = "1")]
+    name: String,
+    /// The store's revision of the operator's request.
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+}
+
+impl StandingMessage {
+    /// Returns the message if the standing is newer than a position.
+    pub fn newer(standing: &Standing, known: Position) -> Option<Self> {
+        let Position { era, revision } = standing.position();
+        let emptied = standing
+            .emptied()
+            .map(|(name, revision)| EmptiedMessage { name: name.to_owned(), revision });
+        let message = || Self { emptied: emptied.collect(), era, revision };
+        (standing.position() > known).then(message)
+    }
+    /// Returns the message for a heartbeat; `None` if it is too long for that.
+    pub fn brief(standing: &Standing) -> Option<Self> {
+        let bytes: usize = standing.emptied.keys().map(|name| name.len() + NAME_OVERHEAD).sum();
+        (bytes <= MAX_BRIEF_BYTES).then(|| Self::newer(standing, Position::default())).flatten()
+    }
+
+    /// Returns the position up to which changes are known.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, revision: self.revision }
+    }
+
+    /// Returns the data centres that are being emptied, and the position.
+    pub fn content(self) -> (Map<String, u64>, Position) {
+        let position = self.position();
+        let emptied = self.emptied.into_iter().map(|emptied| (emptied.name, emptied.revision));
+        (emptied.collect(), position)
+    }
+}
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -20,10 +20,10 @@
 use crate::direct::connections::internal::{self, ExchangeError, InternalRequest};
 use crate::direct::known::cluster_state::{ClusterState, KnownVersions, TargetRecord};
 use crate::direct::known::heartbeat::{Heartbeat, Load};
+use crate::direct::known::standing::StandingMessage;
 use crate::direct::known::store::{Collection, Item, Position};
 use crate::direct::peering::permits;
 use crate::direct::peering::rank_notices;
-use crate::direct::peering::standing::StandingMessage;
 use crate::direct::peering::sync::StateSync;
 use crate::direct::state::entry::Entry;
 use crate::telemetry::events;
@@ -178,6 +178,7 @@
         permit_reply: None,
         configuration_age_ms: age_ms(entry, Collection::Configuration),
         targets_age_ms: age_ms(entry, Collection::Targets),
+        standing: StandingMessage::brief(state.standing()),
     }
 }
 
@@ -227,6 +228,7 @@
     entry.merge_crashes(&mem::take(&mut heartbeat.crashes), &name);
     entry.merge_rates(&mem::take(&mut heartbeat.rates), &name);
     let known = heartbeat.known();
+    let standing = heartbeat.standing.take();
     let KnownVersions { version, targets_at, standing_at } = known;
     let ages = [heartbeat.configuration_age_ms, heartbeat.targets_age_ms];
     let update = entry.peers.borrow_mut().record_heartbeat(heartbeat, from, now);
@@ -244,6 +246,9 @@
         entry.loads_changed.set(true);
         entry.slots_changed.notify_one();
     }
+    if let Some(standing) = standing.filter(|_| standing_at > entry.standing_at()) {
+        sync.apply_standing_message(standing, &name);
+    }
     sync.record_confirmed_by_peer(known, ages);
     let state = entry.cluster_state.borrow();
     let own = state.known();
--- a/src/direct/peering/standing.rs
+++ b/src/direct/peering/standing.rs
@@ -1,46 +1,11 @@
 //! Applies what the operator asks of data centres and of cold targets to an entry.
 
 use crate::collections::{Map, Set};
-use crate::direct::known::standing::Standing;
+use crate::direct::known::standing::StandingMessage;
 use crate::direct::known::store::{Change, OperatorItem, Position};
 use crate::direct::peering::sync::StateSync;
 use crate::telemetry::events;
 
-/// Which data centres are being emptied, as entries send it to each other.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct StandingMessage {
-    #[prost(message, repeated, tag = "1")]
-    emptied: Vec<EmptiedMessage>,
-    /// The store's era of what is known.
-    #[prost(uint64, tag = "2")]
-    era: u64,
-    /// The store's revision of that.
-    #[prost(uint64, tag = "3")]
-    revision: u64,
-}
-
-/// A data centre that is being emptied.
-#[derive(Clone, PartialEq, prost::Message)]
-struct EmptiedMessage {
-    #[prost(string, tag = "1")]
-    name: String,
-    /// The store's revision of the operator's request.
-    #[prost(uint64, tag = "2")]
-    revision: u64,
-}
-
-impl StandingMessage {
-    /// Returns the message if the standing is newer than a position.
-    pub fn newer(standing: &Standing, known: Position) -> Option<Self> {
-        let Position { era, revision } = standing.position();
-        let emptied = standing
-            .emptied()
-            .map(|(name, revision)| EmptiedMessage { name: name.to_owned(), revision });
-        let message = || Self { emptied: emptied.collect(), era, revision };
-        (standing.position() > known).then(message)
-    }
-}
-
 impl StateSync {
     /// Applies a change of what the operator asks for, in an era of the store.
     pub(super) fn apply_operator_item(&self, change: &Change, era: u64) {
@@ -81,9 +46,8 @@
 
     /// Applies what another entry knows of data centres that are being emptied.
     pub(super) fn apply_standing_message(&self, message: StandingMessage, source: &str) {
-        let at = Position { era: message.era, revision: message.revision };
-        let emptied = message.emptied.into_iter().map(|emptied| (emptied.name, emptied.revision));
-        self.replace_standing(emptied.collect(), at, source);
+        let (emptied, at) = message.content();
+        self.replace_standing(emptied, at, source);
     }
 
     fn emptied(&self) -> Set<String> {
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -25,6 +25,7 @@
 use crate::direct::known::crash_record::{Crash, CrashReport};
 use crate::direct::known::peers::Peers;
 use crate::direct::known::permit::RateReport;
+use crate::direct::known::store::Position;
 use crate::direct::known::target::{Outcome, Target};
 use crate::direct::message::TargetProtocol;
 use crate::direct::state::metrics::Metrics;
@@ -189,6 +190,11 @@
         !self.is_stopping() && state.configuration().is_some() && may_send
     }
 
+    /// Returns the position of what is known of data centres that are being emptied.
+    pub fn standing_at(&self) -> Position {
+        self.cluster_state.borrow().standing().position()
+    }
+
     /// Returns true unless data centres may be emptied of which the entry has not heard yet.
     pub fn knows_standing(&self) -> bool {
         !self.options.empties_data_centres || self.cluster_state.borrow().standing().is_known()
--- a/tests/direct/evacuation.rs
+++ b/tests/direct/evacuation.rs
@@ -8,7 +8,7 @@
 use bitternwall::direct::known::cluster_state::KnownVersions;
 use bitternwall::direct::known::heartbeat::Heartbeat;
 use bitternwall::direct::known::peers::Peers;
-use bitternwall::direct::known::standing::Standing;
+use bitternwall::direct::known::standing::{Standing, StandingMessage};
 use bitternwall::direct::known::store::Position;
 use bitternwall::direct::known::target::Target;
 
@@ -155,3 +155,19 @@
     assert!(source(at(6)));
     assert!(!source(at(7)));
 }
+
+#[test]
+fn heartbeats_tell_of_few_data_centres_and_the_rest_is_fetched() {
+    let few = known(&[("kgn-b", 7)], 7);
+    let (emptied, position) = StandingMessage::brief(&few).expect("few").content();
+    let mut heard = Standing::default();
+    assert!(heard.replace(emptied, position));
+    assert_eq!(heard, few);
+    let many: Vec<(String, u64)> = (0..40).map(|index| (format!("typo-{index}"), index)).collect();
+    let mut standing = Standing::default();
+    standing.replace(many.into_iter().collect(), at(40));
+    assert!(StandingMessage::brief(&standing).is_none());
+    let (emptied, position) = StandingMessage::newer(&standing, at(39)).expect("newer").content();
+    assert_eq!((emptied.len(), position), (40, at(40)));
+    assert!(StandingMessage::newer(&standing, at(40)).is_none());
+}
