--- a/src/direct/decisions/demand.rs
+++ b/src/direct/decisions/demand.rs
@@ -1,8 +1,8 @@
 //! How many requests of each urgency have come lately, and how many of them got a place.
 //!
 //! Load pattern: a shortage in which the more urgent requests alone would take all places. A kind
-//! that gets far fewer places than all kinds on average is starved, and is preferred until it has
-//! caught up, so that none is shut out.
+//! that gets far fewer places than all kinds on average is preferred until it has caught up, so that
+//! none is shut out.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,9 +13,16 @@
 /// The time over which the share of served requests is averaged.
 const SERVED_TIME: Duration = Duration::from_secs(10);
 
-/// The share of the served requests of all kinds below which a kind is starved. Callers are owed a
-/// quarter; the rest covers that entries count for themselves.
-const STARVED_SHARE: f64 = 0.4;
+/// The share of what all kinds get on average below which a kind goes before all others. Callers are
+/// owed a quarter; the rest covers that entries count for themselves.
+const STARVED_SHARE: f64 = 0.3;
+
+/// The share of what all kinds get on average below which a kind is taken for the next more urgent
+/// one.
+const NEGLECTED_SHARE: f64 = 0.35;
+
+/// The urgency that no other one goes before.
+const MOST_URGENT: u8 = 0;
 
 /// Kinds that a heartbeat reports, the most urgent first; the limit keeps it within one packet.
 const MAX_REPORTED: usize = 8;
@@ -85,15 +92,23 @@
         (before + draw) / count(self.kinds.len()).max(before + 1.0)
     }
 
-    /// Returns true if requests of this urgency have got far fewer places than all on average.
-    pub fn is_starved(&self, urgency: u8, now: Duration) -> bool {
-        let Some(kind) = self.kinds.get(&urgency) else { return false };
+    /// Returns the urgency by which a request of this urgency gets a place now: its own, or a greater
+    /// one while such requests have got far fewer places than all on average.
+    pub fn effective_urgency(&self, urgency: u8, now: Duration) -> u8 {
+        let Some(kind) = self.kinds.get(&urgency) else { return urgency };
         let sum = |part: fn(&Kind) -> FadingSum| -> f64 {
             self.kinds.values().map(|kind| part(kind).at(now, SERVED_TIME)).sum()
         };
         let (all_asked, all_served) = (sum(|kind| kind.asked), sum(|kind| kind.served));
         let asked = kind.asked.at(now, SERVED_TIME);
         let served = kind.served.at(now, SERVED_TIME);
-        served * all_asked < STARVED_SHARE * all_served * asked
+        let is_below = |share: f64| served * all_asked < share * all_served * asked;
+        if is_below(STARVED_SHARE) {
+            return MOST_URGENT;
+        }
+        match self.kinds.range(..urgency).next_back() {
+            Some((next, _)) if is_below(NEGLECTED_SHARE) => *next,
+            _ => urgency,
+        }
     }
 }
--- a/src/direct/exchange/call.rs
+++ b/src/direct/exchange/call.rs
@@ -43,7 +43,7 @@
     pub service: String,
     /// The name of the customer that holds the key; `None` if the route needs no key.
     pub customer: Option<String>,
-    /// How urgent it is, by the customer's priority or else the route's; 0 is the most urgent.
+    /// How urgent it is among the requests for its service; 0 is the most urgent.
     pub urgency: u8,
     /// True if the requests for the service differ in urgency.
     pub ranked: bool,
@@ -361,7 +361,6 @@
     let Some(route) = configuration.route(&caller.host, caller.uri.path()).cloned() else {
         return Err(LocalAnswer::not_run(Cause::NoRoute, None));
     };
-    let mut urgency = route.priority;
     let customer = match configuration.keys_required && !route.public {
         false => None,
         true => {
@@ -369,14 +368,15 @@
             let Some(customer) = holder else {
                 return Err(LocalAnswer::not_run(Cause::UnknownKey, None));
             };
-            urgency = customer.priority.unwrap_or(urgency);
-            Some(customer.name.clone())
+            Some(customer)
         }
     };
     if caller.body.len() > configuration.limits.body_bytes {
         return Err(LocalAnswer::not_run(Cause::TooLarge, None));
     }
     let service = route.service(rand::random()).to_owned();
+    let urgency = configuration.urgency(&service, &route, customer);
+    let customer = customer.map(|customer| customer.name.clone());
     if let Some(stop) = entry.stop.get() {
         let now = entry.now();
         let time_left = deadline(caller, &route).saturating_sub(now);
--- a/src/direct/exchange/claim.rs
+++ b/src/direct/exchange/claim.rs
@@ -14,8 +14,8 @@
 use crate::direct::state::entry::Entry;
 use crate::telemetry::events::{self, LogEvent};
 
-/// The urgency of a claim that no other one goes before.
-const MOST_URGENT: u8 = 0;
+/// The shortest wait for a place that is logged.
+const MIN_LOGGED_WAIT: Duration = Duration::from_millis(1);
 
 /// A claim on a place, from the arrival of the request until it has a place or is refused.
 pub struct Claim {
@@ -24,8 +24,9 @@
     ticket: Ticket,
     /// Woken when the claim is the first.
     turn: Rc<Notify>,
-    /// True if requests of this urgency have got far fewer places than all, so that it goes first.
-    is_starved: bool,
+    /// The urgency by which it gets a place, which is greater than its own while such requests have got
+    /// far fewer places than all.
+    urgency: u8,
     /// What it found at the last try.
     contention: Contention,
 }
@@ -40,17 +41,17 @@
         let entry = Rc::clone(&call.entry);
         let now = entry.now();
         let turn = Rc::new(Notify::new());
-        let (is_starved, ticket) = {
+        let (urgency, ticket) = {
             let mut places = entry.places.borrow_mut();
-            let demand = places.demand(&call.service);
-            let is_starved = demand.is_some_and(|demand| demand.is_starved(call.urgency, now));
             places.record_asked(&call.service, call.urgency, now);
-            let urgency = if is_starved { MOST_URGENT } else { call.urgency };
-            (is_starved, places.join(&call.service, urgency, Rc::clone(&turn)))
+            let demand = places.demand(&call.service);
+            let urgency =
+                demand.map_or(call.urgency, |demand| demand.effective_urgency(call.urgency, now));
+            (urgency, places.join(&call.service, urgency, Rc::clone(&turn)))
         };
         let service = call.service.clone();
         let contention = Contention::default();
-        Some(Self { entry, service, ticket, turn, is_starved, contention })
+        Some(Self { entry, service, ticket, turn, urgency, contention })
     }
 
     /// Returns the number of claims that get a place before this one.
@@ -76,16 +77,19 @@
             .places
             .borrow()
             .demand(&self.service)
-            .map_or(0.0, |demand| demand.more_urgent_per_s(call.urgency, now));
+            .map_or(0.0, |demand| demand.more_urgent_per_s(self.urgency, now));
         let interval = entry.options.heartbeat_interval;
         let peers = entry.peers.borrow();
-        let others = peers.more_urgent_per_s(&self.service, call.urgency, interval, now);
+        let others = peers.more_urgent_per_s(&self.service, self.urgency, interval, now);
         let place_time =
             entry.with_service_load(&self.service, |load| load.mean_answer_time(call.route.form));
+        let capacity = running().map(|group| group.capacity).sum();
+        let mut places = entry.places.borrow_mut();
         Contention {
             load: running().map(|group| f64::from(group.load)).sum(),
-            capacity: running().map(|group| group.capacity).sum(),
-            more_urgent_per_s: if self.is_starved { 0.0 } else { own + others },
+            capacity,
+            capacity_deviation: places.record_capacity(&self.service, capacity),
+            more_urgent_per_s: own + others,
             place_time: place_time.unwrap_or_default(),
         }
     }
@@ -125,7 +129,7 @@
     pub fn record_served(&self, call: &Call) {
         let now = self.entry.now();
         self.entry.places.borrow_mut().record_served(&self.service, call.urgency, now);
-        if !call.waited.is_zero() {
+        if call.waited >= MIN_LOGGED_WAIT {
             self.log(events::PLACE_GRANTED, call, format_args!(""));
         }
     }
@@ -137,20 +141,21 @@
     }
 
     fn log(&self, event: LogEvent, call: &Call, more: fmt::Arguments<'_>) {
-        let Contention { load, capacity, more_urgent_per_s, place_time } = self.contention;
+        let Contention { load, capacity, more_urgent_per_s, place_time, capacity_deviation } =
+            self.contention;
         let expected_ms =
             self.contention.place_after().map_or("-".to_owned(), |at| at.as_millis().to_string());
         events::log(
             event,
             format_args!(
-                "id={} service={} customer={} urgency={} starved={} ahead={} waited_ms={} \
+                "id={} service={} customer={} urgency={} served_as={} ahead={} waited_ms={} \
                  load={load:.0} capacity={capacity:.0} kept={:.0} more_urgent_per_s={:.1} \
-                 place_time_ms={} place_after_ms={expected_ms}{more}",
+                 place_time_ms={} place_after_ms={expected_ms} deviation={capacity_deviation:.0}{more}",
                 call.caller.id,
                 self.service,
                 call.customer.as_deref().unwrap_or("-"),
                 call.urgency,
-                self.is_starved,
+                self.urgency,
                 self.ahead(),
                 call.waited.as_millis(),
                 self.contention.kept() * capacity,
--- a/src/direct/known/configuration.rs
+++ b/src/direct/known/configuration.rs
@@ -156,8 +156,8 @@
     /// True if requests need an API key, except on public routes.
     pub keys_required: bool,
     routes: Map<String, Vec<Route>>,
-    /// The services whose requests differ in priority.
-    ranked_services: Set<String>,
+    /// The different priorities of the requests for each service, the most urgent first.
+    ranks: Map<String, Vec<(u8, u8)>>,
     services: Map<String, Service>,
     customers: Vec<Customer>,
     keys: Map<String, usize>,
@@ -181,7 +181,7 @@
 impl Configuration {
     /// Indexes the parts.
     pub fn new(parts: Parts) -> Self {
-        let ranked_services = ranked_services(&parts);
+        let ranks = rank_services(&parts);
         let mut routes: Map<String, Vec<Route>> = Map::default();
         for route in parts.routes {
             routes.entry(route.host.to_ascii_lowercase()).or_default().push(route);
@@ -203,7 +203,7 @@
             limits: parts.limits,
             keys_required,
             routes,
-            ranked_services,
+            ranks,
             services,
             customers,
             keys,
@@ -227,7 +227,15 @@
     /// Returns true if the requests for a service differ in priority, so that one may go before
     /// another.
     pub fn is_ranked(&self, service: &str) -> bool {
-        self.ranked_services.contains(service)
+        self.ranks.get(service).is_some_and(|ranks| ranks.len() > 1)
+    }
+
+    /// Returns how urgent a request for a service is: the number of different priorities that go
+    /// before its own. The customer's priority goes before the route's.
+    pub fn urgency(&self, service: &str, route: &Route, customer: Option<&Customer>) -> u8 {
+        let own = priorities(route, customer.and_then(|customer| customer.priority));
+        let ranks = self.ranks.get(service).map_or(&[][..], Vec::as_slice);
+        u8::try_from(ranks.partition_point(|rank| *rank < own)).unwrap_or(u8::MAX)
     }
 
     /// Returns a service by its name.
@@ -246,22 +254,29 @@
     }
 }
 
-/// Returns the services whose requests differ in priority, by their routes and customers.
-fn ranked_services(parts: &Parts) -> Set<String> {
-    let overrides: Set<Option<u8>> =
-        parts.customers.iter().flatten().map(|customer| customer.priority).collect();
-    let mut priorities: Map<&str, Set<u8>> = Map::default();
+/// The priorities that decide about a request, in this order: that of its customer, if it has one,
+/// or else of its route, and that of its route among equals.
+fn priorities(route: &Route, of_customer: Option<u8>) -> (u8, u8) {
+    (of_customer.unwrap_or(route.priority), route.priority)
+}
+
+/// Returns the different priorities of the requests for each service, the most urgent first.
+fn rank_services(parts: &Parts) -> Map<String, Vec<(u8, u8)>> {
+    let customers = parts.customers.iter().flatten();
+    let of_customers: Set<Option<u8>> = customers.map(|customer| customer.priority).collect();
+    let mut ranks: Map<String, Vec<(u8, u8)>> = Map::default();
     for route in &parts.routes {
-        let of_customers = overrides.iter().filter(|_| !route.public);
-        let possible = of_customers.map(|priority| priority.unwrap_or(route.priority));
-        let mut possible: Set<u8> = possible.collect();
-        if route.public || overrides.is_empty() {
-            possible.insert(route.priority);
-        }
+        let no_key_needed = route.public || parts.customers.is_none();
+        let of_callers = of_customers.iter().copied().filter(|_| !no_key_needed);
+        let possible = of_callers.chain(no_key_needed.then_some(None));
+        let possible: Vec<(u8, u8)> = possible.map(|own| priorities(route, own)).collect();
         for share in &route.shares {
-            priorities.entry(&share.service).or_default().extend(&possible);
+            ranks.entry(share.service.clone()).or_default().extend(&possible);
         }
     }
-    let ranked = priorities.into_iter().filter(|(_, priorities)| priorities.len() > 1);
-    ranked.map(|(service, _)| service.to_owned()).collect()
+    for ranks in ranks.values_mut() {
+        ranks.sort_unstable();
+        ranks.dedup();
+    }
+    ranks
 }
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -8,6 +8,8 @@
 mod budget;
 #[path = "direct/connections.rs"]
 mod connections;
+#[path = "direct/contention.rs"]
+mod contention;
 #[path = "direct/crash_history.rs"]
 mod crash_history;
 #[path = "direct/crash_store.rs"]
--- a/tests/direct/group_load.rs
+++ b/tests/direct/group_load.rs
@@ -11,25 +11,25 @@
 use bitternwall::direct::decisions::targets::Targets;
 use bitternwall::direct::known::target::Target;
 
-const RANKS: u16 = 72;
-const SLOTS: u32 = 10;
+pub const RANKS: u16 = 72;
+pub const SLOTS: u32 = 10;
 const ENTRIES: usize = 50;
 /// Events of an answer, each made in one pass after the one that reads the prompt.
 const EVENTS: u32 = 17;
-const PASSES: u32 = EVENTS + 1;
-const EMPTY_PASS: Duration = Duration::from_millis(40);
+pub const PASSES: u32 = EVENTS + 1;
+pub const EMPTY_PASS: Duration = Duration::from_millis(40);
 /// By how much a pass takes longer for each request that the mean rank runs.
-const PER_REQUEST: Duration = Duration::from_millis(12);
-const OBJECTIVE: Duration = Duration::from_millis(120);
+pub const PER_REQUEST: Duration = Duration::from_millis(12);
+pub const OBJECTIVE: Duration = Duration::from_millis(120);
 /// Passes in which each entry has told all others of its loads once, in rotation.
 const EXCHANGE_TURNS: usize = 6;
 const TIME: Duration = Duration::from_secs(12);
 
 /// The longest pass that the group should make: a fifth of the objective is kept for passes that also
 /// prefill long prompts, which are not simulated.
-const LONGEST_PASS: f64 = 0.8 * 0.120;
+pub const LONGEST_PASS: f64 = 0.8 * 0.120;
 /// Requests that the mean rank can run with passes of that length.
-const CAPACITY_PER_RANK: f64 = (LONGEST_PASS - 0.040) / 0.012;
+pub const CAPACITY_PER_RANK: f64 = (LONGEST_PASS - 0.040) / 0.012;
 /// Time after which answers count: a second for the entries to learn what the group carries, since
 /// nobody has seen a pass before, and the time of the answers that begin after it.
 const FIRST_PASSES: Duration = Duration::from_millis(1_000 + 18 * 96);
@@ -42,7 +42,7 @@
     format!("t{rank}")
 }
 
-fn table() -> Targets {
+pub fn table() -> Targets {
     let mut targets = Targets::new("kafr");
     for rank in 0..RANKS {
         let target =
@@ -128,7 +128,7 @@
 }
 
 /// Lets a part of the entries send their loads to all others, in rotation.
-fn exchange_loads(entries: &mut [Targets], published: &mut [Map<String, u32>], turn: usize) {
+pub fn exchange_loads(entries: &mut [Targets], published: &mut [Map<String, u32>], turn: usize) {
     for (index, loads) in published.iter_mut().enumerate() {
         if index % EXCHANGE_TURNS == turn % EXCHANGE_TURNS {
             let own = entries[index].local_loads();
