--- a/src/direct/decisions/claims.rs
+++ b/src/direct/decisions/claims.rs
@@ -11,17 +11,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::direct::decisions::target_choice;
-
 /// The risk that a more urgent request finds no place though places are kept for it.
 const RESERVE_RISK: f64 = 0.02;
 
 /// Standard deviations that a normally distributed number exceeds with that risk.
 const RESERVE_DEVIATIONS: f64 = 2.05;
 
-/// Weight of a new estimate in the moving averages of the capacity.
-const CAPACITY_WEIGHT: f64 = 0.1;
-
 /// The position of a request in a [`WaitQueue`].
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket {
@@ -72,26 +67,6 @@
     }
 }
 
-/// Moving averages of what the groups of a service carry, by estimates of which each is uncertain.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct CapacityHistory {
-    mean: f64,
-    deviation: f64,
-}
-
-impl CapacityHistory {
-    /// Records an estimate and returns its recent mean deviation.
-    pub fn record(&mut self, capacity: f64) -> f64 {
-        if self.mean <= 0.0 {
-            self.mean = capacity;
-        }
-        let difference = capacity - self.mean;
-        self.mean += difference * CAPACITY_WEIGHT;
-        self.deviation += (difference.abs() - self.deviation) * CAPACITY_WEIGHT;
-        self.deviation
-    }
-}
-
 /// What a request of a certain urgency finds at the groups of its service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Contention {
@@ -103,8 +78,6 @@
     pub more_urgent_per_s: f64,
     /// The mean time for which a request occupies its place.
     pub place_time: Duration,
-    /// How far the capacity, which is an estimate, has lately been from its mean.
-    pub capacity_deviation: f64,
 }
 
 impl Contention {
@@ -120,8 +93,7 @@
     ///
     /// While a request occupies its place, more urgent ones come and others end. Where fewer come
     /// than end, places are kept for the longest run of arrivals that chance brings; where more
-    /// come, also for those by which they exceed the ends. The last places, of which it is uncertain
-    /// whether they are free and whether the groups carry them, are kept too, up to the number of more urgent requests that run at once.
+    /// come, also for those by which they exceed the ends.
     pub fn kept(&self) -> f64 {
         let ended_per_s = self.ended_per_s();
         if self.more_urgent_per_s <= 0.0 || ended_per_s <= 0.0 {
@@ -138,8 +110,6 @@
             }
             false => excess_per_s * seconds + by_chance,
         };
-        let uncertain = self.capacity_deviation + self.capacity * target_choice::LAST_PLACES;
-        let places = places + uncertain.min(self.more_urgent_per_s * seconds);
         (places / self.capacity).clamp(0.0, 1.0)
     }
 
--- a/src/direct/decisions/target_choice.rs
+++ b/src/direct/decisions/target_choice.rs
@@ -41,7 +41,7 @@
 
 /// The part of a group's capacity that entries let fewer requests into the fuller it is: about the
 /// requests that they let in between two heartbeats.
-pub(super) const LAST_PLACES: f64 = 0.1;
+const LAST_PLACES: f64 = 0.1;
 
 /// Failure rate below which a target is not avoided; plain services fail some requests on their
 /// own.
--- a/src/direct/exchange/claim.rs
+++ b/src/direct/exchange/claim.rs
@@ -84,11 +84,9 @@
         let place_time =
             entry.with_service_load(&self.service, |load| load.mean_answer_time(call.route.form));
         let capacity = running().map(|group| group.capacity).sum();
-        let mut places = entry.places.borrow_mut();
         Contention {
             load: running().map(|group| f64::from(group.load)).sum(),
             capacity,
-            capacity_deviation: places.record_capacity(&self.service, capacity),
             more_urgent_per_s: own + others,
             place_time: place_time.unwrap_or_default(),
         }
@@ -141,8 +139,7 @@
     }
 
     fn log(&self, event: LogEvent, call: &Call, more: fmt::Arguments<'_>) {
-        let Contention { load, capacity, more_urgent_per_s, place_time, capacity_deviation } =
-            self.contention;
+        let Contention { load, capacity, more_urgent_per_s, place_time } = self.contention;
         let expected_ms =
             self.contention.place_after().map_or("-".to_owned(), |at| at.as_millis().to_string());
         events::log(
@@ -150,7 +147,7 @@
             format_args!(
                 "id={} service={} customer={} urgency={} served_as={} ahead={} waited_ms={} \
                  load={load:.0} capacity={capacity:.0} kept={:.0} more_urgent_per_s={:.1} \
-                 place_time_ms={} place_after_ms={expected_ms} deviation={capacity_deviation:.0}{more}",
+                 place_time_ms={} place_after_ms={expected_ms}{more}",
                 call.caller.id,
                 self.service,
                 call.customer.as_deref().unwrap_or("-"),
--- a/src/direct/state/places.rs
+++ b/src/direct/state/places.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Notify;
 
 use crate::collections::Map;
-use crate::direct::decisions::claims::{CapacityHistory, Ticket, WaitQueue};
+use crate::direct::decisions::claims::{Ticket, WaitQueue};
 use crate::direct::decisions::demand::Demand;
 use crate::direct::known::configuration::Configuration;
 use crate::direct::known::heartbeat::{self, KindRate};
@@ -24,7 +24,6 @@
 struct ServicePlaces {
     queue: WaitQueue<Rc<Notify>>,
     demand: Demand,
-    capacity: CapacityHistory,
 }
 
 impl Places {
@@ -41,13 +40,6 @@
         }
     }
 
-    /// Records what the groups of a service carry by the present estimate, and returns the mean
-    /// deviation of the recent ones.
-    pub fn record_capacity(&mut self, service: &str, capacity: f64) -> f64 {
-        let places = self.services.get_mut(service);
-        places.map_or(0.0, |places| places.capacity.record(capacity))
-    }
-
     /// Returns the demand for a service as this entry has seen it, if requests for it have come.
     pub fn demand(&self, service: &str) -> Option<&Demand> {
         self.services.get(service).map(|places| &places.demand)
--- a/tests/direct/lookups.rs
+++ b/tests/direct/lookups.rs
@@ -74,3 +74,34 @@
     assert_eq!(split.service(0), "two");
     assert_eq!(split.service(u32::MAX), "three");
 }
+
+#[test]
+fn the_customers_priority_goes_before_that_of_the_route() {
+    let customer = |name: &str, priority| Customer {
+        name: name.to_owned(),
+        keys: vec![name.to_owned()],
+        priority,
+    };
+    let routes = [("short", 0), ("long", 2)].map(|(name, priority)| Route {
+        priority,
+        ..route(name, &format!("/{name}/"), &[("model", 1)])
+    });
+    let parts = |customers| Parts {
+        version: 1,
+        limits: RequestLimits { body_bytes: 1_000 },
+        routes: routes.to_vec(),
+        services: Vec::new(),
+        customers: Some(customers),
+    };
+    let configuration =
+        Configuration::new(parts(vec![customer("paid", Some(0)), customer("free", Some(1))]));
+    assert!(configuration.is_ranked("model"));
+    let urgency = |route: &Route, key: &str| {
+        configuration.urgency("model", route, configuration.customer(key))
+    };
+    let order = [(0, "paid"), (1, "paid"), (0, "free"), (1, "free")];
+    let order = order.map(|(index, key)| urgency(&routes[index], key));
+    assert_eq!(order, [0, 1, 2, 3]);
+    let equal = Parts { routes: vec![routes[0].clone()], ..parts(vec![customer("one", None)]) };
+    assert!(!Configuration::new(equal).is_ranked("model"));
+}
