--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -2,7 +2,6 @@
 //! budgets and metrics.
 
 use std::cell::{Cell, RefCell};
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,12 +21,13 @@
 use crate::direct::known::configuration::Configuration;
 use crate::direct::known::confirmation::Confirmations;
 use crate::direct::known::crash_memory::{Attempt, CrashMemory, SubjectCrash};
-use crate::direct::known::crash_record::{Crash, CrashReport};
+use crate::direct::known::crash_record::CrashReport;
 use crate::direct::known::peers::Peers;
 use crate::direct::known::permit::RateReport;
 use crate::direct::known::store::Position;
 use crate::direct::known::target::{Outcome, Target};
 use crate::direct::message::TargetProtocol;
+use crate::direct::state::log_lines;
 use crate::direct::state::metrics::Metrics;
 use crate::direct::state::permit_calls::Permits;
 use crate::direct::state::places::Places;
@@ -322,14 +322,14 @@
         for report in reports {
             let refused = self.crashes.borrow_mut().merge(report, self.now());
             if let Some(crash) = refused {
-                log_crash(&crash, format_args!("from={from}"));
+                log_lines::crash(&crash, format_args!("from={from}"));
             }
         }
     }
 
     fn publish_crashes(&self, crashes: &[SubjectCrash], target: &str) {
         for crash in crashes {
-            log_crash(crash, format_args!("target={target}"));
+            log_lines::crash(crash, format_args!("target={target}"));
             self.metrics.crash(crash.1.refused);
         }
         if !crashes.is_empty() {
@@ -341,7 +341,7 @@
     /// Records the rate that a target's answer named, or that it named none.
     pub fn record_rate(&self, target: &str, per_s: Option<f64>) {
         if self.targets.borrow_mut().limits.observe(target, per_s, self.now()) {
-            log_rate(target, per_s, format_args!("from=answer"));
+            log_lines::rate(target, per_s, format_args!("from=answer"));
             self.rates_changed.notify_one();
         }
     }
@@ -350,7 +350,7 @@
     pub fn merge_rates(&self, reports: &[RateReport], from: &str) {
         for report in reports {
             if self.targets.borrow_mut().limits.merge(report, self.now()) {
-                log_rate(&report.target, report.per_s, format_args!("from={from}"));
+                log_lines::rate(&report.target, report.per_s, format_args!("from={from}"));
             }
         }
     }
@@ -387,16 +387,3 @@
         }
     }
 }
-
-fn log_rate(target: &str, per_s: Option<f64>, source: fmt::Arguments<'_>) {
-    let per_s = per_s.map_or("none".to_owned(), |per_s| per_s.to_string());
-    events::log(events::RATE_NAMED, format_args!("target={target} per_s={per_s} {source}"));
-}
-
-fn log_crash((subject, crash): &SubjectCrash, source: fmt::Arguments<'_>) {
-    let Crash { fingerprint: _, crashes, limit, refused } = crash;
-    events::log(
-        events::TARGET_CRASHED,
-        format_args!("{source} {subject} crashes={crashes} limit={limit} refused={refused}"),
-    );
-}
--- a/src/direct/state/mod.rs
+++ b/src/direct/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod buffer_report;
 pub mod entry;
+mod log_lines;
 pub mod metrics;
 pub mod permit_calls;
 mod permit_owners;
