A caller that is refused just before a backoff ends returns after 150 ms at least

Cause: `server_backoff::servers_that_all_asked_for_rest_got_requests` failed once on a busy machine (load 28). The log of that run shows two refusals 44 and 50 ms before the end of the backoffs, whose callers were told to return after just that time: the retry-after was what was left of the backoff and a random part of 150 ms. A target gets one request at a time after a backoff until it has answered one, so such a caller is most likely refused again.

Change: no retry-after is below the 150 ms of other refusals.

Result: the new test passes; by reading it gives 5 and 44 ms before.

--- a/src/direct/decisions/admission.rs
+++ b/src/direct/decisions/admission.rs
@@ -22,7 +22,7 @@
 const MAX_OUTAGE_WAIT: Duration = Duration::from_millis(1_600);
 
 /// The shortest retry-after of a caller refused for lack of slots, unless its deadline is nearer.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// The shortest retry-after for a service whose targets are all unavailable; a group takes about
 /// this long to form again.
@@ -141,7 +141,8 @@
     /// Returns the retry-after of a caller that found all targets in a backoff, of which the first ends
     /// after `backoff`. `draw` is a uniform random number from 0 to 1, which spreads the returns.
     pub fn retry_after_backoff(backoff: Duration, draw: f64) -> Duration {
-        backoff + (MIN_RETRY_AFTER + backoff.mul_f64(BACKOFF_SPREAD)).mul_f64(draw)
+        let spread = MIN_RETRY_AFTER + backoff.mul_f64(BACKOFF_SPREAD);
+        (backoff + spread.mul_f64(draw)).max(MIN_RETRY_AFTER)
     }
 
     /// Returns the retry-after of a caller refused for lack of slots, between 150 ms and 30 % of
--- a/src/direct/decisions/attempts.rs
+++ b/src/direct/decisions/attempts.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use crate::direct::decisions::admission;
 use crate::direct::message::{Cause, LocalAnswer};
 use crate::problem::Executed;
 
@@ -80,7 +81,7 @@
     let caller_may_retry = executed == Executed::No || history.may_repeat;
     let asked = match failure.cause {
         // Other targets may be free, so the target's own backoff does not concern the caller.
-        Cause::TargetFull => history.backoff_left,
+        Cause::TargetFull => history.backoff_left.map(|left| left.max(admission::MIN_RETRY_AFTER)),
         _ => failure.retry_after,
     };
     let retry_after = asked.or(caller_may_retry.then_some(RETRY_AFTER));
--- a/tests/direct/backoffs.rs
+++ b/tests/direct/backoffs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bitternwall::direct::decisions::admission::ServiceLoad;
 use bitternwall::direct::decisions::attempts::{self, Failure, History};
 use bitternwall::direct::decisions::backoffs::Backoffs;
 use bitternwall::direct::message::Cause;
@@ -89,3 +90,26 @@
     let history = History { backoff_left: Some(ms(1_200)), ..history };
     assert_eq!(attempts::final_answer(&history, &failure).retry_after, Some(ms(1_200)));
 }
+
+#[test]
+fn a_caller_refused_just_before_a_backoff_ends_is_not_told_to_return_at_once() {
+    // The target gets one request at a time until it has answered one, which takes a while.
+    let soonest = ms(100);
+    for draw in [0.0, 0.3, 1.0] {
+        let retry_after = ServiceLoad::retry_after_backoff(ms(5), draw);
+        assert!(retry_after >= soonest, "{retry_after:?} at {draw}");
+    }
+    let history = History {
+        may_repeat: true,
+        sent: 2,
+        max_targets: 2,
+        deliveries: 2,
+        may_have_run: false,
+        time_left: Duration::from_secs(2),
+        backoff_left: Some(ms(44)),
+    };
+    let failure =
+        Failure { cause: Cause::TargetFull, executed: Executed::No, retry_after: Some(ms(44)) };
+    let retry_after = attempts::final_answer(&history, &failure).retry_after;
+    assert!(retry_after.is_some_and(|delay| delay >= soonest), "{retry_after:?}");
+}
