--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,5 +1,6 @@
 //! Runs one case of this review: `rig CASE FOLDER`. See the folder's claim.txt.
 
+mod cut_watches;
 mod gone_server;
 #[allow(dead_code, reason = "each case uses a part of the stand-ins")]
 mod rig;
@@ -26,6 +27,7 @@
     let [case, folder] = arguments else { rig::could_not_run("usage: rig CASE FOLDER") };
     let folder = PathBuf::from(folder);
     match case.as_str() {
+        "cut-watches" => cut_watches::run(&folder, trouble),
         "gone-server" => gone_server::run(&folder, trouble),
         _ => rig::could_not_run("no such case"),
     }
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -196,12 +196,14 @@
     kv: Mutex<Kv>,
     changed: Condvar,
     record: Arc<Record>,
+    /// How often waiting watches were cut.
+    cuts: AtomicU64,
 }
 
 impl Store {
     pub fn new(record: &Arc<Record>) -> Arc<Self> {
         let kv = Mutex::new(Kv { revision: 10, ..Kv::default() });
-        Arc::new(Self { kv, changed: Condvar::new(), record: Arc::clone(record) })
+        Arc::new(Self { kv, changed: Condvar::new(), record: Arc::clone(record), cuts: AtomicU64::new(0) })
     }
 
     pub fn put(&self, key: &str, value: &str) -> u64 {
@@ -225,6 +227,13 @@
         revision
     }
 
+    /// Cuts all watches that are waiting: their connections are closed without an answer.
+    pub fn cut_watches(&self) {
+        self.cuts.fetch_add(1, Ordering::SeqCst);
+        let _kv = self.kv.lock().unwrap();
+        self.changed.notify_all();
+    }
+
     /// Opens an address of the store; calls through it pass the gate.
     pub fn listen(self: &Arc<Self>, ip: Ipv4Addr) -> (SocketAddr, Arc<Gate>) {
         let listener = TcpListener::bind((ip, 0)).expect("no port for the store");
@@ -251,10 +260,11 @@
                 gate.watched_at.store(self.record.now(), Ordering::SeqCst);
                 gate.watching.fetch_add(1, Ordering::SeqCst);
             }
-            let (status, body) = self.answer(&req);
+            let answer = self.answer(&req);
             if is_watch {
                 gate.watching.fetch_sub(1, Ordering::SeqCst);
             }
+            let Some((status, body)) = answer else { return };
             pass(gate);
             let headers = "Content-Type: application/json\r\n";
             if write_answer(&mut out, status, headers, body.as_bytes()).is_err() {
@@ -263,7 +273,8 @@
         }
     }
 
-    fn answer(&self, req: &Message) -> (&'static str, String) {
+    /// Returns the answer to a call; `None` if it is a watch that is cut.
+    fn answer(&self, req: &Message) -> Option<(&'static str, String)> {
         let path = req.path().split('?').next().unwrap_or("").to_owned();
         let prefix = req.query("prefix").unwrap_or_default();
         let number = |name: &str| req.query(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
@@ -273,7 +284,7 @@
                 base64(value)
             )
         };
-        match path.as_str() {
+        Some(match path.as_str() {
             "/v1/kv-range" => {
                 let after = req.query("after").unwrap_or_default();
                 let kv = self.kv.lock().unwrap();
@@ -286,6 +297,7 @@
             "/v1/kv-watch" => {
                 let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
                 let until = Instant::now() + wait;
+                let cuts = self.cuts.load(Ordering::SeqCst);
                 let mut kv = self.kv.lock().unwrap();
                 loop {
                     let events: Vec<String> = kv
@@ -299,7 +311,11 @@
                         .collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
-                        return ("200 OK", format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), kv.revision));
+                        let events = events.join(",");
+                        break ("200 OK", format!("{{\"events\":[{events}],\"at\":{}}}", kv.revision));
+                    }
+                    if self.cuts.load(Ordering::SeqCst) != cuts {
+                        return None;
                     }
                     kv = self.changed.wait_timeout(kv, left).unwrap().0;
                 }
@@ -324,7 +340,7 @@
                 }
             }
             _ => ("404 Not Found", "{}".to_owned()),
-        }
+        })
     }
 }
 
