--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -286,7 +286,12 @@
             for stream in listener.incoming().flatten() {
                 let (store, gate) = (Arc::clone(&store), Arc::clone(&shared));
                 gate.streams.lock().unwrap().extend(stream.try_clone());
-                thread::spawn(move || store.serve(stream, &gate));
+                thread::spawn(move || {
+                    let end = stream.try_clone();
+                    store.serve(stream, &gate);
+                    // The gate has a copy of the stream, which would keep the connection open.
+                    let _ = end.map(|end| end.shutdown(Shutdown::Both));
+                });
             }
         });
         (addr, gate)
