Entries log the position and a digest of their target list

So they could not tell an entry that never heard of a newer list from one that was given a wrong list at the newest position. 7039 names position, records, digest and source with each change.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -102,6 +102,7 @@
         changed: Rc::new(Notify::new()),
         outdated: Rc::new(Notify::new()),
         pending_removals: PendingRemovals::default(),
+        logged_list: Cell::default(),
         withheld_until: Cell::default(),
         transfers: Arc::new(Semaphore::new(gossip::MAX_TRANSFERS)),
     });
--- a/src/direct/known/cluster_state.rs
+++ b/src/direct/known/cluster_state.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use xxhash_rust::xxh3;
 
 use crate::collections::Map;
 use crate::direct::known::configuration::Configuration;
@@ -228,6 +229,16 @@
         self.records.get(key)
     }
 
+    /// Returns a number that is the same for lists with the same targets in the same states, to compare
+    /// the lists of entries by their logs.
+    pub fn targets_digest(&self) -> u64 {
+        let hashes = self.records.iter().map(|(key, record)| {
+            let state = record.target.as_ref().map_or(0, |target| 1 + u64::from(target.leaving));
+            xxh3::xxh3_64_with_seed(key.as_bytes(), state)
+        });
+        hashes.fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// Returns all records of the target list by key.
     pub fn target_records(&self) -> impl Iterator<Item = (&String, &TargetRecord)> {
         self.records.iter()
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -45,6 +45,8 @@
     pub outdated: Rc<Notify>,
     /// Targets off the list around a store outage, which are not removed yet.
     pub pending_removals: PendingRemovals,
+    /// The position and the digest of the target list that were logged last.
+    pub logged_list: Cell<(Position, u64)>,
     /// When records of targets that were leaving or gone are used again; `None` if there are none.
     pub withheld_until: Cell<Option<Duration>>,
     /// Permits for entries that fetch the cluster state; [`MAX_TRANSFERS`] in all.
--- a/src/direct/peering/target_list.rs
+++ b/src/direct/peering/target_list.rs
@@ -133,8 +133,25 @@
         );
     }
 
+    /// Logs the position and the digest of the target list if one of them has changed.
+    fn log_target_list(&self, source: &str) {
+        let state = self.entry.cluster_state.borrow();
+        let (at, digest) = (state.targets_at(), state.targets_digest());
+        let (before, _) = self.logged_list.get();
+        if self.logged_list.replace((at, digest)) != (at, digest) {
+            let records = state.target_records().count();
+            events::log(
+                events::TARGET_LIST_CHANGED,
+                format_args!(
+                    "at={at} before={before} records={records} digest={digest:016x} from={source}"
+                ),
+            );
+        }
+    }
+
     /// Updates the table of targets from the target list.
     pub(super) fn update_target_table(&self, source: &str) {
+        self.log_target_list(source);
         let Position { revision, .. } = self.entry.cluster_state.borrow().targets_at();
         let listed = self.entry.cluster_state.borrow().targets();
         let mut targets = self.entry.targets.borrow_mut();
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -196,6 +196,10 @@
 /// the state; the collection is read again.
 pub const WATCH_GIVEN_UP: LogEvent =
     LogEvent { number: 7038, severity: Severity::Info, title: "watch given up" };
+/// The target list changed, or its position moved. Entries with the same position have the same digest
+/// unless one of them keeps a target that the store's list does not name, or lacks one that it names.
+pub const TARGET_LIST_CHANGED: LogEvent =
+    LogEvent { number: 7039, severity: Severity::Info, title: "target list" };
 /// The first heartbeat of an incarnation of another entry was received.
 pub const PEER_JOINED: LogEvent =
     LogEvent { number: 7040, severity: Severity::Info, title: "entry joined" };
@@ -345,6 +349,7 @@
     STATE_UNCONFIRMED,
     STATE_CONFIRMED,
     WATCH_GIVEN_UP,
+    TARGET_LIST_CHANGED,
     PEER_JOINED,
     PEER_FETCH_FAILED,
     HEARTBEAT_UNREADABLE,
