A failed call to the store is no outage while the store answers other entries

Cause: "the store did not answer this call" and "leases may have expired" were one state, for each entry by itself. A cut watch, or the cut of one entry, put off every removal for 2.3 s, and each further failure put it off again, without a limit. Leases expire only while the store answers nobody, for longer than targets need to miss two of three renewals.

Evidence: 7012 at entries whose calls were answered 0.1 s after the cut and by all other entries throughout.

Why this works: entries tell on heartbeats when a call of theirs last failed, beside the ages that they tell already. An outage is a time of two renewal intervals or more in which no entry is known to have had an answer and some call failed (store_outages.rs). It ends with an answer, and targets may register again for 2 s from then on; they are removed once the store has answered after that. The interval comes from the settings (store.target_renewal_ms). 7047 and bitternwall_direct_store_outages_total tell of outages. A 410 counts as an answer.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -89,6 +89,7 @@
         crash_refusal: settings.crash_refusal(),
         heartbeat_interval: settings.heartbeat_interval(),
         in_force_time: settings.in_force_time(),
+        target_renewal_interval: settings.target_renewal_interval(),
         empties_data_centres: settings.store.evacuate_ms.is_some(),
         cold_tolerance: settings.cold_tolerance(),
     };
--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -77,6 +77,9 @@
     /// The same for its target list.
     #[prost(uint64, optional, tag = "21")]
     pub targets_age_ms: Option<u64>,
+    /// Milliseconds since the store last left a call of the sender unanswered; absent while it answers.
+    #[prost(uint64, optional, tag = "27")]
+    pub store_failed_ms: Option<u64>,
     /// The requests that come to the sender for services whose requests differ in urgency.
     #[prost(message, repeated, tag = "26")]
     pub demand: Vec<KindRate>,
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -14,4 +14,5 @@
 pub mod permit;
 pub mod standing;
 pub mod store;
+pub mod store_outages;
 pub mod target;
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -178,14 +178,18 @@
         permit_reply: None,
         configuration_age_ms: age_ms(entry, Collection::Configuration),
         targets_age_ms: age_ms(entry, Collection::Targets),
+        store_failed_ms: entry.store_failed_at.get().map(|at| millis(now.saturating_sub(at))),
         demand: entry.places.borrow().report(now),
         standing: StandingMessage::brief(state.standing()),
     }
 }
 
 fn age_ms(entry: &Entry, collection: Collection) -> Option<u64> {
-    let age = entry.confirmations.age(collection, entry.now())?;
-    Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    entry.confirmations.age(collection, entry.now()).map(millis)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Receives heartbeats until the process ends.
@@ -231,7 +235,7 @@
     let known = heartbeat.known();
     let standing = heartbeat.standing.take();
     let KnownVersions { version, targets_at, standing_at } = known;
-    let ages = [heartbeat.configuration_age_ms, heartbeat.targets_age_ms];
+    sync.record_peer_calls(&heartbeat);
     let update = entry.peers.borrow_mut().record_heartbeat(heartbeat, from, now);
     if update.joined {
         events::log(
@@ -250,7 +254,6 @@
     if let Some(standing) = standing.filter(|_| standing_at > entry.standing_at()) {
         sync.apply_standing_message(standing, &name);
     }
-    sync.record_confirmed_by_peer(known, ages);
     let state = entry.cluster_state.borrow();
     let own = state.known();
     if version > own.version || targets_at > own.targets_at || standing_at > own.standing_at {
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -17,6 +17,7 @@
 use crate::collections::Map;
 use crate::direct::decisions::read_times::ReadTimes;
 use crate::direct::known::cluster_state::KnownVersions;
+use crate::direct::known::heartbeat::Heartbeat;
 use crate::direct::known::pending_removals::PendingRemovals;
 use crate::direct::known::store::{
     Change, Changes, Collection, Formats, Item, OperatorItem, Position, Store, StoreError,
@@ -150,6 +151,7 @@
                     time::sleep(pause).await;
                 }
                 Err(StoreError::Compacted) => {
+                    self.store_answered(collection, calls);
                     events::log(
                         events::STORE_HISTORY_COMPACTED,
                         format_args!("collection={} after={at}", collection.name()),
@@ -184,13 +186,25 @@
                 events::STORE_RECOVERED,
                 format_args!("collection={} failures={failures}", collection.name()),
             );
-            self.pending_removals.record_store_available(now);
         }
+        self.entry.store_failed_at.set(None);
+        self.record_store_answer(now, &self.entry.options.name);
         if !self.entry.store_answers.replace(true) {
             self.notify_changed();
         }
     }
 
+    /// Records that the store answered the entry of this name at a time.
+    fn record_store_answer(&self, at: Duration, entry: &str) {
+        if let Some(silence) = self.entry.store_outages.record_answer(at) {
+            self.entry.metrics.store_outage();
+            events::log(
+                events::STORE_OUTAGE_OVER,
+                format_args!("silent_ms={} answered={entry}", silence.as_millis()),
+            );
+        }
+    }
+
     /// Records and logs a failed call that began at a time, and pauses before the next one.
     async fn store_failed(
         &self,
@@ -210,9 +224,11 @@
         if self.entry.store_answers.replace(false) {
             self.notify_changed();
         }
-        self.pending_removals.record_store_unavailable();
+        let now = self.entry.now();
+        self.entry.store_failed_at.set(Some(now));
+        self.entry.store_outages.record_failure(now);
         calls.failures = calls.failures.saturating_add(1);
-        let took = self.entry.now().saturating_sub(began);
+        let took = now.saturating_sub(began);
         let draw = self.entry.random_fraction();
         time::sleep(self.read_times().retry_pause(calls.failures, took, draw)).await;
     }
@@ -243,7 +259,8 @@
                     return;
                 }
                 if self.begins_era(at) {
-                    self.pending_removals.record_store_returned(self.entry.now());
+                    self.pending_removals.clear();
+                    self.entry.store_outages.record_return(self.entry.now());
                 }
                 let mut records: Vec<_> =
                     items.into_iter().map(|item| self.decode_target(item)).collect();
@@ -323,11 +340,28 @@
         self.entry.confirmations.record(collection, self.entry.now());
     }
 
-    /// Records what another entry knows, if that is the same as here, as of the ages that it states
-    /// for the configuration and the target list, in milliseconds.
-    pub fn record_confirmed_by_peer(&self, peer: KnownVersions, ages_ms: [Option<u64>; 2]) {
-        let known = self.entry.cluster_state.borrow().known();
+    /// Records how the store has answered another entry, and confirms what that entry knows, if it is
+    /// the same as here, as of the ages that it states.
+    pub fn record_peer_calls(&self, peer: &Heartbeat) {
         let now = self.entry.now();
+        let before = |ms: u64| now.saturating_sub(Duration::from_millis(ms));
+        let ages_ms = [peer.configuration_age_ms, peer.targets_age_ms];
+        if let Some(failed_ms) = peer.store_failed_ms {
+            self.entry.store_outages.record_failure(before(failed_ms));
+        }
+        if let Some(age_ms) = ages_ms.into_iter().flatten().min() {
+            self.record_store_answer(before(age_ms), &peer.name);
+        }
+        self.record_confirmed_by_peer(peer.known(), ages_ms, now);
+    }
+
+    fn record_confirmed_by_peer(
+        &self,
+        peer: KnownVersions,
+        ages_ms: [Option<u64>; 2],
+        now: Duration,
+    ) {
+        let known = self.entry.cluster_state.borrow().known();
         let same_requests = peer.version == known.version && peer.standing_at == known.standing_at;
         let same = [same_requests, peer.targets_at == known.targets_at];
         for ((collection, age_ms), same) in Collection::ALL.into_iter().zip(ages_ms).zip(same) {
--- a/src/direct/peering/target_list.rs
+++ b/src/direct/peering/target_list.rs
@@ -5,7 +5,6 @@
 
 use crate::collections::Set;
 use crate::direct::known::cluster_state::TargetRecord;
-use crate::direct::known::pending_removals::Removal;
 use crate::direct::known::store::{Item, Position};
 use crate::direct::peering::sync::StateSync;
 use crate::telemetry::events;
@@ -60,17 +59,16 @@
     fn defer_removal(&self, key: &str, record: &TargetRecord, revision: u64) -> bool {
         let now = self.entry.now();
         let Some(target) = &record.target else { return false };
-        match self.pending_removals.decide(key, target, revision, now) {
-            Removal::Now => false,
-            Removal::NotBefore(until) => {
-                let wait_ms = until.saturating_sub(now).as_millis();
-                events::log(
-                    events::TARGET_REMOVAL_PENDING,
-                    format_args!("target={} revision={revision} wait_ms={wait_ms}", target.id),
-                );
-                true
-            }
+        let outages = &self.entry.store_outages;
+        let deferred = self.pending_removals.defer(key, target, revision, outages.absence(now));
+        if deferred {
+            let wait_ms = outages.time_to_removal(now).as_millis();
+            events::log(
+                events::TARGET_REMOVAL_PENDING,
+                format_args!("target={} revision={revision} wait_ms={wait_ms}", target.id),
+            );
         }
+        deferred
     }
 
     /// Applies the write of one record.
@@ -215,7 +213,7 @@
     /// Removes targets that disappeared from the list around a store outage and did not register
     /// again in time.
     pub fn apply_due_removals(&self) {
-        let due = self.pending_removals.due(self.entry.now());
+        let due = self.pending_removals.due(self.entry.store_outages.absence(self.entry.now()));
         if due.is_empty() {
             return;
         }
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -25,6 +25,7 @@
 use crate::direct::known::peers::Peers;
 use crate::direct::known::permit::RateReport;
 use crate::direct::known::store::Position;
+use crate::direct::known::store_outages::StoreOutages;
 use crate::direct::known::target::{Outcome, Target};
 use crate::direct::message::TargetProtocol;
 use crate::direct::state::log_lines;
@@ -76,6 +77,8 @@
     pub heartbeat_interval: Duration,
     /// The time within which a change in the store is in force at all entries.
     pub in_force_time: Duration,
+    /// The time between two renewals of a target's record in the store.
+    pub target_renewal_interval: Duration,
     /// True where the operator may empty data centres.
     pub empties_data_centres: bool,
     /// How much more cold targets tolerate than their rate; `None` where they are not limited.
@@ -116,6 +119,10 @@
     pub refusing: Cell<bool>,
     /// True while the store answers this entry.
     pub store_answers: Cell<bool>,
+    /// When it last left a call of this entry unanswered; `None` while it answers.
+    pub store_failed_at: Cell<Option<Duration>>,
+    /// The outages of the store, as far as this entry knows from all entries.
+    pub store_outages: StoreOutages,
     /// Notified when a slot becomes available or targets change.
     pub slots_changed: Notify,
     /// Notified when a target is reported silent.
@@ -162,6 +169,8 @@
             exiting: Cell::new(false),
             refusing: Cell::new(false),
             store_answers: Cell::new(false),
+            store_failed_at: Cell::default(),
+            store_outages: StoreOutages::new(options.target_renewal_interval),
             slots_changed: Notify::new(),
             silence_changed: Notify::new(),
             crashes: RefCell::new(CrashMemory::new(options.crash_refusal)),
--- a/src/direct/state/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -23,6 +23,7 @@
     store_reader: IntGauge,
     store_era: IntGauge,
     store_returns: IntCounter,
+    store_outages: IntCounter,
     first_event: Histogram,
     pause: Histogram,
     document: Histogram,
@@ -97,6 +98,10 @@
                 "bitternwall_direct_store_returns_total",
                 "Returns of the store from an older copy that this entry has seen.",
             )?,
+            store_outages: counter(
+                "bitternwall_direct_store_outages_total",
+                "Outages in which the store answered no entry and leases may have expired.",
+            )?,
             first_event: seconds(
                 "bitternwall_direct_first_event_seconds",
                 "Time from a request's arrival to the first event of its answer.",
@@ -245,6 +250,11 @@
         self.store_returns.inc();
     }
 
+    /// Counts an outage of the store in which leases may have expired.
+    pub fn store_outage(&self) {
+        self.store_outages.inc();
+    }
+
     /// Records the time from a request's arrival to the first event of its answer.
     pub fn first_event(&self, after: Duration) {
         self.first_event.observe(after.as_secs_f64());
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -84,6 +84,10 @@
     /// Time within which an accepted change is in force at all entries, in milliseconds.
     #[serde(default = "default_in_force_ms")]
     pub in_force_ms: u64,
+    /// Interval at which targets renew their records in the service, in milliseconds. A record that is
+    /// not renewed expires after three intervals.
+    #[serde(default = "default_target_renewal_ms")]
+    pub target_renewal_ms: u64,
     /// Time within which the targets of a data centre get no requests any more once the operator asks
     /// for that, in milliseconds. Without it such requests are not read.
     #[serde(default)]
@@ -185,6 +189,8 @@
 const DEFAULT_CALL_TIMEOUT_MS: u64 = 1_500;
 /// Longer than a call, so that a change is in force in time though one call gets no answer.
 const DEFAULT_IN_FORCE_MS: u64 = 2_000;
+/// Often enough that a target which ends without a word is off the list within four seconds.
+const DEFAULT_TARGET_RENEWAL_MS: u64 = 1_200;
 /// A third of the time for which callers may cache the list, since some of them do so for all of
 /// it.
 const DEFAULT_KEEP_S: u32 = 2;
@@ -229,7 +235,16 @@
     DEFAULT_IN_FORCE_MS
 }
 
+fn default_target_renewal_ms() -> u64 {
+    DEFAULT_TARGET_RENEWAL_MS
+}
+
 impl DirectSettings {
+    /// Returns the interval at which targets renew their records in the store.
+    pub fn target_renewal_interval(&self) -> Duration {
+        Duration::from_millis(self.store.target_renewal_ms)
+    }
+
     /// Returns the interval between heartbeats to other entries.
     pub fn heartbeat_interval(&self) -> Duration {
         Duration::from_millis(self.heartbeat_ms)
@@ -285,6 +300,10 @@
             let max = in_force_ms.min(60_000);
             common::check_range("store.call_timeout_ms", call_timeout_ms, 10..=max)
         })
+        .or_else(|| {
+            let renewal = settings.store.target_renewal_ms;
+            common::check_range("store.target_renewal_ms", renewal, 100..=600_000)
+        })
         .or_else(|| {
             let evacuate_ms = settings.store.evacuate_ms?;
             common::check_range("store.evacuate_ms", evacuate_ms, 1_500..=600_000)
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -222,6 +222,9 @@
 /// A target is no longer cold.
 pub const TARGET_WARM: LogEvent =
     LogEvent { number: 7046, severity: Severity::Info, title: "target warm" };
+/// The store answers again after it has answered no entry for so long that leases may have expired.
+pub const STORE_OUTAGE_OVER: LogEvent =
+    LogEvent { number: 7047, severity: Severity::Warning, title: "store outage" };
 /// A connection could not be accepted.
 pub const ACCEPT_FAILED: LogEvent =
     LogEvent { number: 7050, severity: Severity::Error, title: "connection not accepted" };
@@ -357,6 +360,7 @@
     STANDING_CHANGED,
     TARGET_COLD,
     TARGET_WARM,
+    STORE_OUTAGE_OVER,
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
--- a/standins/src/fault_proxy.rs
+++ b/standins/src/fault_proxy.rs
@@ -4,7 +4,7 @@
 //! later connections work.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use std::{future, io};
@@ -32,6 +32,7 @@
     target: SocketAddr,
     state: Mutex<watch::Sender<ConnectionState>>,
     delay: Mutex<Duration>,
+    refusing: AtomicBool,
     accepted: AtomicU64,
     blackholed: Mutex<Vec<watch::Sender<ConnectionState>>>,
 }
@@ -57,6 +58,7 @@
             target,
             state: Mutex::new(watch::Sender::new(ConnectionState::Forward)),
             delay: Mutex::default(),
+            refusing: AtomicBool::new(false),
             accepted: AtomicU64::new(0),
             blackholed: Mutex::default(),
         });
@@ -75,6 +77,14 @@
         drop(self.set_state(ConnectionState::Close));
     }
 
+    /// Sets whether new connections are closed at once; the existing ones are closed when that begins.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.shared.refusing.store(refusing, Ordering::Relaxed);
+        if refusing {
+            self.close_connections();
+        }
+    }
+
     /// Delays every read of data by this time before it is forwarded, from now on.
     pub fn set_delay(&self, delay: Duration) {
         *lock(&self.shared.delay) = delay;
@@ -112,6 +122,9 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((client, _)) = listener.accept().await {
         shared.accepted.fetch_add(1, Ordering::Relaxed);
+        if shared.refusing.load(Ordering::Relaxed) {
+            continue;
+        }
         let state = lock(&shared.state).subscribe();
         tokio::spawn(forward(client, Arc::clone(&shared), state));
     }
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -44,5 +44,7 @@
 mod stopping;
 #[path = "direct/store_eras.rs"]
 mod store_eras;
+#[path = "direct/store_outages.rs"]
+mod store_outages;
 #[path = "direct/target_choice.rs"]
 mod target_choice;
--- a/tests/direct/budget.rs
+++ b/tests/direct/budget.rs
@@ -27,6 +27,7 @@
         crash_refusal: Duration::from_secs(600),
         heartbeat_interval: Duration::from_millis(100),
         in_force_time: Duration::from_secs(2),
+        target_renewal_interval: Duration::from_millis(1_200),
         empties_data_centres: false,
         cold_tolerance: None,
     };
