The target list that an entry hands on is that of the store, without its own deferrals

Cause: an entry that deferred a removal kept the record in its list, and other changes in the same answer moved the position of the list past the removal. Entries that fetched that list took the position as a promise that it holds every change up to it. When the deferred removal fell due, the position did not move, so nobody fetched the list again.

Why this works: ClusterState holds the store's list at its position, whatever the entry believes of outages, and keeps targets that may register again beside it. One function applies a watch, a listing, a list from another entry and the first list of a later era. Each entry decides for itself what has lapsed, by the outages that all entries hear of since the last commit. An entry that has started since asks another one for what it keeps beside its list.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -19,7 +19,6 @@
 use crate::direct::connections::listener;
 use crate::direct::connections::process::{self, Result};
 use crate::direct::decisions::stopping::{Phase, Stopping};
-use crate::direct::known::pending_removals::PendingRemovals;
 use crate::direct::known::store::{Collection, Formats, Store};
 use crate::direct::message::TargetProtocol;
 use crate::direct::peering::crash_store;
@@ -102,7 +101,7 @@
         formats: adapter.formats,
         changed: Rc::new(Notify::new()),
         outdated: Rc::new(Notify::new()),
-        pending_removals: PendingRemovals::default(),
+        listed_since: Cell::default(),
         logged_list: Cell::default(),
         withheld_until: Cell::default(),
         transfers: Arc::new(Semaphore::new(gossip::MAX_TRANSFERS)),
@@ -247,7 +246,7 @@
     let entry = &sync.entry;
     let now = entry.now();
     entry.report_buffers();
-    sync.apply_due_removals();
+    sync.drop_due_lapses();
     sync.release_withheld();
     sync.report_ages();
     entry.crashes.borrow_mut().expire(now);
--- a/src/direct/known/cluster_state.rs
+++ b/src/direct/known/cluster_state.rs
@@ -4,6 +4,10 @@
 //! position in the store's history. So neither a late answer nor a peer that lags behind brings back
 //! an older state.
 //!
+//! The target list is that of the store at its position, so entries with the same position have the same
+//! list, from whomever they have it. Targets that are off the list and may register again are kept
+//! beside it, by each entry for itself.
+//!
 //! When the store comes back from an older copy, the list is replaced by that of the copy, which may
 //! name targets that have drained or ended since. See docs/STORE_ERAS.md.
 
@@ -17,13 +21,14 @@
 use crate::direct::known::configuration::Configuration;
 use crate::direct::known::standing::Standing;
 use crate::direct::known::store::Position;
+use crate::direct::known::store_outages::Absence;
 use crate::direct::known::target::Target;
 
 /// One record of the target list, as stored.
 #[derive(Clone, Debug)]
 pub struct TargetRecord {
-    /// The store's revision of the record's last write, in the era of the list; 0 for a record that
-    /// is kept from an earlier era.
+    /// The store's revision of the record's last write, in the era of the list; 0 for the record of a
+    /// target that lapsed in an earlier era.
     pub revision: u64,
     /// The undecoded value, which peers are sent.
     pub raw: Bytes,
@@ -62,6 +67,8 @@
     standing: Standing,
     /// Recent removals by key.
     removed: Map<String, RemovedRecord>,
+    /// The last records of targets that are off the list and may register again.
+    lapsed: Map<String, TargetRecord>,
     /// The records, by key with their revision, that the store's copy brought back although their
     /// targets were known to be leaving or gone. They name no target.
     withheld: Map<String, u64>,
@@ -121,22 +128,34 @@
         self.list_position.unwrap_or_default()
     }
 
-    /// Replaces the target list by a complete one read at a position, unless that is older. Returns
-    /// true if it was replaced.
-    pub fn replace_targets(&mut self, records: Vec<(String, TargetRecord)>, at: Position) -> bool {
+    /// Replaces the target list by a complete one read at a position, unless that is older. `absence`
+    /// tells what it means that a target is missing from it. Returns true if it was replaced.
+    pub fn replace_targets(
+        &mut self,
+        records: Vec<(String, TargetRecord)>,
+        at: Position,
+        absence: Absence,
+    ) -> bool {
         if self.list_position.is_some_and(|known| at < known) {
             return false;
         }
         let newer: Map<String, TargetRecord> = records.into_iter().collect();
-        if self.list_position.is_some_and(|known| known.era < at.era) {
-            self.withheld = self.outdated_records(&newer);
+        let begins_era = self.list_position.is_some_and(|known| known.era < at.era);
+        let withheld = begins_era.then(|| self.outdated_records(&newer));
+        if begins_era {
             self.removed.clear();
         }
         let missing: Vec<String> =
             self.records.keys().filter(|key| !newer.contains_key(*key)).cloned().collect();
         for key in missing {
+            self.keep_lapsed(&key, absence);
             self.record_removal(key, at.revision);
         }
+        if let Some(withheld) = withheld {
+            self.withheld = withheld;
+            self.lapsed.values_mut().for_each(|record| record.revision = 0);
+        }
+        self.lapsed.retain(|key, _| !newer.contains_key(key));
         self.records = newer;
         self.list_position = Some(at);
         true
@@ -153,7 +172,8 @@
                 let leaving = known.leaving || self.is_withheld(key);
                 leaving && !target.leaving && known.started_unix_ms == started
             });
-            left || self.removed.get(*key).is_some_and(|gone| gone.started_unix_ms == started)
+            let removed = self.removed.get(*key).filter(|_| !self.lapsed.contains_key(*key));
+            left || removed.is_some_and(|gone| gone.started_unix_ms == started)
         });
         outdated.map(|(key, record)| (key.clone(), record.revision)).collect()
     }
@@ -187,20 +207,52 @@
             return false;
         }
         self.removed.remove(&key);
+        self.lapsed.remove(&key);
         self.records.insert(key, record);
         true
     }
 
-    /// Removes one record, unless it was written at a later revision. Returns true if it was on the
-    /// list. The revision of the removal is remembered also for a record that was not.
-    pub fn remove_target(&mut self, key: &str, revision: u64) -> bool {
+    /// Removes one record, unless it was written at a later revision. `absence` tells what that means
+    /// for its target. Returns true if it was on the list. The revision of the removal is remembered
+    /// also for a record that was not.
+    pub fn remove_target(&mut self, key: &str, revision: u64, absence: Absence) -> bool {
         if self.records.get(key).is_some_and(|record| record.revision > revision) {
             return false;
         }
+        self.keep_lapsed(key, absence);
         self.record_removal(key.to_owned(), revision);
         self.records.remove(key).is_some()
     }
 
+    /// Keeps the record of a target that may register again. One that was leaving is gone in any case.
+    fn keep_lapsed(&mut self, key: &str, absence: Absence) {
+        let Some(record) = self.records.get(key) else { return };
+        let is_used = record.target.as_ref().is_some_and(|target| !target.leaving);
+        if absence == Absence::MayHaveLapsed && is_used && !self.is_withheld(key) {
+            self.lapsed.insert(key.to_owned(), record.clone());
+        }
+    }
+
+    /// Returns the last records of targets that are off the list and may register again, by key.
+    pub fn lapsed(&self) -> impl Iterator<Item = (&String, &TargetRecord)> {
+        self.lapsed.iter()
+    }
+
+    /// Takes over targets that another entry keeps beside its list, for an entry that has just
+    /// started and so cannot have seen them lapse. One whose removal it has seen is left out.
+    pub fn adopt_lapsed(&mut self, lapsed: Vec<(String, TargetRecord)>) {
+        let is_known = |key: &str| self.records.contains_key(key) || self.removed.contains_key(key);
+        let unknown: Vec<_> = lapsed.into_iter().filter(|(key, _)| !is_known(key)).collect();
+        self.lapsed.extend(unknown);
+    }
+
+    /// Drops the targets that have not registered again. Returns true if there were any.
+    pub fn drop_lapsed(&mut self) -> bool {
+        let dropped = !self.lapsed.is_empty();
+        self.lapsed.clear();
+        dropped
+    }
+
     fn record_removal(&mut self, key: String, revision: u64) {
         if self.removed.len() >= MAX_REMEMBERED_REMOVALS
             && let Some(oldest) = self.removed.iter().min_by_key(|(_, removed)| removed.revision)
@@ -244,11 +296,12 @@
         self.records.iter()
     }
 
-    /// Returns the decoded targets. Of several at one address only the one written last is
-    /// returned: the record of an incarnation that has ended stays on the list for a while.
+    /// Returns the decoded targets, with those that may register again. Of several at one address only
+    /// the one written last is returned: the record of an incarnation that has ended stays on the list
+    /// for a while.
     pub fn targets(&self) -> Vec<Target> {
         let mut newest: Map<SocketAddr, (u64, &Target)> = Map::default();
-        for (key, record) in &self.records {
+        for (key, record) in self.records.iter().chain(&self.lapsed) {
             let Some(target) = record.target.as_ref().filter(|_| !self.is_withheld(key)) else {
                 continue;
             };
--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -80,6 +80,10 @@
     /// Milliseconds since the store last left a call of the sender unanswered; absent while it answers.
     #[prost(uint64, optional, tag = "27")]
     pub store_failed_ms: Option<u64>,
+    /// Milliseconds since the end of the outage after which the sender keeps targets beside its list;
+    /// absent while it keeps none.
+    #[prost(uint64, optional, tag = "28")]
+    pub lapsed_since_ms: Option<u64>,
     /// The requests that come to the sender for services whose requests differ in urgency.
     #[prost(message, repeated, tag = "26")]
     pub demand: Vec<KindRate>,
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -10,7 +10,6 @@
 pub mod crash_record;
 pub mod heartbeat;
 pub mod peers;
-pub mod pending_removals;
 pub mod permit;
 pub mod standing;
 pub mod store;
--- a/src/direct/known/store_outages.rs
+++ b/src/direct/known/store_outages.rs
@@ -81,6 +81,16 @@
         self.ended_at.set(Some(now));
     }
 
+    /// Records when the last outage ended, as another entry knows it.
+    pub fn adopt_end(&self, at: Duration) {
+        self.ended_at.set(self.ended_at.get().max(Some(at)));
+    }
+
+    /// Returns the end of the last outage; `None` if there was none.
+    pub fn ended_at(&self) -> Option<Duration> {
+        self.ended_at.get()
+    }
+
     /// Returns what it means that a target is missing from the list at a time.
     pub fn absence(&self, now: Duration) -> Absence {
         match self.is_out(now) || self.may_register_again(now) {
@@ -89,6 +99,13 @@
         }
     }
 
+    /// Returns the time until the store is asked whether lapsed targets have registered again; `None`
+    /// if that time has passed.
+    pub fn time_to_check(&self, now: Duration) -> Option<Duration> {
+        let due = self.ended_at.get()? + REREGISTRATION_TIME;
+        due.checked_sub(now).filter(|left| !left.is_zero())
+    }
+
     /// Returns the time until lapsed targets are removed, if the store answers then.
     pub fn time_to_removal(&self, now: Duration) -> Duration {
         let since = self.ended_at.get().filter(|_| !self.is_out(now)).unwrap_or(now);
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -72,6 +72,12 @@
     /// The data centres that are being emptied; absent where the requester knows as much.
     #[prost(message, optional, tag = "5")]
     standing: Option<StandingMessage>,
+    /// The targets that are off the list and may register again; empty unless the requester asks.
+    #[prost(message, repeated, tag = "6")]
+    lapsed: Vec<TargetRecordMessage>,
+    /// Milliseconds since the end of the outage in which they lapsed.
+    #[prost(uint64, tag = "7")]
+    outage_ended_ms: u64,
 }
 
 /// The query of a request for the cluster state: what the requester knows.
@@ -83,6 +89,8 @@
     targets_at: u64,
     standing_era: u64,
     standing_at: u64,
+    /// 1 to be sent what is kept beside the list as well.
+    lapsed: u8,
 }
 
 /// One record of the target list.
@@ -178,6 +186,7 @@
         permit_reply: None,
         configuration_age_ms: age_ms(entry, Collection::Configuration),
         targets_age_ms: age_ms(entry, Collection::Targets),
+        lapsed_since_ms: lapsed_since_ms(entry),
         store_failed_ms: entry.store_failed_at.get().map(|at| millis(now.saturating_sub(at))),
         demand: entry.places.borrow().report(now),
         standing: StandingMessage::brief(state.standing()),
@@ -188,6 +197,13 @@
     entry.confirmations.age(collection, entry.now()).map(millis)
 }
 
+/// Returns the time since the end of the outage after which targets are kept beside the list, in
+/// milliseconds; `None` while there are none.
+fn lapsed_since_ms(entry: &Entry) -> Option<u64> {
+    entry.cluster_state.borrow().lapsed().next()?;
+    entry.store_outages.ended_at().map(|at| millis(entry.now().saturating_sub(at)))
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
@@ -236,6 +252,7 @@
     let standing = heartbeat.standing.take();
     let KnownVersions { version, targets_at, standing_at } = known;
     sync.record_peer_calls(&heartbeat);
+    let has_lapsed = sync.lacks_lapsed(heartbeat.lapsed_since_ms);
     let update = entry.peers.borrow_mut().record_heartbeat(heartbeat, from, now);
     if update.joined {
         events::log(
@@ -256,7 +273,9 @@
     }
     let state = entry.cluster_state.borrow();
     let own = state.known();
-    if version > own.version || targets_at > own.targets_at || standing_at > own.standing_at {
+    let is_newer =
+        version > own.version || targets_at > own.targets_at || standing_at > own.standing_at;
+    if is_newer || has_lapsed {
         sync.outdated.notify_one();
     }
 }
@@ -268,9 +287,10 @@
         sync.outdated.notified().await;
         while let Some((name, addr)) = choose_source(&sync) {
             let known = sync.entry.cluster_state.borrow().known();
-            match fetch(addr, known, &codecs).await {
+            let began = sync.entry.now();
+            match fetch(addr, known, sync.entry.store_outages.ended_at().is_none(), &codecs).await {
                 Ok(state) => {
-                    apply_state(&sync, state, &name);
+                    apply_state(&sync, state, &name, began);
                     break;
                 }
                 // The peer is sending its state to others, which is no failure; try another one.
@@ -298,17 +318,23 @@
         entry.options.heartbeat_interval,
         entry.now(),
     );
-    source.map(|peer| (peer.heartbeat.name.clone(), peer.addr))
+    let lapsed = || {
+        let mut live = peers.live(entry.options.heartbeat_interval, entry.now());
+        live.find(|peer| sync.lacks_lapsed(peer.heartbeat.lapsed_since_ms))
+    };
+    source.or_else(lapsed).map(|peer| (peer.heartbeat.name.clone(), peer.addr))
 }
 
+/// Fetches what is newer than the known state, and what is kept beside the target list if asked for.
 async fn fetch(
     addr: SocketAddr,
     known: KnownVersions,
+    lapsed: bool,
     codecs: &Codecs,
 ) -> internal::Result<ClusterStateMessage> {
     let request = InternalRequest {
         method: Method::GET,
-        uri: state_uri(known),
+        uri: state_uri(known, lapsed),
         body: Bytes::new(),
         timeout: FETCH_TIMEOUT,
         max_answer_bytes: MAX_STATE_BYTES,
@@ -318,15 +344,17 @@
 
 /// Returns the URI of the state that is newer than the known one, or of the complete state if that
 /// URI is invalid.
-fn state_uri(known: KnownVersions) -> Uri {
+fn state_uri(known: KnownVersions, lapsed: bool) -> Uri {
     let KnownVersions { version, targets_at, standing_at } = known;
     let targets = format!("targets_era={}&targets_at={}", targets_at.era, targets_at.revision);
     let standing = format!("standing_era={}&standing_at={}", standing_at.era, standing_at.revision);
-    let uri = format!("{STATE_PATH}?version={version}&{targets}&{standing}");
+    let lapsed = u8::from(lapsed);
+    let uri = format!("{STATE_PATH}?version={version}&{targets}&{standing}&lapsed={lapsed}");
     uri.parse().unwrap_or(Uri::from_static(STATE_PATH))
 }
 
-fn apply_state(sync: &StateSync, state: ClusterStateMessage, source: &str) {
+/// Applies what another entry has sent in answer to a request that began at a time.
+fn apply_state(sync: &StateSync, state: ClusterStateMessage, source: &str, began: Duration) {
     if let Some(standing) = state.standing {
         sync.apply_standing_message(standing, source);
     }
@@ -335,16 +363,27 @@
     }
     let targets_at = Position { era: state.targets_era, revision: state.targets_at };
     if targets_at > sync.entry.cluster_state.borrow().targets_at() {
-        let records: Vec<(String, TargetRecord)> = state
-            .targets
-            .into_iter()
-            .map(|TargetRecordMessage { key, value, revision }| Item { key, value, revision })
-            .map(|item| sync.decode_target(item))
-            .collect();
-        sync.replace_targets(records, targets_at, source);
+        sync.replace_targets(decode_records(sync, state.targets), targets_at, source);
+    }
+    if !state.lapsed.is_empty() && sync.lacks_lapsed(Some(state.outage_ended_ms)) {
+        // The time since the answer was written is not known, so it counts from the request.
+        let ended_at = began.saturating_sub(Duration::from_millis(state.outage_ended_ms));
+        sync.adopt_lapsed(decode_records(sync, state.lapsed), ended_at, source);
     }
 }
 
+fn decode_records(
+    sync: &StateSync,
+    records: Vec<TargetRecordMessage>,
+) -> Vec<(String, TargetRecord)> {
+    let items = records.into_iter().map(|TargetRecordMessage { key, value, revision }| Item {
+        key,
+        value,
+        revision,
+    });
+    items.map(|item| sync.decode_target(item)).collect()
+}
+
 /// Adds the route at which other entries fetch the cluster state.
 pub fn configure(cfg: &mut web::ServiceConfig) {
     cfg.route(STATE_PATH, web::get().to(serve_state));
@@ -363,7 +402,10 @@
     let targets_at = Position { era: query.targets_era, revision: query.targets_at };
     let standing_at = Position { era: query.standing_era, revision: query.standing_at };
     let known = KnownVersions { version: query.version, targets_at, standing_at };
-    let message = newer_state(&sync.entry.cluster_state.borrow(), known);
+    let mut message = newer_state(&sync.entry.cluster_state.borrow(), known);
+    if query.lapsed > 0 {
+        add_lapsed(&sync.entry, &mut message);
+    }
     let bytes = Bytes::from(message.encode_to_vec());
     let size = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
     // The connection polls for chunks as fast as it can send them, so the permit is released about
@@ -375,6 +417,24 @@
     HttpResponse::Ok().body(SizedStream::new(size, Box::pin(chunks)))
 }
 
+/// Adds the targets that are off the list and may register again.
+fn add_lapsed(entry: &Entry, message: &mut ClusterStateMessage) {
+    let Some(ended_at) = entry.store_outages.ended_at() else { return };
+    message.lapsed = record_messages(entry.cluster_state.borrow().lapsed());
+    message.outage_ended_ms = millis(entry.now().saturating_sub(ended_at));
+}
+
+fn record_messages<'a>(
+    records: impl Iterator<Item = (&'a String, &'a TargetRecord)>,
+) -> Vec<TargetRecordMessage> {
+    let message = |(key, record): (&String, &TargetRecord)| TargetRecordMessage {
+        key: key.clone(),
+        value: record.raw.clone(),
+        revision: record.revision,
+    };
+    records.map(message).collect()
+}
+
 fn newer_state(state: &ClusterState, known: KnownVersions) -> ClusterStateMessage {
     let configuration = state.raw_configuration().filter(|_| state.version() > known.version);
     let mut message = ClusterStateMessage {
@@ -383,12 +443,7 @@
         ..ClusterStateMessage::default()
     };
     if state.targets_at() > known.targets_at {
-        let targets = state.target_records().map(|(key, record)| TargetRecordMessage {
-            key: key.clone(),
-            value: record.raw.clone(),
-            revision: record.revision,
-        });
-        message.targets = targets.collect();
+        message.targets = record_messages(state.target_records());
         message.targets_era = state.targets_at().era;
         message.targets_at = state.targets_at().revision;
     }
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -18,7 +18,6 @@
 use crate::direct::decisions::read_times::ReadTimes;
 use crate::direct::known::cluster_state::KnownVersions;
 use crate::direct::known::heartbeat::Heartbeat;
-use crate::direct::known::pending_removals::PendingRemovals;
 use crate::direct::known::store::{
     Change, Changes, Collection, Formats, Item, OperatorItem, Position, Store, StoreError,
     UnreadableValue, Watch,
@@ -44,8 +43,8 @@
     pub changed: Rc<Notify>,
     /// Notified when another entry has a newer cluster state.
     pub outdated: Rc<Notify>,
-    /// Targets off the list around a store outage, which are not removed yet.
-    pub pending_removals: PendingRemovals,
+    /// When this entry received its first target list; `None` before that.
+    pub listed_since: Cell<Option<Duration>>,
     /// The position and the digest of the target list that were logged last.
     pub logged_list: Cell<(Position, u64)>,
     /// When records of targets that were leaving or gone are used again; `None` if there are none.
@@ -112,10 +111,11 @@
         while let Some(position) = self.reader_position() {
             let began = self.entry.now();
             let times = self.read_times();
+            let wait = times.watch_wait(position == 0, self.entry.random_fraction());
             let call = Watch {
                 collection,
                 after: at.revision,
-                wait: times.watch_wait(position == 0, self.entry.random_fraction()),
+                wait: self.time_to_lapse_check(collection).map_or(wait, |check| check.min(wait)),
                 answer_time: times.answer_time(calls.answer_took),
             };
             let due = began + call.wait;
@@ -255,16 +255,7 @@
                 self.replace_standing(emptied, at, "store");
             }
             Collection::Targets => {
-                if at < self.entry.cluster_state.borrow().targets_at() {
-                    return;
-                }
-                if self.begins_era(at) {
-                    self.pending_removals.clear();
-                    self.entry.store_outages.record_return(self.entry.now());
-                }
-                let mut records: Vec<_> =
-                    items.into_iter().map(|item| self.decode_target(item)).collect();
-                records.extend(self.deferred(&records, at));
+                let records = items.into_iter().map(|item| self.decode_target(item)).collect();
                 self.replace_targets(records, at, "store");
             }
         }
--- a/src/direct/peering/target_list.rs
+++ b/src/direct/peering/target_list.rs
@@ -1,11 +1,16 @@
 //! Applies changes of the target list to an entry: its records, its table of targets, and what an
 //! outage or a return of the store from an older copy means for both.
+//!
+//! Each entry decides for itself which targets may have lapsed, also with a list that another entry
+//! has sent. So a wrong decision reaches no other entry, and what an entry hands on is always the list
+//! of the store at its position. See docs/PLATFORM.md.
 
 use std::time::{Duration, UNIX_EPOCH};
 
 use crate::collections::Set;
-use crate::direct::known::cluster_state::TargetRecord;
-use crate::direct::known::store::{Item, Position};
+use crate::direct::known::cluster_state::{ClusterState, TargetRecord};
+use crate::direct::known::store::{Collection, Item, Position};
+use crate::direct::known::store_outages::Absence;
 use crate::direct::peering::sync::StateSync;
 use crate::telemetry::events;
 
@@ -36,60 +41,46 @@
         state.has_targets() && at.era > state.targets_at().era
     }
 
-    /// Returns the records that are missing from a list read from the store but whose removal is
-    /// deferred.
-    pub(super) fn deferred(
+    /// Changes the list, given what the absence of a target means now, and logs which targets lapse
+    /// with that.
+    fn change_list<T>(
         &self,
-        records: &[(String, TargetRecord)],
-        at: Position,
-    ) -> Vec<(String, TargetRecord)> {
-        let keys: Set<&str> = records.iter().map(|(key, _)| key.as_str()).collect();
-        let state = self.entry.cluster_state.borrow();
-        let same_era = state.targets_at().era == at.era;
-        let missing = state.target_records().filter(|(key, _)| !keys.contains(key.as_str()));
-        let deferred = missing.filter(|(key, record)| self.defer_removal(key, record, at.revision));
-        let keep = |(key, record): (&String, &TargetRecord)| {
-            let revision = if same_era { record.revision } else { 0 };
-            (key.clone(), TargetRecord { revision, ..record.clone() })
-        };
-        deferred.map(keep).collect()
-    }
-
-    /// Returns true if the removal of a record is deferred, since its target may register again.
-    fn defer_removal(&self, key: &str, record: &TargetRecord, revision: u64) -> bool {
-        let now = self.entry.now();
-        let Some(target) = &record.target else { return false };
+        source: &str,
+        change: impl FnOnce(&mut ClusterState, Absence) -> T,
+    ) -> T {
         let outages = &self.entry.store_outages;
-        let deferred = self.pending_removals.defer(key, target, revision, outages.absence(now));
-        if deferred {
+        let now = self.entry.now();
+        let mut state = self.entry.cluster_state.borrow_mut();
+        let before: Set<String> = state.lapsed().map(|(key, _)| key.clone()).collect();
+        let result = change(&mut state, outages.absence(now));
+        for (key, _) in state.lapsed().filter(|(key, _)| !before.contains(*key)) {
             let wait_ms = outages.time_to_removal(now).as_millis();
+            let at = state.targets_at();
             events::log(
-                events::TARGET_REMOVAL_PENDING,
-                format_args!("target={} revision={revision} wait_ms={wait_ms}", target.id),
+                events::TARGET_LAPSED,
+                format_args!("target={key} at={at} wait_ms={wait_ms} from={source}"),
             );
         }
-        deferred
+        self.entry.metrics.lapsed_targets(state.lapsed().count());
+        result
     }
 
     /// Applies the write of one record.
     pub(super) fn put_target(&self, item: Item) {
         let revision = item.revision;
         let (key, record) = self.decode_target(item);
-        self.pending_removals.cancel(&key);
-        let mut state = self.entry.cluster_state.borrow_mut();
-        state.put_target(key, record);
-        state.advance_targets(revision);
+        self.change_list("store", |state, _| {
+            state.put_target(key, record);
+            state.advance_targets(revision);
+        });
     }
 
-    /// Applies the removal of one record, or defers it.
+    /// Applies the removal of one record.
     pub(super) fn remove_target(&self, key: &str, revision: u64) {
-        let known = self.entry.cluster_state.borrow().target_record(key).cloned();
-        if known.is_some_and(|record| self.defer_removal(key, &record, revision)) {
-            return;
-        }
-        let mut state = self.entry.cluster_state.borrow_mut();
-        state.remove_target(key, revision);
-        state.advance_targets(revision);
+        self.change_list("store", |state, absence| {
+            state.remove_target(key, revision, absence);
+            state.advance_targets(revision);
+        });
     }
 
     /// Replaces the target list by a complete one read at a position, unless that is older.
@@ -102,16 +93,54 @@
     ) {
         let before = self.entry.cluster_state.borrow().targets_at();
         let begins_era = self.begins_era(at);
-        if !self.entry.cluster_state.borrow_mut().replace_targets(records, at) {
+        if begins_era {
+            self.entry.store_outages.record_return(self.entry.now());
+        }
+        let replaced =
+            self.change_list(source, |state, absence| state.replace_targets(records, at, absence));
+        if !replaced {
             return;
         }
         if begins_era {
             self.record_store_returned(before, at, source);
         }
+        if self.listed_since.get().is_none() {
+            self.listed_since.set(Some(self.entry.now()));
+        }
         self.entry.metrics.store_era(at.era);
         self.update_target_table(source);
     }
 
+    /// Returns true if targets lapsed in an outage that another entry tells of, and this one has not
+    /// seen that, since it has no list or had none until the outage had ended.
+    pub(super) fn lacks_lapsed(&self, lapsed_since_ms: Option<u64>) -> bool {
+        let Some(since_ms) = lapsed_since_ms else { return false };
+        let ended_at = self.entry.now().saturating_sub(Duration::from_millis(since_ms));
+        let saw_none = self.entry.store_outages.ended_at().is_none();
+        saw_none && self.listed_since.get().is_none_or(|since| since >= ended_at)
+    }
+
+    /// Takes over the targets that another entry keeps beside its list. `ended_at` is when the outage
+    /// ended in which they lapsed.
+    pub(super) fn adopt_lapsed(
+        &self,
+        lapsed: Vec<(String, TargetRecord)>,
+        ended_at: Duration,
+        source: &str,
+    ) {
+        self.entry.store_outages.adopt_end(ended_at);
+        self.change_list(source, |state, _| state.adopt_lapsed(lapsed));
+        self.update_target_table(source);
+    }
+
+    /// Returns the time until the store is to be asked whether lapsed targets have registered again;
+    /// `None` if there are none.
+    pub(super) fn time_to_lapse_check(&self, collection: Collection) -> Option<Duration> {
+        let has_lapsed = self.entry.cluster_state.borrow().lapsed().next().is_some();
+        let is_due = collection == Collection::Targets && has_lapsed;
+        is_due.then(|| self.entry.store_outages.time_to_check(self.entry.now())).flatten()
+    }
+
     /// Handles the first target list of a later era.
     fn record_store_returned(&self, before: Position, at: Position, source: &str) {
         let entry = &self.entry;
@@ -210,18 +239,15 @@
         }
     }
 
-    /// Removes targets that disappeared from the list around a store outage and did not register
-    /// again in time.
-    pub fn apply_due_removals(&self) {
-        let due = self.pending_removals.due(self.entry.store_outages.absence(self.entry.now()));
-        if due.is_empty() {
+    /// Drops the targets that lapsed in an outage of the store and did not register again in time.
+    pub fn drop_due_lapses(&self) {
+        let has_lapsed = self.entry.cluster_state.borrow().lapsed().next().is_some();
+        let absence = self.entry.store_outages.absence(self.entry.now());
+        if !has_lapsed || absence == Absence::MayHaveLapsed {
             return;
         }
-        for (key, revision) in due {
-            let mut state = self.entry.cluster_state.borrow_mut();
-            state.remove_target(&key, revision);
-            state.advance_targets(revision);
+        if self.change_list("lapse", |state, _| state.drop_lapsed()) {
+            self.update_target_table("lapse");
         }
-        self.update_target_table("lapse");
     }
 }
--- a/src/direct/state/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -24,6 +24,7 @@
     store_era: IntGauge,
     store_returns: IntCounter,
     store_outages: IntCounter,
+    lapsed_targets: IntGauge,
     first_event: Histogram,
     pause: Histogram,
     document: Histogram,
@@ -102,6 +103,10 @@
                 "bitternwall_direct_store_outages_total",
                 "Outages in which the store answered no entry and leases may have expired.",
             )?,
+            lapsed_targets: gauge(
+                "bitternwall_direct_lapsed_targets",
+                "Targets that went off the list around an outage and may register again.",
+            )?,
             first_event: seconds(
                 "bitternwall_direct_first_event_seconds",
                 "Time from a request's arrival to the first event of its answer.",
@@ -255,6 +260,11 @@
         self.store_outages.inc();
     }
 
+    /// Sets the number of targets that are off the list and may register again.
+    pub fn lapsed_targets(&self, targets: usize) {
+        self.lapsed_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
     /// Records the time from a request's arrival to the first event of its answer.
     pub fn first_event(&self, after: Duration) {
         self.first_event.observe(after.as_secs_f64());
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -148,9 +148,9 @@
 /// A target was removed from the target list.
 pub const TARGET_REMOVED: LogEvent =
     LogEvent { number: 7011, severity: Severity::Info, title: "target gone" };
-/// A target disappeared from the target list around an outage of the store; it may reappear, so its
-/// removal is pending.
-pub const TARGET_REMOVAL_PENDING: LogEvent =
+/// A target disappeared from the target list around an outage of the store; it may register again, so
+/// it is used for a while.
+pub const TARGET_LAPSED: LogEvent =
     LogEvent { number: 7012, severity: Severity::Warning, title: "target lapsed" };
 /// The group of a target started or stopped accepting requests, as reported by the target's agent.
 pub const GROUP_STATE: LogEvent =
@@ -333,7 +333,7 @@
     RETRY_REFUSED,
     TARGET_LISTED,
     TARGET_REMOVED,
-    TARGET_REMOVAL_PENDING,
+    TARGET_LAPSED,
     GROUP_STATE,
     HEADER_UNREADABLE,
     RATE_NAMED,
--- a/tests/direct/replication.rs
+++ b/tests/direct/replication.rs
@@ -9,6 +9,7 @@
 use bitternwall::direct::known::heartbeat::{Heartbeat, Load, PeerAddr};
 use bitternwall::direct::known::peers::{self, FANOUT, MAX_PEER_ADDRS, Peers, STORE_READERS};
 use bitternwall::direct::known::store::Position;
+use bitternwall::direct::known::store_outages::Absence;
 use bitternwall::direct::known::target::Target;
 use bitternwall::direct::peering::gossip;
 use bytes::Bytes;
@@ -47,20 +48,28 @@
 #[test]
 fn a_late_change_does_not_bring_a_target_back() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], at(5));
-    assert!(state.remove_target("t0", 8));
+    state.replace_targets(
+        vec![("t0".to_owned(), listed(target("t0", 1), 5))],
+        at(5),
+        Absence::Gone,
+    );
+    assert!(state.remove_target("t0", 8, Absence::Gone));
     assert!(!state.put_target("t0".to_owned(), listed(target("t0", 1), 7)));
     assert!(state.targets().is_empty());
     assert!(state.put_target("t0".to_owned(), listed(target("t0", 1), 9)));
-    assert!(!state.remove_target("t0", 8));
+    assert!(!state.remove_target("t0", 8, Absence::Gone));
     assert_eq!(state.targets().len(), 1);
 }
 
 #[test]
 fn an_older_list_is_ignored() {
     let mut state = ClusterState::default();
-    assert!(state.replace_targets(Vec::new(), at(10)));
-    assert!(!state.replace_targets(vec![("t0".to_owned(), listed(target("t0", 1), 5))], at(9)));
+    assert!(state.replace_targets(Vec::new(), at(10), Absence::Gone));
+    assert!(!state.replace_targets(
+        vec![("t0".to_owned(), listed(target("t0", 1), 5))],
+        at(9),
+        Absence::Gone
+    ));
     assert!(state.targets().is_empty());
 }
 
@@ -74,6 +83,7 @@
             ("other".to_owned(), listed(target("other", 2), 3)),
         ],
         at(9),
+        Absence::Gone,
     );
     let mut ids: Vec<String> = state.targets().into_iter().map(|target| target.id).collect();
     ids.sort_unstable();
@@ -85,7 +95,11 @@
     let mut state = ClusterState::default();
     let unreadable = TargetRecord { revision: 4, raw: Bytes::from_static(b"\xff"), target: None };
     let sound = listed(target("t0", 1), 5);
-    state.replace_targets(vec![("bad".to_owned(), unreadable), ("t0".to_owned(), sound)], at(5));
+    state.replace_targets(
+        vec![("bad".to_owned(), unreadable), ("t0".to_owned(), sound)],
+        at(5),
+        Absence::Gone,
+    );
     assert_eq!(state.targets().len(), 1);
 }
 
--- a/tests/direct/store_eras.rs
+++ b/tests/direct/store_eras.rs
@@ -7,7 +7,6 @@
 use bitternwall::direct::known::crash_history::CrashHistory;
 use bitternwall::direct::known::heartbeat::Heartbeat;
 use bitternwall::direct::known::peers::Peers;
-use bitternwall::direct::known::pending_removals::PendingRemovals;
 use bitternwall::direct::known::store::Position;
 use bitternwall::direct::known::store_outages::{Absence, StoreOutages};
 use bitternwall::direct::known::target::Target;
@@ -17,6 +16,7 @@
 use crate::target_choice::target;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_200);
 
 fn position(era: u64, revision: u64) -> Position {
     Position { era, revision }
@@ -49,7 +49,7 @@
         let mut newest = None;
         for (era, revision) in lists {
             let at = position(era, revision);
-            let taken = state.replace_targets(Vec::new(), at);
+            let taken = state.replace_targets(Vec::new(), at, Absence::Gone);
             prop_assert_eq!(taken, newest.is_none_or(|newest| newest <= at));
             newest = newest.max(Some(at));
             prop_assert_eq!(Some(state.targets_at()), newest);
@@ -60,10 +60,18 @@
 #[test]
 fn a_list_of_a_later_era_replaces_one_of_a_higher_revision() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![record(started("t0", 1), 500)], position(1, 500));
-    assert!(state.replace_targets(vec![record(started("t1", 2), 90)], position(2, 100)));
+    state.replace_targets(vec![record(started("t0", 1), 500)], position(1, 500), Absence::Gone);
+    assert!(state.replace_targets(
+        vec![record(started("t1", 2), 90)],
+        position(2, 100),
+        Absence::Gone
+    ));
     assert_eq!(ids(&state), ["t1"]);
-    assert!(!state.replace_targets(vec![record(started("t0", 1), 500)], position(1, 900)));
+    assert!(!state.replace_targets(
+        vec![record(started("t0", 1), 500)],
+        position(1, 900),
+        Absence::Gone
+    ));
     let (key, written) = record(started("t2", 3), 101);
     assert!(state.put_target(key, written));
     state.advance_targets(101);
@@ -73,8 +81,8 @@
 #[test]
 fn a_target_that_is_kept_from_the_former_era_is_replaced_by_its_next_record() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![record(started("t0", 1), 500)], position(1, 500));
-    state.replace_targets(vec![record(started("t0", 1), 0)], position(2, 100));
+    state.replace_targets(vec![record(started("t0", 1), 500)], position(1, 500), Absence::Gone);
+    state.replace_targets(vec![record(started("t0", 1), 0)], position(2, 100), Absence::Gone);
     assert_eq!(ids(&state), ["t0"]);
     let (key, written) = record(leaving(started("t0", 1)), 101);
     assert!(state.put_target(key, written));
@@ -84,10 +92,10 @@
 #[test]
 fn a_target_that_has_gone_is_not_used_when_the_copy_lists_it() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![record(started("t0", 1), 80)], position(1, 80));
-    assert!(state.remove_target("t0", 120));
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(1, 80), Absence::Gone);
+    assert!(state.remove_target("t0", 120, Absence::Gone));
     state.advance_targets(120);
-    state.replace_targets(vec![record(started("t0", 1), 80)], position(2, 90));
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(2, 90), Absence::Gone);
     assert!(ids(&state).is_empty());
     assert_eq!(state.withheld_count(), 1);
     let (key, written) = record(started("t0", 1), 95);
@@ -98,29 +106,33 @@
 #[test]
 fn a_target_that_drains_is_not_used_when_the_copy_lists_it_as_ready() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![record(leaving(started("t0", 1)), 120)], position(1, 120));
-    state.replace_targets(vec![record(started("t0", 1), 80)], position(2, 90));
+    state.replace_targets(
+        vec![record(leaving(started("t0", 1)), 120)],
+        position(1, 120),
+        Absence::Gone,
+    );
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(2, 90), Absence::Gone);
     assert!(ids(&state).is_empty());
     // The store comes back from the same copy once more.
-    state.replace_targets(vec![record(started("t0", 1), 80)], position(3, 90));
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(3, 90), Absence::Gone);
     assert!(ids(&state).is_empty());
 }
 
 #[test]
 fn a_new_incarnation_of_a_target_that_has_gone_is_used() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![record(started("t0", 1), 80)], position(1, 80));
-    state.remove_target("t0", 120);
-    state.replace_targets(vec![record(started("t0", 2), 85)], position(2, 90));
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(1, 80), Absence::Gone);
+    state.remove_target("t0", 120, Absence::Gone);
+    state.replace_targets(vec![record(started("t0", 2), 85)], position(2, 90), Absence::Gone);
     assert_eq!(ids(&state), ["t0"]);
 }
 
 #[test]
 fn a_target_that_stays_listed_is_used_again_after_a_while() {
     let mut state = ClusterState::default();
-    state.replace_targets(vec![record(started("t0", 1), 80)], position(1, 80));
-    state.remove_target("t0", 120);
-    state.replace_targets(vec![record(started("t0", 1), 80)], position(2, 90));
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(1, 80), Absence::Gone);
+    state.remove_target("t0", 120, Absence::Gone);
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(2, 90), Absence::Gone);
     assert!(state.release_withheld());
     assert_eq!(ids(&state), ["t0"]);
     assert!(!state.release_withheld());
@@ -128,17 +140,36 @@
 
 #[test]
 fn a_target_that_the_copy_does_not_list_has_the_full_time_to_register_again() {
-    let pending = PendingRemovals::default();
-    let outages = StoreOutages::new(Duration::from_millis(1_200));
+    let outages = StoreOutages::new(RENEWAL_INTERVAL);
+    let mut state = ClusterState::default();
+    let listed = vec![record(target("t0", 1), 480), record(target("t1", 2), 490)];
+    state.replace_targets(listed, position(1, 490), Absence::Gone);
     let at = Duration::from_secs;
-    pending.defer("t0", &target("t0", 1), 500, Absence::MayHaveLapsed);
-    pending.clear();
+    for second in 0..60 {
+        outages.record_answer(at(second));
+    }
+    assert_eq!(outages.absence(at(60)), Absence::Gone);
+    state.remove_target("t0", 500, Absence::MayHaveLapsed);
     outages.record_return(at(60));
-    assert!(pending.due(Absence::Gone).is_empty(), "a removal of the former era");
-    assert!(pending.defer("t1", &target("t1", 2), 100, outages.absence(at(60))));
+    let listed = vec![record(target("t2", 3), 90)];
+    state.replace_targets(listed, position(2, 100), outages.absence(at(60)));
+    assert_eq!(ids(&state), ["t0", "t1", "t2"], "also a target that had lapsed in the former era");
     outages.record_answer(at(62));
-    assert!(pending.due(outages.absence(at(62))).is_empty());
-    assert_eq!(pending.due(outages.absence(at(63))), [("t1".to_owned(), 100)]);
+    assert_eq!(outages.absence(at(62)), Absence::MayHaveLapsed);
+    assert_eq!(outages.absence(at(63)), Absence::Gone);
+    assert!(state.drop_lapsed());
+    assert_eq!(ids(&state), ["t2"]);
+}
+
+#[test]
+fn a_target_that_lapsed_is_used_when_the_copy_lists_it() {
+    let mut state = ClusterState::default();
+    state.replace_targets(vec![record(started("t0", 1), 80)], position(1, 80), Absence::Gone);
+    state.remove_target("t0", 120, Absence::MayHaveLapsed);
+    let listed = vec![record(started("t0", 1), 80)];
+    state.replace_targets(listed, position(2, 90), Absence::MayHaveLapsed);
+    assert_eq!((ids(&state), state.withheld_count()), (vec!["t0".to_owned()], 0));
+    assert!(!state.drop_lapsed(), "it is listed");
 }
 
 #[test]
--- a/tests/direct/store_outages.rs
+++ b/tests/direct/store_outages.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::known::pending_removals::PendingRemovals;
+use bitternwall::direct::known::cluster_state::{ClusterState, TargetRecord};
+use bitternwall::direct::known::store::Position;
 use bitternwall::direct::known::store_outages::{Absence, StoreOutages};
 use bitternwall::direct::known::target::Target;
+use bytes::Bytes;
 use proptest::prelude::*;
 
 use crate::target_choice::target;
@@ -30,6 +32,23 @@
     outages
 }
 
+/// Returns the record of a target at an address of its own.
+fn record(id: &str, revision: u64) -> (String, TargetRecord) {
+    let port = id.strip_prefix('t').and_then(|number| number.parse().ok()).expect("t0 to t9");
+    let target = Some(target(id, port));
+    (id.to_owned(), TargetRecord { revision, raw: Bytes::new(), target })
+}
+
+fn ids(state: &ClusterState) -> Vec<String> {
+    let mut ids: Vec<String> = state.targets().into_iter().map(|target| target.id).collect();
+    ids.sort_unstable();
+    ids
+}
+
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 #[test]
 fn a_target_whose_lease_expired_in_a_store_outage_stays_until_it_had_time_to_register_again() {
     let outages = calm_until(ms(1_000));
@@ -39,11 +58,13 @@
     assert_eq!(outages.absence(ms(60_000)), Absence::MayHaveLapsed, "still unavailable");
     assert_eq!(outages.record_answer(ms(61_000)), Some(ms(60_000)));
     assert_eq!(outages.absence(ms(61_000)), Absence::MayHaveLapsed);
+    assert_eq!(outages.time_to_check(ms(61_500)), Some(ms(1_500)));
     outages.record_answer(ms(62_900));
     assert_eq!(outages.absence(ms(63_400)), Absence::MayHaveLapsed, "not asked since");
     outages.record_answer(ms(63_000));
     assert_eq!(outages.absence(ms(63_200)), Absence::MayHaveLapsed);
     assert_eq!(outages.absence(ms(63_300)), Absence::Gone);
+    assert_eq!(outages.time_to_check(ms(63_300)), None);
 }
 
 #[test]
@@ -92,21 +113,6 @@
     assert_eq!(outages.absence(ms(3_600)), Absence::Gone);
 }
 
-#[test]
-fn a_target_that_is_listed_again_or_was_leaving_has_no_pending_removal() {
-    let pending = PendingRemovals::default();
-    assert!(pending.defer("t0", &target("t0", 1), 2, Absence::MayHaveLapsed));
-    assert!(pending.due(Absence::MayHaveLapsed).is_empty());
-    pending.cancel("t0");
-    assert!(pending.due(Absence::Gone).is_empty());
-    let leaving = Target { leaving: true, ..target("t1", 2) };
-    assert!(!pending.defer("t1", &leaving, 3, Absence::MayHaveLapsed));
-    assert!(!pending.defer("t0", &target("t0", 1), 4, Absence::Gone));
-    assert!(pending.defer("t0", &target("t0", 1), 5, Absence::MayHaveLapsed));
-    assert_eq!(pending.due(Absence::Gone), [("t0".to_owned(), 5)]);
-    assert!(pending.due(Absence::Gone).is_empty());
-}
-
 proptest! {
     /// However often calls fail, a store that answers some entry at least as often as leases need
     /// it explains no missing target.
@@ -126,4 +132,87 @@
             prop_assert_eq!(outages.absence(ms(now)), Absence::Gone);
         }
     }
+
+    /// Two entries apply the same changes; one of them believes now and then that targets may have
+    /// lapsed. Both hold, and hand on, the same list at each position.
+    #[test]
+    fn a_list_that_is_handed_on_is_that_of_the_store_whatever_an_entry_believes_of_outages(
+        changes in prop::collection::vec((0u8..6, 0u8..3, any::<bool>()), 1..60),
+    ) {
+        let mut states = [ClusterState::default(), ClusterState::default()];
+        for state in &mut states {
+            state.replace_targets(Vec::new(), at(0), Absence::Gone);
+        }
+        for (revision, (number, kind, believes)) in (1..).zip(changes) {
+            let id = format!("t{number}");
+            let beliefs = [Absence::Gone, if believes { Absence::MayHaveLapsed } else { Absence::Gone }];
+            for (state, absence) in states.iter_mut().zip(beliefs) {
+                match kind {
+                    0 => drop(state.put_target(id.clone(), record(&id, revision).1)),
+                    1 => drop(state.remove_target(&id, revision, absence)),
+                    _ => drop(state.replace_targets(vec![record(&id, revision)], at(revision), absence)),
+                }
+                state.advance_targets(revision);
+            }
+            let [a, b] = &states;
+            prop_assert_eq!((a.targets_at(), a.targets_digest()), (b.targets_at(), b.targets_digest()));
+            let keys = |state: &ClusterState| {
+                let mut keys: Vec<_> = state.target_records().map(|(key, _)| key.clone()).collect();
+                keys.sort_unstable();
+                keys
+            };
+            prop_assert_eq!(keys(a), keys(b));
+            prop_assert_eq!(a.lapsed().count(), 0);
+            prop_assert!(b.lapsed().all(|(key, _)| b.target_record(key).is_none()));
+        }
+        states[1].drop_lapsed();
+        prop_assert_eq!(ids(&states[0]), ids(&states[1]));
+    }
+}
+
+#[test]
+fn a_target_that_lapsed_is_used_beside_the_list_and_the_position_passes_its_removal() {
+    let mut state = ClusterState::default();
+    state.replace_targets(vec![record("t0", 5), record("t1", 6)], at(6), Absence::Gone);
+    state.remove_target("t0", 8, Absence::MayHaveLapsed);
+    state.advance_targets(8);
+    assert_eq!(state.targets_at(), at(8));
+    assert!(state.target_record("t0").is_none());
+    assert_eq!(ids(&state), ["t0", "t1"]);
+    let (key, written) = record("t0", 7);
+    assert!(!state.put_target(key, written), "a late change");
+    let (key, written) = record("t0", 9);
+    assert!(state.put_target(key, written));
+    assert!(!state.drop_lapsed(), "it has registered again");
+    assert_eq!(ids(&state), ["t0", "t1"]);
+}
+
+#[test]
+fn a_target_that_was_leaving_or_replaced_does_not_lapse() {
+    let mut state = ClusterState::default();
+    let (key, mut leaving) = record("t0", 5);
+    leaving.target = leaving.target.map(|target| Target { leaving: true, ..target });
+    state.replace_targets(vec![(key, leaving), record("t1", 6)], at(6), Absence::Gone);
+    state.remove_target("t0", 8, Absence::MayHaveLapsed);
+    state.remove_target("t1", 9, Absence::MayHaveLapsed);
+    assert_eq!(ids(&state), ["t1"]);
+    // A server with another id begins at the address of the one that lapsed.
+    let (_, on_its_host) = record("t1", 10);
+    let replacement = on_its_host.target.clone().map(|old| Target { id: "t2".to_owned(), ..old });
+    state.put_target("t2".to_owned(), TargetRecord { target: replacement, ..on_its_host });
+    assert_eq!(ids(&state), ["t2"]);
+}
+
+#[test]
+fn an_entry_without_a_list_takes_over_what_another_one_keeps_beside_it() {
+    let mut state = ClusterState::default();
+    state.replace_targets(vec![record("t1", 6)], at(8), Absence::Gone);
+    state.adopt_lapsed(vec![record("t0", 5), record("t1", 4)]);
+    assert_eq!(state.lapsed().count(), 1, "a target that is listed did not lapse");
+    let outages = StoreOutages::new(RENEWAL_INTERVAL);
+    outages.record_answer(ms(200));
+    outages.adopt_end(ms(100));
+    assert_eq!(outages.absence(ms(300)), Absence::MayHaveLapsed);
+    outages.record_answer(ms(2_100));
+    assert_eq!(outages.absence(ms(2_400)), Absence::Gone);
 }
