--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -25,6 +25,7 @@
 use crate::direct::peering::fleet;
 use crate::direct::peering::gossip::{self, Identity};
 use crate::direct::peering::sync::StateSync;
+use crate::direct::peering::transfer;
 use crate::direct::state::entry::{Entry, Options};
 use crate::direct::state::metrics::Metrics;
 use crate::settings;
@@ -104,7 +105,7 @@
         listed_since: Cell::default(),
         logged_list: Cell::default(),
         withheld_until: Cell::default(),
-        transfers: Arc::new(Semaphore::new(gossip::MAX_TRANSFERS)),
+        transfers: Arc::new(Semaphore::new(transfer::MAX_TRANSFERS)),
     });
     start_heartbeats(&sync, &settings, &clock).await?;
     serve(&entry, &sync, &settings, adapter, &registry).await?;
@@ -142,7 +143,7 @@
     sync.entry.permits.set_socket(Rc::clone(&socket));
     actix_rt::spawn(gossip::receive(Rc::clone(sync), Rc::clone(&socket)));
     actix_rt::spawn(gossip::send(Rc::clone(sync), socket, identity));
-    actix_rt::spawn(gossip::fetch_newer_state(Rc::clone(sync)));
+    actix_rt::spawn(transfer::fetch_newer_state(Rc::clone(sync)));
     Ok(())
 }
 
@@ -180,7 +181,7 @@
         process::INTERNAL_IDLE_TIMEOUT,
         &Backlog::default(),
         move |cfg| {
-            cfg.app_data(sync.clone()).configure(gossip::configure).configure(fleet::configure);
+            cfg.app_data(sync.clone()).configure(transfer::configure).configure(fleet::configure);
         },
     )
     .await?;
--- a/src/direct/peering/mod.rs
+++ b/src/direct/peering/mod.rs
@@ -8,3 +8,4 @@
 mod standing;
 pub mod sync;
 mod target_list;
+pub mod transfer;
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -51,7 +51,7 @@
     pub withheld_until: Cell<Option<Duration>>,
     /// Permits for entries that fetch the cluster state; [`MAX_TRANSFERS`] in all.
     ///
-    /// [`MAX_TRANSFERS`]: crate::direct::peering::gossip::MAX_TRANSFERS
+    /// [`MAX_TRANSFERS`]: crate::direct::peering::transfer::MAX_TRANSFERS
     pub transfers: Arc<Semaphore>,
 }
 
--- a/tests/direct/replication.rs
+++ b/tests/direct/replication.rs
@@ -11,7 +11,7 @@
 use bitternwall::direct::known::store::Position;
 use bitternwall::direct::known::store_outages::Absence;
 use bitternwall::direct::known::target::Target;
-use bitternwall::direct::peering::gossip;
+use bitternwall::direct::peering::transfer;
 use bytes::Bytes;
 use proptest::prelude::*;
 
@@ -328,7 +328,7 @@
                 (0..entries).find(|index| from(u8::try_from(*index).expect("few")) == source);
             let requests = &mut requests[position.expect("a known entry")];
             *requests += 1;
-            if *requests <= gossip::MAX_TRANSFERS {
+            if *requests <= transfer::MAX_TRANSFERS {
                 received.push(index);
             }
         }
