The most urgent requests are let into the last places that others leave free

Cause of the known red test at 1.5 times the capacity: the less urgent see a capacity without the places that are kept, but all requests alike were thinned over the last tenth of what they may use, so in a crowd the most urgent met that thinning at the load at which the others stop.

Change: a request that less urgent ones leave places to is thinned only over the places by which those at least as urgent may overfill the group while loads are old (Contention::last_places). Services whose requests do not differ in urgency, and the least urgent, are let in as before.

--- a/src/direct/decisions/claims.rs
+++ b/src/direct/decisions/claims.rs
@@ -11,12 +11,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::direct::decisions::target_choice;
+
 /// The risk that a more urgent request finds no place though places are kept for it.
 const RESERVE_RISK: f64 = 0.02;
 
 /// Standard deviations that a normally distributed number exceeds with that risk.
 const RESERVE_DEVIATIONS: f64 = 2.05;
 
+/// How old the loads are by which entries let requests in.
+const LOAD_AGE: Duration = Duration::from_millis(300);
+
 /// The position of a request in a [`WaitQueue`].
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket {
@@ -76,6 +81,10 @@
     pub capacity: f64,
     /// More urgent requests a second that come to all entries.
     pub more_urgent_per_s: f64,
+    /// Requests a second that are as urgent, and come to all entries.
+    pub as_urgent_per_s: f64,
+    /// Less urgent requests a second that come to all entries.
+    pub less_urgent_per_s: f64,
     /// The mean time for which a request occupies its place.
     pub place_time: Duration,
 }
@@ -113,6 +122,23 @@
         (places / self.capacity).clamp(0.0, 1.0)
     }
 
+    /// Returns the share of the capacity into which fewer such requests are let the fuller it is.
+    ///
+    /// All entries see the same last places, a little late. The requests that are at least as urgent
+    /// overfill them only by as many as come, by chance or in the mean, beyond those that end
+    /// meanwhile. The less urgent ones leave these places to them.
+    pub fn last_places(&self) -> f64 {
+        let ended_per_s = self.ended_per_s();
+        if ended_per_s <= 0.0 || self.less_urgent_per_s <= 0.0 {
+            return target_choice::LAST_PLACES;
+        }
+        let seconds = LOAD_AGE.as_secs_f64();
+        let coming_per_s = self.more_urgent_per_s + self.as_urgent_per_s;
+        let by_chance = RESERVE_DEVIATIONS * ((coming_per_s + ended_per_s) * seconds).sqrt();
+        let places = (coming_per_s - ended_per_s) * seconds + by_chance;
+        (places / self.capacity).clamp(0.0, target_choice::LAST_PLACES)
+    }
+
     /// Returns the time after which the request is expected to find a place beside those that are
     /// kept; `None` if that does not happen while as many more urgent ones come.
     pub fn place_after(&self) -> Option<Duration> {
--- a/src/direct/decisions/target_choice.rs
+++ b/src/direct/decisions/target_choice.rs
@@ -41,7 +41,7 @@
 
 /// The part of a group's capacity that entries let fewer requests into the fuller it is: about the
 /// requests that they let in between two heartbeats.
-const LAST_PLACES: f64 = 0.1;
+pub const LAST_PLACES: f64 = 0.1;
 
 /// Failure rate below which a target is not avoided; plain services fail some requests on their
 /// own.
@@ -99,9 +99,10 @@
     /// all entries see the same last free places: they let in fewer requests the fewer places are left.
     /// `draw` is a uniform random number.
     /// `kept` is the share of the capacity that is kept for other requests.
-    pub fn is_crowded(&self, draw: u32, kept: f64) -> bool {
+    /// `last_places` is the part of the capacity into which fewer are let the fuller it is.
+    pub fn is_crowded(&self, draw: u32, kept: f64, last_places: f64) -> bool {
         let capacity = self.capacity * (1.0 - kept);
-        let room = (capacity - f64::from(self.load)) / (capacity * LAST_PLACES).max(1.0);
+        let room = (capacity - f64::from(self.load)) / (capacity * last_places).max(1.0);
         room <= f64::from(draw >> 8) / f64::from(1_u32 << 24)
     }
 }
@@ -121,6 +122,9 @@
     pub draw: u32,
     /// The share of a group's capacity that this request may not use, from 0 to 1.
     pub kept: f64,
+    /// The share of a group's capacity into which fewer such requests are let the fuller it is;
+    /// [`LAST_PLACES`] where all are alike.
+    pub last_places: f64,
 }
 
 impl Targets {
@@ -138,9 +142,9 @@
             .unwrap_or_default();
         let groups = self.group_loads(criteria, now);
         let is_crowded = |group: &str| {
-            groups
-                .iter()
-                .any(|load| load.group == group && load.is_crowded(criteria.draw, criteria.kept))
+            let Criteria { draw, kept, last_places, .. } = *criteria;
+            let mut of_group = groups.iter().filter(|load| load.group == group);
+            of_group.any(|load| load.is_crowded(draw, kept, last_places))
         };
         for target in self.listed.values() {
             if target.service != criteria.service || self.is_leaving(target) {
--- a/src/direct/exchange/claim.rs
+++ b/src/direct/exchange/claim.rs
@@ -59,11 +59,10 @@
         self.entry.places.borrow().ahead(&self.service, self.ticket)
     }
 
-    /// Compares the demand with what the groups of the service carry, and returns the share of their
-    /// capacity that is kept for more urgent requests.
-    pub fn kept(&mut self, call: &Call, criteria: &Criteria<'_>) -> f64 {
+    /// Compares the demand with what the groups of the service carry.
+    pub fn look(&mut self, call: &Call, criteria: &Criteria<'_>) -> Contention {
         self.contention = self.contention(call, criteria);
-        self.contention.kept()
+        self.contention
     }
 
     fn contention(&self, call: &Call, criteria: &Criteria<'_>) -> Contention {
@@ -73,21 +72,25 @@
         let groups = targets.group_loads(criteria, now);
         // Nothing has run lately in a group whose passes are not known: it may be closed.
         let running = || groups.iter().filter(|group| group.pass_time.is_some());
-        let own = entry
-            .places
-            .borrow()
-            .demand(&self.service)
-            .map_or(0.0, |demand| demand.more_urgent_per_s(self.urgency, now));
         let interval = entry.options.heartbeat_interval;
-        let peers = entry.peers.borrow();
-        let others = peers.more_urgent_per_s(&self.service, self.urgency, interval, now);
+        let (places, peers) = (entry.places.borrow(), entry.peers.borrow());
+        let more_urgent_per_s = |urgency: u8| {
+            let own = places.demand(&self.service);
+            let own = own.map_or(0.0, |demand| demand.more_urgent_per_s(urgency, now));
+            own + peers.more_urgent_per_s(&self.service, urgency, interval, now)
+        };
+        let more_urgent = more_urgent_per_s(self.urgency);
+        let as_urgent = more_urgent_per_s(self.urgency.saturating_add(1));
+        let all = more_urgent_per_s(u8::MAX);
         let place_time =
             entry.with_service_load(&self.service, |load| load.mean_answer_time(call.route.form));
         let capacity = running().map(|group| group.capacity).sum();
         Contention {
             load: running().map(|group| f64::from(group.load)).sum(),
             capacity,
-            more_urgent_per_s: own + others,
+            more_urgent_per_s: more_urgent,
+            as_urgent_per_s: as_urgent - more_urgent,
+            less_urgent_per_s: all - as_urgent,
             place_time: place_time.unwrap_or_default(),
         }
     }
@@ -139,7 +142,7 @@
     }
 
     fn log(&self, event: LogEvent, call: &Call, more: fmt::Arguments<'_>) {
-        let Contention { load, capacity, more_urgent_per_s, place_time } = self.contention;
+        let Contention { load, capacity, more_urgent_per_s, place_time, .. } = self.contention;
         let expected_ms =
             self.contention.place_after().map_or("-".to_owned(), |at| at.as_millis().to_string());
         events::log(
--- a/src/direct/exchange/slot_wait.rs
+++ b/src/direct/exchange/slot_wait.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use crate::direct::decisions::admission::{self, ServiceLoad};
-use crate::direct::decisions::target_choice::{Criteria, NoChoice};
+use crate::direct::decisions::target_choice::{self, Criteria, NoChoice};
 use crate::direct::exchange::call::Call;
 use crate::direct::exchange::claim::Claim;
 use crate::direct::exchange::outage;
@@ -51,7 +51,8 @@
         entry.refresh_peer_loads();
         let mut wanted = criteria(call);
         if let Some(claim) = &mut claim {
-            wanted.kept = claim.kept(call, &wanted);
+            let contention = claim.look(call, &wanted);
+            (wanted.kept, wanted.last_places) = (contention.kept(), contention.last_places());
         }
         let is_turn = claim.as_ref().is_none_or(|claim| claim.ahead() == 0);
         let chosen = match is_turn {
@@ -207,5 +208,6 @@
         tried: &call.tried,
         draw: rand::random(),
         kept: 0.0,
+        last_places: target_choice::LAST_PLACES,
     }
 }
--- a/tests/direct/choice_replay.rs
+++ b/tests/direct/choice_replay.rs
@@ -8,7 +8,7 @@
 
 use bitternwall::collections::Map;
 use bitternwall::direct::decisions::pass_time::PauseGoal;
-use bitternwall::direct::decisions::target_choice::Criteria;
+use bitternwall::direct::decisions::target_choice::{self, Criteria};
 use bitternwall::direct::decisions::targets::Targets;
 use bitternwall::direct::known::target::{Outcome, Target};
 
@@ -85,6 +85,7 @@
             tried: &[],
             draw: draws.next(),
             kept: 0.0,
+            last_places: target_choice::LAST_PLACES,
         };
         match entries[entry].choose(&criteria, now) {
             Ok(choice) => {
--- a/tests/direct/contention.rs
+++ b/tests/direct/contention.rs
@@ -7,7 +7,7 @@
 use bitternwall::direct::decisions::claims::{Contention, Ticket, WaitQueue};
 use bitternwall::direct::decisions::demand::Demand;
 use bitternwall::direct::decisions::pass_time::PauseGoal;
-use bitternwall::direct::decisions::target_choice::Criteria;
+use bitternwall::direct::decisions::target_choice::{self, Criteria};
 use bitternwall::direct::decisions::targets::Targets;
 
 use crate::group_load::{
@@ -113,6 +113,7 @@
             tried: &[],
             draw,
             kept: 0.0,
+            last_places: target_choice::LAST_PLACES,
         };
         let urgency = u8::try_from(kind).expect("few kinds");
         let rank = usize::from(entry.demand.effective_urgency(urgency, now));
@@ -122,10 +123,13 @@
             load: groups.iter().map(|group| f64::from(group.load)).sum(),
             capacity,
             more_urgent_per_s: self.told[..rank].iter().sum(),
+            as_urgent_per_s: self.told[rank],
+            less_urgent_per_s: self.told[rank + 1..].iter().sum(),
             place_time: self.place_time,
         };
         if self.reserve == Reserve::Kept {
             criteria.kept = contention.kept();
+            criteria.last_places = contention.last_places();
         }
         let Ok(choice) = entry.targets.choose(&criteria, now) else { return false };
         let target = choice.target.id;
@@ -307,6 +311,8 @@
         load: 90.0,
         capacity: 100.0,
         more_urgent_per_s: 0.0,
+        as_urgent_per_s: 90.0,
+        less_urgent_per_s: 0.0,
         place_time: Duration::from_secs(2),
     };
     assert_eq!(alike.kept().to_bits(), 0.0_f64.to_bits());
@@ -331,6 +337,8 @@
         load: 100.0,
         capacity: 100.0,
         more_urgent_per_s: 10.0,
+        as_urgent_per_s: 50.0,
+        less_urgent_per_s: 0.0,
         place_time: Duration::from_secs(2),
     };
     let after = full.place_after().expect("places end");
--- a/tests/direct/evacuation.rs
+++ b/tests/direct/evacuation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bitternwall::collections::{Map, Set};
-use bitternwall::direct::decisions::target_choice::{Criteria, NoChoice};
+use bitternwall::direct::decisions::target_choice::{self, Criteria, NoChoice};
 use bitternwall::direct::decisions::targets::Targets;
 use bitternwall::direct::known::cluster_state::KnownVersions;
 use bitternwall::direct::known::heartbeat::Heartbeat;
@@ -38,6 +38,7 @@
         tried,
         draw: draw.wrapping_mul(2_654_435_761),
         kept: 0.0,
+        last_places: target_choice::LAST_PLACES,
     };
     (0..100).map(|draw| Ok(targets.choose(&criteria(draw), NOW)?.target.id)).collect()
 }
--- a/tests/direct/group_load.rs
+++ b/tests/direct/group_load.rs
@@ -7,7 +7,7 @@
 
 use bitternwall::collections::Map;
 use bitternwall::direct::decisions::pass_time::PauseGoal;
-use bitternwall::direct::decisions::target_choice::Criteria;
+use bitternwall::direct::decisions::target_choice::{self, Criteria};
 use bitternwall::direct::decisions::targets::Targets;
 use bitternwall::direct::known::target::Target;
 
@@ -117,6 +117,7 @@
                 tried: &[],
                 draw: draw.rotate_left(11),
                 kept: 0.0,
+                last_places: target_choice::LAST_PLACES,
             };
             let Ok(choice) = entries[entry].choose(&criteria, now) else { continue };
             let target = choice.target.id;
--- a/tests/direct/silent_targets.rs
+++ b/tests/direct/silent_targets.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bitternwall::collections::Map;
-use bitternwall::direct::decisions::target_choice::{Criteria, NoChoice};
+use bitternwall::direct::decisions::target_choice::{self, Criteria, NoChoice};
 use bitternwall::direct::decisions::targets::Targets;
 use bitternwall::direct::known::target::Outcome;
 use bitternwall::ranks::messages::{RankMessage, StateMessage};
@@ -32,8 +32,15 @@
 }
 
 fn chosen(targets: &Targets, draw: u32, now: Duration) -> Result<String, NoChoice> {
-    let criteria =
-        Criteria { service: "model", fill: 1.0, pause_goal: None, tried: &[], draw, kept: 0.0 };
+    let criteria = Criteria {
+        service: "model",
+        fill: 1.0,
+        pause_goal: None,
+        tried: &[],
+        draw,
+        kept: 0.0,
+        last_places: target_choice::LAST_PLACES,
+    };
     targets.choose(&criteria, now).map(|choice| choice.target.id)
 }
 
--- a/tests/direct/small_fleets.rs
+++ b/tests/direct/small_fleets.rs
@@ -5,7 +5,7 @@
 
 use bitternwall::collections::Map;
 use bitternwall::direct::decisions::outages::{Finding, Outages};
-use bitternwall::direct::decisions::target_choice::{Criteria, NoChoice};
+use bitternwall::direct::decisions::target_choice::{self, Criteria, NoChoice};
 use bitternwall::direct::decisions::targets::Targets;
 
 use crate::target_choice::target;
@@ -16,7 +16,15 @@
 const HEARTBEAT: Duration = Duration::from_millis(100);
 
 fn criteria(draw: u32) -> Criteria<'static> {
-    Criteria { service: "model", fill: 1.0, pause_goal: None, tried: &[], draw, kept: 0.0 }
+    Criteria {
+        service: "model",
+        fill: 1.0,
+        pause_goal: None,
+        tried: &[],
+        draw,
+        kept: 0.0,
+        last_places: target_choice::LAST_PLACES,
+    }
 }
 
 /// Returns the tables of a fleet's entries, whose agents have reported the group as open or closed.
--- a/tests/direct/target_choice.rs
+++ b/tests/direct/target_choice.rs
@@ -5,7 +5,7 @@
 use bitternwall::collections::Map;
 use bitternwall::direct::decisions::admission::ServiceLoad;
 use bitternwall::direct::decisions::pass_time::{PassTime, PauseGoal};
-use bitternwall::direct::decisions::target_choice::{Criteria, NoChoice};
+use bitternwall::direct::decisions::target_choice::{self, Criteria, NoChoice};
 use bitternwall::direct::decisions::targets::Targets;
 use bitternwall::direct::known::target::{Outcome, Target};
 
@@ -31,7 +31,15 @@
 }
 
 fn criteria<'a>(tried: &'a [String], draw: u32) -> Criteria<'a> {
-    Criteria { service: "model", fill: 1.0, pause_goal: None, tried, draw, kept: 0.0 }
+    Criteria {
+        service: "model",
+        fill: 1.0,
+        pause_goal: None,
+        tried,
+        draw,
+        kept: 0.0,
+        last_places: target_choice::LAST_PLACES,
+    }
 }
 
 #[test]
