--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -41,6 +41,16 @@
     LateAnswerFirst,
     /// The response is delayed by this time.
     Slow(Duration),
+    /// The server executes the request, and writes these bytes before its response.
+    Before(&'static str),
+    /// The server executes the request, writes these bytes, and responds after this time.
+    BeforeSlow(&'static str, Duration),
+    /// The server executes the request, and writes these bytes in place of its response.
+    Instead(&'static str),
+    /// The server responds as for [`Fault::NotExecuted`], and then writes these bytes after this time.
+    NotExecutedThen(&'static str, Duration),
+    /// The stream goes on with these bytes, as they are, after this many events, and is closed.
+    BytesAfter(u64, &'static str),
 }
 
 /// A request that the server executed.
@@ -105,6 +115,8 @@
     crashing_body: Option<Vec<u8>>,
     /// A request with this part in its prompt, not as the last one, crashes the server.
     crashing_part: Option<String>,
+    /// What requests that resume a stream are answered with, in place of its rest.
+    resumption: Option<&'static str>,
     /// True if streams have neither a length nor chunks and end with their connection.
     unframed_streams: bool,
     /// The `Server-Limit` of all responses.
@@ -186,6 +198,11 @@
         self.with(|state| state.unframed_streams = true);
     }
 
+    /// Answers requests that resume a stream with these bytes, and closes the connection.
+    pub fn answer_resumptions(&self, bytes: Option<&'static str>) {
+        self.with(|state| state.resumption = bytes);
+    }
+
     /// Makes all responses name this `Server-Limit`; `None` for no such header.
     pub fn name_limit(&self, limit: Option<&str>) {
         self.with(|state| state.limit = limit.map(str::to_owned));
@@ -299,26 +316,50 @@
         if req.header("Bitternwall-Expect-Instance").is_some_and(|id| id != self.id) {
             record(None);
             let text = format!(
-                "HTTP/1.1 421 Misdirected Request\r\nBitternwall-Instance-Id: {}\r\ncontent-length: 0\r\n\r\n",
+                "HTTP/1.1 421 Misdirected Request\r\nBitternwall-Attempt-Id: {}\r\n\
+                 Bitternwall-Instance-Id: {}\r\ncontent-length: 0\r\n\r\n",
+                req.header("Bitternwall-Attempt-Id").unwrap_or_default(),
                 self.id
             );
             return stream.write_all(text.as_bytes()).await.is_ok();
         }
+        let resumption = self.with(|state| state.resumption);
+        if let Some(bytes) = resumption.filter(|_| req.header("Last-Event-Id").is_some()) {
+            record(None);
+            self.with(|state| state.executed_requests.push(req.clone()));
+            drop(stream.write_all(bytes.as_bytes()).await);
+            return false;
+        }
         let fault = self.take_fault().or_else(|| self.with(|state| state.constant_fault));
         record(fault);
-        if fault == Some(Fault::NotExecuted) {
+        let id = req.header("Bitternwall-Attempt-Id").unwrap_or_default().to_owned();
+        if let Some(Fault::NotExecuted | Fault::NotExecutedThen(..)) = fault {
             let text = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nBitternwall-Not-Executed: 1\r\n{}content-length: 0\r\n\r\n",
+                "HTTP/1.1 503 Service Unavailable\r\nBitternwall-Attempt-Id: {id}\r\n\
+                 Bitternwall-Not-Executed: 1\r\n{}content-length: 0\r\n\r\n",
                 self.unavailable_headers()
             );
-            return stream.write_all(text.as_bytes()).await.is_ok();
+            let written = stream.write_all(text.as_bytes()).await.is_ok();
+            let Some(Fault::NotExecutedThen(bytes, delay)) = fault else { return written };
+            actix_rt::time::sleep(delay).await;
+            return stream.write_all(bytes.as_bytes()).await.is_ok();
         }
         self.with(|state| state.executed_requests.push(ExecutedRequest { fault, ..req.clone() }));
         if self.crashes_on(req) {
             self.crash().await;
             return false;
         }
-        let id = req.header("Bitternwall-Attempt-Id").unwrap_or_default().to_owned();
+        match fault {
+            Some(Fault::Before(bytes)) => drop(stream.write_all(bytes.as_bytes()).await),
+            Some(Fault::BeforeSlow(bytes, delay)) => {
+                drop(stream.write_all(bytes.as_bytes()).await);
+                actix_rt::time::sleep(delay).await;
+            }
+            Some(Fault::Instead(bytes)) => {
+                return stream.write_all(bytes.as_bytes()).await.is_ok();
+            }
+            _ => {}
+        }
         if req.is_stream() {
             return self.send_stream(stream, req, &id, fault).await;
         }
@@ -393,6 +434,12 @@
             {
                 actix_rt::time::sleep(time).await;
             }
+            if let Some(Fault::BytesAfter(events, bytes)) = fault
+                && event == events + 1
+            {
+                drop(stream.write_all(bytes.as_bytes()).await);
+                return false;
+            }
             let text = event_text(event);
             let truncated =
                 matches!(fault, Some(Fault::TruncateAfter(complete)) if event == complete + 1);
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -18,6 +18,10 @@
 /// The header that tells how many times the store came back from an older copy.
 const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 
+/// The items of one page of a listing, and the bytes of their encoded values.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_400_000;
+
 /// Interval at which a waiting watch polls for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -49,6 +53,8 @@
     /// How long the store takes for each answer, beyond the time that a watch waits.
     answer_delay: Duration,
     calls: u64,
+    /// The items of one page of a listing; `None` for [`PAGE_ITEMS`].
+    page_items: Option<usize>,
     /// The leases granted, by id, with their times to live. They do not end.
     leases: BTreeMap<u64, Duration>,
 }
@@ -111,8 +117,9 @@
     /// revisions are given out again, and a watch from one of them gets 410.
     pub fn restore(&self, copy: &Copy) {
         self.with(|state| {
-            let State { mode, answer_delay, calls, .. } = *state;
-            *state = State { era: state.era + 1, mode, answer_delay, calls, ..copy.0.clone() };
+            let State { mode, answer_delay, calls, page_items, .. } = *state;
+            let era = state.era + 1;
+            *state = State { era, mode, answer_delay, calls, page_items, ..copy.0.clone() };
         });
     }
 
@@ -152,6 +159,11 @@
         self.with(|state| state.answer_delay = delay);
     }
 
+    /// Sets how many items a page of a listing has at most.
+    pub fn set_page_items(&self, items: usize) {
+        self.with(|state| state.page_items = Some(items));
+    }
+
     /// Discards the history up to the current revision; a watch from an earlier one gets 410.
     pub fn compact(&self) {
         self.with(|state| {
@@ -189,6 +201,9 @@
 #[derive(Deserialize)]
 struct RangeQuery {
     prefix: String,
+    /// The last key of the page before.
+    #[serde(default)]
+    after: String,
 }
 
 #[derive(Deserialize)]
@@ -215,9 +230,18 @@
     }
     let body = store.with(|state| {
         let entries = state.entries.iter().filter(|(key, _)| key.starts_with(&query.prefix));
-        let documents: Vec<Value> =
-            entries.map(|(key, (value, revision))| entry_json(key, value, *revision)).collect();
-        json!({"entries": documents, "hasMore": false, "at": state.revision})
+        let rest = entries.filter(|(key, _)| query.after.is_empty() || **key > query.after);
+        let mut documents: Vec<Value> =
+            rest.map(|(key, (value, revision))| entry_json(key, value, *revision)).collect();
+        let mut bytes = 0;
+        let within = documents.iter().take_while(|document| {
+            bytes += document["value"].as_str().map_or(0, str::len);
+            bytes <= PAGE_BYTES
+        });
+        let items = within.count().max(1).min(state.page_items.unwrap_or(PAGE_ITEMS));
+        let has_more = documents.len() > items;
+        documents.truncate(items);
+        json!({"entries": documents, "hasMore": has_more, "at": state.revision})
     });
     HttpResponse::Ok().json(body)
 }
