--- a/src/direct/known/cluster_state.rs
+++ b/src/direct/known/cluster_state.rs
@@ -298,16 +298,19 @@
 
     /// Returns the decoded targets, with those that may register again. Of several at one address only
     /// the one written last is returned: the record of an incarnation that has ended stays on the list
-    /// for a while.
+    /// for a while. One of a service that the configuration does not name hides no other.
     pub fn targets(&self) -> Vec<Target> {
-        let mut newest: Map<SocketAddr, (u64, &Target)> = Map::default();
+        let mut newest: Map<SocketAddr, ((bool, u64), &Target)> = Map::default();
         for (key, record) in self.records.iter().chain(&self.lapsed) {
             let Some(target) = record.target.as_ref().filter(|_| !self.is_withheld(key)) else {
                 continue;
             };
-            let known = newest.get(&target.addr);
-            if known.is_none_or(|(revision, _)| *revision < record.revision) {
-                newest.insert(target.addr, (record.revision, target));
+            let is_named = self
+                .configuration()
+                .is_none_or(|configuration| configuration.service(&target.service).is_some());
+            let rank = (is_named, record.revision);
+            if newest.get(&target.addr).is_none_or(|(known, _)| *known < rank) {
+                newest.insert(target.addr, (rank, target));
             }
         }
         newest.into_values().map(|(_, target)| target.clone()).collect()
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -299,6 +299,8 @@
                         ),
                     );
                     self.apply_cold_starts();
+                    // Which of the targets at one address is used depends on the services named.
+                    self.update_target_table(source);
                     self.entry.metrics.configuration(version);
                     self.notify_changed();
                 }
