An answer without an id proves nothing, not even a refusal

Cause: answers are told apart by the id of the attempt that targets echo, but a refusal without an id was taken for one of the present request.

Such an answer leaves the outcome open now: 502 where a request may run once.

--- a/src/direct/exchange/round_trip.rs
+++ b/src/direct/exchange/round_trip.rs
@@ -102,7 +102,8 @@
 }
 
 /// Reads the head of the answer to this request. Late answers to earlier requests on the connection
-/// are discarded.
+/// are discarded; they are told by their ids. Targets echo the id, so an answer without one proves
+/// nothing, not even that this request was refused: it may be an earlier refusal once more.
 async fn read_answer(call: &Call, connection: &mut Connection) -> Result<TargetAnswer> {
     for _ in 0..MAX_STALE_ANSWERS {
         let answer = (call.entry.protocol.decode)(&connection.head().await?);
@@ -111,6 +112,7 @@
             Some(_) => {
                 connection.body(MAX_BUFFERED_BYTES).await?;
             }
+            None if !call.caller.id.is_empty() => return Err(AttemptError::Foreign),
             None if answer.not_run || answer.other_incarnation => return Ok(answer),
             None if !answer.sealed && answer.status.is_success() => {
                 return Err(AttemptError::Foreign);
