--- a/src/direct/exchange/forward.rs
+++ b/src/direct/exchange/forward.rs
@@ -7,6 +7,7 @@
 
 use std::rc::Rc;
 
+use actix_http::StatusCode;
 use bytes::Bytes;
 use tokio::time;
 
@@ -69,6 +70,11 @@
         };
         let result = target_attempt::attempt(call, &target, slot, None).await;
         let failure = match result {
+            Ok(AttemptAnswer::Document(answer, _) | AttemptAnswer::Stream(answer, _))
+                if denies_run(call, &answer) =>
+            {
+                Failure { cause: Cause::Broken, executed: Executed::Unknown, retry_after: None }
+            }
             Ok(AttemptAnswer::Document(answer, body)) if is_failure(&answer) => {
                 let failure = Failure {
                     cause: Cause::Broken,
@@ -115,6 +121,18 @@
     }
 }
 
+/// Returns true if callers take the status for the promise that the request has not run, which the
+/// target has not given, and if a request that has run must not be sent again.
+fn denies_run(call: &Call, answer: &TargetAnswer) -> bool {
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    !call.route.may_repeat() && promises.contains(&answer.status)
+}
+
 fn is_failure(answer: &TargetAnswer) -> bool {
     answer.status.is_server_error()
 }
