Only a stream of events continues a stream that has begun

Cause: a resumed answer was accepted by its status alone, and its head is not passed on.

It takes status 200, text/event-stream and no encoding now.

--- a/src/direct/exchange/attempt.rs
+++ b/src/direct/exchange/attempt.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use actix_http::StatusCode;
+use actix_http::header;
 use bytes::Bytes;
 
 use crate::direct::connections::http::Connection;
@@ -21,6 +23,9 @@
 /// milliseconds; a lost SYN packet is sent again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The media type of streams of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A target's answer of which the head and the first bytes of the body have arrived.
 pub struct StartedAnswer {
     /// The target that answers.
@@ -122,7 +127,7 @@
 ///
 /// # Errors
 ///
-/// Returns the failure of the attempt, also if the target answers with anything but a stream.
+/// Returns the failure of the attempt, also if the target answers with anything but events.
 pub async fn resume(
     call: &mut Call,
     target: &Target,
@@ -130,13 +135,23 @@
     last_id: &str,
 ) -> Result<StartedAnswer, Failure> {
     match attempt(call, target, slot, Some(last_id)).await? {
-        AttemptAnswer::Stream(answer, started) if answer.status.is_success() => Ok(*started),
+        AttemptAnswer::Stream(answer, started) if is_event_stream(&answer) => Ok(*started),
         AttemptAnswer::Stream(..) | AttemptAnswer::Document(..) => {
             Err(Failure { cause: Cause::Broken, executed: Executed::Yes, retry_after: None })
         }
     }
 }
 
+/// Returns true if the body of an answer can continue a stream that has begun: its head is not passed
+/// on, so nothing would tell callers that it is something else.
+fn is_event_stream(answer: &TargetAnswer) -> bool {
+    let content_type = answer.headers.get(header::CONTENT_TYPE);
+    let media_type = content_type.and_then(|value| value.to_str().ok()?.split(';').next());
+    let is_events = media_type.is_some_and(|name| name.trim().eq_ignore_ascii_case(EVENT_STREAM));
+    let is_encoded = answer.headers.contains_key(header::CONTENT_ENCODING);
+    answer.status == StatusCode::OK && is_events && !is_encoded
+}
+
 fn not_run(cause: Cause, answer: &TargetAnswer) -> Failure {
     let retry_after = answer.retry_after.clone().unwrap_or_default();
     Failure { cause, executed: Executed::No, retry_after }
