A block without an id is no event of a stream whose events have ids

The bytes were relayed as events, and once more from the server that resumed the stream, which then ended as if it were complete.

Cause: whatever ends with a blank line was relayed as an event.

Such a block breaks the stream off, which is resumed after the last event or ends visibly incomplete. Comments and the time to reconnect pass, and so do streams without ids.

--- a/src/direct/connections/event_stream.rs
+++ b/src/direct/connections/event_stream.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The result of reading a stream of events.
-pub type Result<T> = result::Result<T, EventTooLong>;
+pub type Result<T> = result::Result<T, EventError>;
 
 /// The longest beginning of an event that is buffered, in bytes.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -20,10 +20,20 @@
 const MAX_SEPARATOR_BYTES: usize = 3;
 const ID_FIELD: &[u8] = b"id:";
 
-/// The error of a stream with an event whose end does not arrive within the limit.
+/// The beginnings of lines that are no part of an event: comments, and the time to reconnect.
+const NO_EVENT_FIELDS: [&[u8]; 2] = [b":", b"retry:"];
+
+/// The reason that bytes of a stream are not relayed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLong;
+pub enum EventError {
+    /// The end of an event does not arrive within the limit.
+    #[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+    /// What follows events with ids has none, so it is no event of the stream, but an error's text or
+    /// the head of another answer.
+    #[error("what follows the events of the stream is no event of it")]
+    Foreign,
+}
 
 /// One or more complete events; empty where no event is complete yet.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -41,6 +51,8 @@
     /// The length of the beginning of `partial` that has no separator in it.
     searched: usize,
     last_id: Option<u64>,
+    /// True once something arrived that is no event of the stream.
+    is_foreign: bool,
 }
 
 impl EventSplitter {
@@ -60,15 +72,17 @@
         !self.partial.is_empty()
     }
 
-    /// Checks that the incomplete event is not too long. The events that `push` has returned are
-    /// complete in any case, so this is checked once they are relayed.
+    /// Checks what has arrived after the events that `push` has returned. Those are complete in any
+    /// case, so this is checked once they are relayed.
     ///
     /// # Errors
     ///
-    /// Returns an error if the event exceeds [`MAX_EVENT_BYTES`].
-    pub fn check_length(&self) -> Result<()> {
-        match self.partial.len() > MAX_EVENT_BYTES {
-            true => Err(EventTooLong),
+    /// Returns an error if an incomplete event exceeds [`MAX_EVENT_BYTES`], or if something arrived
+    /// that is no event of the stream.
+    pub fn check(&self) -> Result<()> {
+        match self.is_foreign {
+            true => Err(EventError::Foreign),
+            false if self.partial.len() > MAX_EVENT_BYTES => Err(EventError::TooLong),
             false => Ok(()),
         }
     }
@@ -79,13 +93,16 @@
         self.partial.extend_from_slice(data);
         let mut events = BytesMut::new();
         let mut count = 0;
-        while let Some(length) = self.find_event() {
+        while let Some(length) = self.find_event().filter(|_| !self.is_foreign) {
             let event = self.partial.split_to(length);
-            if let Some(id) = event_id(&event) {
-                if self.last_id.is_some_and(|last| id <= last) {
-                    continue;
+            match event_id(&event) {
+                Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
+                Some(id) => self.last_id = Some(id),
+                None if self.last_id.is_some() && !is_between_events(&event) => {
+                    self.is_foreign = true;
+                    break;
                 }
-                self.last_id = Some(id);
+                None => {}
             }
             events.extend_from_slice(&event);
             count += 1;
@@ -119,6 +136,14 @@
     (0..bytes.len()).filter(|at| bytes[*at] == b'\n').find_map(end_at)
 }
 
+/// Returns true if a block consists of lines that servers may write between events.
+fn is_between_events(block: &[u8]) -> bool {
+    let lines = block.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
+    let mut lines = lines.filter(|line| !line.is_empty()).peekable();
+    let is_no_event = |line: &[u8]| NO_EVENT_FIELDS.iter().any(|field| line.starts_with(field));
+    lines.peek().is_some() && lines.all(is_no_event)
+}
+
 /// Returns the id of an event; `None` if it has none or it is not a number.
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|byte| *byte == b'\n').find(|line| line.starts_with(ID_FIELD))?;
--- a/src/direct/connections/http.rs
+++ b/src/direct/connections/http.rs
@@ -23,7 +23,7 @@
 use tokio::time;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::direct::connections::event_stream::EventTooLong;
+use crate::direct::connections::event_stream::EventError;
 use crate::direct::connections::framing::{self, Framing, FramingTooLong};
 use crate::direct::connections::turn::Turn;
 use crate::telemetry::events;
@@ -77,9 +77,9 @@
     /// The answer's body consists of framing rather than data.
     #[error(transparent)]
     FramingTooLong(#[from] FramingTooLong),
-    /// An event in the answer's body exceeds the limit.
+    /// The answer's body holds something that is no event, or too long for one.
     #[error(transparent)]
-    EventTooLong(#[from] EventTooLong),
+    Event(#[from] EventError),
     /// The time limit of the exchange passed before the end of the answer.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
--- a/src/direct/exchange/relay.rs
+++ b/src/direct/exchange/relay.rs
@@ -127,7 +127,7 @@
         if let Some(first) = self.first.take() {
             return Step::Piece(first);
         }
-        if let Some(Err(error)) = self.splitter.as_ref().map(EventSplitter::check_length) {
+        if let Some(Err(error)) = self.splitter.as_ref().map(EventSplitter::check) {
             return Step::Failed(error.into());
         }
         let left = self.call.time_left();
--- a/tests/direct/answers.rs
+++ b/tests/direct/answers.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::connections::event_stream::{
-    EventSplitter, EventTooLong, MAX_EVENT_BYTES,
-};
+use bitternwall::direct::connections::event_stream::{EventError, EventSplitter, MAX_EVENT_BYTES};
 use bitternwall::direct::decisions::attempts::{self, Failure, History, Next};
 use bitternwall::direct::message::{Cause, LocalAnswer};
 use bitternwall::problem::Executed;
@@ -90,9 +88,9 @@
     let mut splitter = EventSplitter::default();
     let begun = event(1) + &"x".repeat(MAX_EVENT_BYTES);
     assert_eq!(splitter.push(begun.as_bytes()).data, event(1));
-    assert_eq!(splitter.check_length(), Ok(()));
+    assert_eq!(splitter.check(), Ok(()));
     assert!(splitter.push(b"x").data.is_empty());
-    assert_eq!(splitter.check_length(), Err(EventTooLong));
+    assert_eq!(splitter.check(), Err(EventError::TooLong));
     assert_eq!(splitter.last_id(), Some(1));
 }
 
