--- a/src/direct/exchange/attempt.rs
+++ b/src/direct/exchange/attempt.rs
@@ -161,7 +161,7 @@
     call.entry.record_outcome(&target.id, Outcome::Broken);
     events::log(
         events::EXCHANGE_FAILED,
-        format_args!("id={} target={} cause=\"{error}\"", call.caller.id, target.id),
+        format_args!("id={} target={} cause=\"{error}\"", call.caller.log_id(), target.id),
     );
     Failure { cause: Cause::Broken, executed: Executed::Unknown, retry_after: None }
 }
--- a/src/direct/exchange/call.rs
+++ b/src/direct/exchange/call.rs
@@ -18,7 +18,7 @@
 use crate::direct::state::entry::Entry;
 use crate::fingerprint;
 use crate::problem::Executed;
-use crate::telemetry::events;
+use crate::telemetry::{brief, events};
 
 /// Retry-after of an entry that has no configuration; a starting entry receives it in about this
 /// time.
@@ -96,9 +96,9 @@
                     events::REQUEST_ANSWERED,
                     format_args!(
                         "id={} host={} path={} cause={} status={} version={version} age_ms={}",
-                        caller.id,
-                        caller.host,
-                        caller.uri.path(),
+                        caller.log_id(),
+                        brief::Brief(&caller.host),
+                        brief::Brief(caller.uri.path()),
                         local.cause.name(),
                         local.status().as_u16(),
                         confirmation::format_age(configuration_age(entry))
@@ -217,7 +217,7 @@
             format_args!(
                 "id={} target={target} cause={} executed={:?} sent={} left_ms={} \
                  retry_after_ms={} fingerprint={:016x} parts={}",
-                self.caller.id,
+                self.caller.log_id(),
                 failure.cause.name(),
                 failure.executed,
                 self.sent,
@@ -262,7 +262,7 @@
             events::ANSWER_CUT,
             format_args!(
                 "id={} service={} sent={} arrived_after_stop_ms={} first_event_ms={} left_ms={}",
-                self.caller.id,
+                self.caller.log_id(),
                 self.service,
                 self.sent,
                 arrived_after.map_or("-".to_owned(), |after| after.as_millis().to_string()),
@@ -285,7 +285,7 @@
                 "id={} route={} customer={} service={} cause={cause} status={status} targets={} \
                  sent={} waited_ms={} first_event_ms={} pause_ms={} took_ms={} retry_after_ms={} \
                  version={} age_ms={} fingerprint={:016x} parts={}",
-                self.caller.id,
+                self.caller.log_id(),
                 self.route.name,
                 self.customer.as_deref().unwrap_or("-"),
                 self.service,
--- a/src/direct/exchange/claim.rs
+++ b/src/direct/exchange/claim.rs
@@ -151,7 +151,7 @@
                 "id={} service={} customer={} urgency={} served_as={} ahead={} waited_ms={} \
                  load={load:.0} capacity={capacity:.0} kept={:.0} more_urgent_per_s={:.1} \
                  place_time_ms={} place_after_ms={expected_ms}{more}",
-                call.caller.id,
+                call.caller.log_id(),
                 self.service,
                 call.customer.as_deref().unwrap_or("-"),
                 call.urgency,
--- a/src/direct/exchange/outage.rs
+++ b/src/direct/exchange/outage.rs
@@ -25,6 +25,6 @@
 fn log(call: &Call, lasts: bool) {
     events::log(
         events::OUTAGE_LASTS,
-        format_args!("service={} id={} lasts={lasts}", call.service, call.caller.id),
+        format_args!("service={} id={} lasts={lasts}", call.service, call.caller.log_id()),
     );
 }
--- a/src/direct/exchange/prompt_parts.rs
+++ b/src/direct/exchange/prompt_parts.rs
@@ -18,7 +18,7 @@
         }
         Err(error) => {
             entry.metrics.header_unreadable();
-            let id = &caller.id;
+            let id = caller.log_id();
             events::log(events::HEADER_UNREADABLE, format_args!("id={id} cause=\"{error}\""));
             Vec::new()
         }
--- a/src/direct/exchange/relay.rs
+++ b/src/direct/exchange/relay.rs
@@ -227,7 +227,7 @@
             events::ANSWER_INTERRUPTED,
             format_args!(
                 "id={} target={target} cause=\"{error}\" silent={silent} last_event={} left_ms={}",
-                self.call.caller.id,
+                self.call.caller.log_id(),
                 last_id.map_or("-".to_owned(), |id| id.to_string()),
                 self.call.time_left().as_millis()
             ),
--- a/src/direct/exchange/slot_wait.rs
+++ b/src/direct/exchange/slot_wait.rs
@@ -192,7 +192,7 @@
         events::ALL_FULL,
         format_args!(
             "id={} service={} waited_ms={}{}",
-            call.caller.id,
+            call.caller.log_id(),
             call.service,
             call.waited.as_millis(),
             groups.collect::<String>()
--- a/src/direct/exchange/target_notices.rs
+++ b/src/direct/exchange/target_notices.rs
@@ -41,6 +41,6 @@
     call.entry.metrics.header_unreadable();
     events::log(
         events::HEADER_UNREADABLE,
-        format_args!("id={} target={} cause=\"{error}\"", call.caller.id, target.id),
+        format_args!("id={} target={} cause=\"{error}\"", call.caller.log_id(), target.id),
     );
 }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -12,6 +12,7 @@
 use crate::direct::connections::http;
 use crate::direct::known::store::UnreadableValue;
 use crate::problem::{Executed, Problem};
+use crate::telemetry::brief::Brief;
 
 /// One attempt of a caller, received completely.
 #[derive(Clone, Debug)]
@@ -43,6 +44,13 @@
     pub arrived: Duration,
 }
 
+impl CallerRequest {
+    /// Returns the id as log lines quote it.
+    pub fn log_id(&self) -> Brief<'_> {
+        Brief(&self.id)
+    }
+}
+
 /// A caller's request as it is sent to one target.
 #[derive(Debug)]
 pub struct TargetRequest<'a> {
--- a/src/direct/state/buffer_report.rs
+++ b/src/direct/state/buffer_report.rs
@@ -4,6 +4,7 @@
 
 use crate::direct::message::{Cause, LocalAnswer};
 use crate::direct::state::entry::Entry;
+use crate::telemetry::brief::Brief;
 use crate::telemetry::events;
 
 /// Retry-after of a request whose body does not fit: about the time in which an answer ends.
@@ -36,7 +37,9 @@
         events::log(
             events::BODY_REFUSED,
             format_args!(
-                "id={id} length={length} used={} total={}",
+                "id={} length={} used={} total={}",
+                Brief(id),
+                Brief(length),
                 buffers.used(),
                 buffers.limits().total
             ),
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,6 +1,7 @@
 //! Logs, metrics and health checks of the daemons, and the trace of one request from their logs.
 
 pub mod admin;
+pub mod brief;
 pub mod events;
 pub mod logs;
 pub mod metrics;
