Heartbeats of strangers fill a table of 4,096 names at most

Whoever reaches the port for other entries could make an entry keep any number of names for 30 s, with up to 64 KB each.

A name beyond the limit, which is over twice the fleet that the project is to carry, is ignored, and datagrams are read up to 16 KB.

--- a/src/direct/known/peers.rs
+++ b/src/direct/known/peers.rs
@@ -31,6 +31,10 @@
 /// Addresses of entries in one heartbeat; the limit keeps it within one packet.
 pub const MAX_PEER_ADDRS: usize = 32;
 
+/// Limit of the entries on record, well above the size of any fleet. A process whose name is not on
+/// record is ignored beyond it.
+pub const MAX_ENTRIES: usize = 4_096;
+
 /// Every how many heartbeats to one entry one carries the addresses of other entries.
 const PEER_EXCHANGE_INTERVAL: u64 = 5;
 
@@ -104,10 +108,16 @@
         from: SocketAddr,
         now: Duration,
     ) -> PeerUpdate {
-        self.addresses.insert(from, now);
+        let old = self.peers.get(&heartbeat.name);
+        if old.is_none() && self.peers.len() >= MAX_ENTRIES {
+            return PeerUpdate::default();
+        }
         self.reported_entries = self.reported_entries.max(heartbeat.counted_entries);
+        self.record_address(from, now);
         for addr in heartbeat.known_peers.iter().filter_map(|addr| addr.addr()) {
-            self.addresses.entry(addr).or_insert(now);
+            if !self.addresses.contains_key(&addr) {
+                self.record_address(addr, now);
+            }
         }
         let old = self.peers.get(&heartbeat.name);
         let same_incarnation =
@@ -125,6 +135,12 @@
         PeerUpdate { joined: !same_incarnation, loads }
     }
 
+    fn record_address(&mut self, addr: SocketAddr, now: Duration) {
+        if self.addresses.len() < MAX_ENTRIES || self.addresses.contains_key(&addr) {
+            self.addresses.insert(addr, now);
+        }
+    }
+
     /// Returns the sorted addresses that heartbeats go to, and forgets entries that have been
     /// silent for too long. Addresses in `always` are included in any case.
     pub fn recipients(&mut self, always: &[SocketAddr], now: Duration) -> Vec<SocketAddr> {
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -23,6 +23,9 @@
 /// headers.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Bytes of a received datagram that are read. One with the loads of many targets is longer than others.
+const MAX_RECEIVED_BYTES: usize = 16 * 1024;
+
 /// The parts of an entry's heartbeats that stay the same, and where they go.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -130,7 +133,7 @@
 
 /// Receives heartbeats until the process ends.
 pub async fn receive(sync: Rc<StateSync>, socket: Rc<UdpSocket>) {
-    let mut buf = vec![0_u8; 64 * 1024];
+    let mut buf = vec![0_u8; MAX_RECEIVED_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((length, from)) => match Heartbeat::decode(&buf[..length]) {
