Sockets have small buffers in the kernel

What the kernel has received for a process and nobody has read counts as memory of its host, and nothing limited it: clients that send ahead, and targets whose callers are slow, filled buffers that the system lets grow to megabytes for each connection.

Accepted connections now have a receive buffer of 16 KB and a send buffer of 64 KB, opened ones a receive buffer of 32 KB; a size that is set does not grow.

--- a/src/direct/connections/http.rs
+++ b/src/direct/connections/http.rs
@@ -25,6 +25,7 @@
 
 use crate::direct::connections::event_stream::EventError;
 use crate::direct::connections::framing::{self, Framing, FramingTooLong};
+use crate::direct::connections::sockets;
 use crate::direct::connections::turn::Turn;
 use crate::telemetry::events;
 
@@ -174,7 +175,7 @@
     ///
     /// Returns an error if it is not established within `timeout`.
     pub async fn open(addr: SocketAddr, timeout: Duration, codecs: &Codecs) -> Result<Self> {
-        let stream = time::timeout(timeout, TcpStream::connect(addr))
+        let stream = time::timeout(timeout, sockets::connect(addr))
             .await
             .map_err(|_| HttpError::ConnectTimeout(timeout))?
             .map_err(HttpError::Connect)?;
--- a/src/direct/connections/listener.rs
+++ b/src/direct/connections/listener.rs
@@ -12,10 +12,11 @@
 use actix_service::{Service, ServiceFactory as _, map_config};
 use actix_web::dev::AppConfig;
 use actix_web::{App, web};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
 use crate::direct::connections::backlog::{self, Backlog, CountedStream};
+use crate::direct::connections::sockets;
 use crate::telemetry::events;
 
 /// The result of starting a server.
@@ -44,9 +45,6 @@
 /// A connection as it is handed to the HTTP service.
 type Accepted = (CountedStream, Protocol, Option<SocketAddr>);
 
-/// Connections that may wait to be accepted; enough for a burst of callers after a restart.
-const BACKLOG: u32 = 1_024;
-
 /// Time for a client to send a request's head, as in common servers.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -68,7 +66,8 @@
     backlog: &Backlog,
     routes: impl Fn(&mut web::ServiceConfig) + 'static,
 ) -> Result<()> {
-    let listener = bind(address).map_err(|source| ListenError::Bind { address, source })?;
+    let listener =
+        sockets::listen(address).map_err(|source| ListenError::Bind { address, source })?;
     let app = App::new().configure(routes);
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(idle_timeout))
@@ -95,13 +94,6 @@
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 async fn accept(listener: TcpListener, address: SocketAddr, handle: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
--- a/src/direct/connections/mod.rs
+++ b/src/direct/connections/mod.rs
@@ -9,4 +9,5 @@
 pub mod listener;
 pub mod pool;
 pub mod process;
+pub mod sockets;
 pub mod turn;
