Bodies have a time and stay within the budget, at agents too

Callers that begin bodies and stop were held for as long as their connections, small bodies beyond the budget without a limit; an agent held up to 256 KB for each order that was begun.

Cause: a body had no time limit, bodies of up to 64 KB were always accepted, long heads counted for nothing, and agents read orders through the framework, which knows no budget. An early answer closes the connection. Agents have the settings buffers.*, with half of a small host's memory by default.

documentation::settings asks for the fields of the new file too; the file of buffers has moved, so both daemons list it.

--- a/src/direct/connections/buffers.rs
+++ b/src/direct/connections/buffers.rs
@@ -8,10 +8,12 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Bytes of a request's body that are always accepted. Most bodies are smaller, and refusing them
-/// would free little.
+/// Bytes of a small body. Most bodies are smaller, and refusing them would free little.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
 
+/// Small bodies and heads may exceed the budget by one part in this many.
+const SMALL_EXCESS_PARTS: usize = 4;
+
 /// Bytes of a document that are kept until it is whole though the buffers are short, about as many as
 /// the HTTP server holds of any answer.
 const MIN_DOCUMENT_BYTES: usize = 32 * 1024;
@@ -68,6 +70,12 @@
         self.used() >= self.0.limits.total / 4 * 3
     }
 
+    /// Returns true if not even small bodies and heads fit.
+    pub fn is_spent(&self) -> bool {
+        let total = self.0.limits.total;
+        self.used() >= total.saturating_add(total / SMALL_EXCESS_PARTS)
+    }
+
     fn free(&self) -> usize {
         self.0.limits.total.saturating_sub(self.used())
     }
@@ -87,7 +95,7 @@
         Held { buffers: self.clone(), bytes: 0 }
     }
 
-    /// Returns a share for a request's body; `None` if a large one does not fit. It is held in full
+    /// Returns a share for a request's body; `None` if it does not fit, which small ones nearly always do. It is held in full
     /// before the body has arrived, so that no body that was begun is cut later.
     pub fn hold_body(&self, bytes: usize) -> Option<Held> {
         let mut held = self.hold();
@@ -111,6 +119,11 @@
         self.bytes
     }
 
+    /// Returns true if not even small bodies and heads fit.
+    pub fn is_spent(&self) -> bool {
+        self.buffers.is_spent()
+    }
+
     /// Returns the bytes that the answer may buffer in addition.
     pub fn room(&self) -> usize {
         self.buffers.room(self.bytes)
@@ -123,14 +136,15 @@
         self.bytes = bytes;
     }
 
-    /// Holds at least `bytes` for a request's body. Returns false if a large body does not fit.
+    /// Holds at least `bytes` for a request's body. Returns false if it does not fit.
     pub fn grow_body(&mut self, bytes: usize) -> bool {
         if bytes <= self.bytes {
             return true;
         }
         let others = self.buffers.used().saturating_sub(self.bytes);
         let fits = others.saturating_add(bytes) <= self.buffers.limits().total;
-        if !fits && bytes > SMALL_BODY_BYTES {
+        let is_small = bytes <= SMALL_BODY_BYTES && !self.buffers.is_spent();
+        if !fits && !is_small {
             let refused = &self.buffers.0.refused_bodies;
             refused.set(refused.get() + 1);
             return false;
--- a/src/direct/connections/mod.rs
+++ b/src/direct/connections/mod.rs
@@ -9,5 +9,6 @@
 pub mod listener;
 pub mod pool;
 pub mod process;
+pub mod request_body;
 pub mod sockets;
 pub mod turn;
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -142,6 +142,8 @@
     TooLarge,
     /// The body does not fit into the entry's buffers now.
     BuffersFull,
+    /// The body has not arrived in time.
+    BodyTimedOut,
     /// The entry is stopping and refuses new requests.
     Stopping,
     /// The service has no target that was not tried already.
@@ -181,6 +183,7 @@
             Self::UnknownKey => "unknown_key",
             Self::TooLarge => "too_large",
             Self::BuffersFull => "buffers_full",
+            Self::BodyTimedOut => "body_timed_out",
             Self::Stopping => "stopping",
             Self::NoTarget => "no_target",
             Self::Emptied => "emptied",
@@ -204,6 +207,7 @@
             Self::UnknownKey => "Unknown key",
             Self::TooLarge => "Body too large",
             Self::BuffersFull => "The entry has no room for the body",
+            Self::BodyTimedOut => "The body has not arrived in time",
             Self::Stopping => "The entry is stopping",
             Self::NoTarget => "No target is there",
             Self::Emptied => "The data centres of all targets are being emptied",
@@ -229,6 +233,7 @@
             Self::UnknownKey => "/problems/unknown-key",
             Self::TooLarge => "/problems/too-large",
             Self::BuffersFull => "/problems/buffers-full",
+            Self::BodyTimedOut => "/problems/body-timed-out",
             Self::Stopping => "/problems/stopping",
             Self::NoTarget => "/problems/no-target",
             Self::Emptied => "/problems/emptied",
@@ -270,6 +275,7 @@
             (Cause::NoRoute, _) => StatusCode::NOT_FOUND,
             (Cause::UnknownKey, _) => StatusCode::UNAUTHORIZED,
             (Cause::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+            (Cause::BodyTimedOut, _) => StatusCode::REQUEST_TIMEOUT,
             (_, Executed::No) => StatusCode::SERVICE_UNAVAILABLE,
             (Cause::TimedOut, _) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
--- a/src/direct/state/buffer_report.rs
+++ b/src/direct/state/buffer_report.rs
@@ -1,4 +1,4 @@
-//! Reports what an entry buffers for callers.
+//! Reports what an entry buffers for callers, and the requests that it did not read to their end.
 
 use std::time::Duration;
 
@@ -30,6 +30,23 @@
         }
     }
 
+    /// Logs and returns the answer to a request whose body was not read to its end.
+    pub fn refuse_unread(&self, id: &str, length: &str, cause: Cause) -> LocalAnswer {
+        let local = LocalAnswer::not_run(cause, None);
+        events::log(
+            events::REQUEST_ANSWERED,
+            format_args!(
+                "id={} length={} cause={} status={}",
+                Brief(id),
+                Brief(length),
+                cause.name(),
+                local.status().as_u16()
+            ),
+        );
+        self.metrics.answered(cause.name());
+        local
+    }
+
     /// Logs and returns the answer to a request whose body does not fit into the buffers. `length` is
     /// the one that the request states.
     pub fn refuse_body(&self, id: &str, length: &str) -> LocalAnswer {
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -16,6 +16,7 @@
 use crate::collections::{Map, Set};
 use crate::daemon::{reload, signals};
 use crate::direct::connections::backlog::Backlog;
+use crate::direct::connections::buffers::Buffers;
 use crate::direct::connections::http::Codecs;
 use crate::direct::connections::listener;
 use crate::direct::connections::pool::Pool;
@@ -51,6 +52,8 @@
 pub(super) struct Agent {
     pub(super) clock: Clock,
     pub(super) settings: RankSettings,
+    /// What is buffered for those that send orders.
+    pub(super) buffers: Buffers,
     pub(super) incarnation: u64,
     pub(super) engines: Engines,
     pub(super) codecs: Codecs,
@@ -106,6 +109,7 @@
     let incarnation = process::new_incarnation(clock.wall());
     let agent = Rc::new(Agent {
         engines: Engines { protocol, pool: Pool::new(clock.clone()) },
+        buffers: Buffers::new(settings.buffers.limits()),
         codecs: Codecs::new(),
         socket,
         metrics,
--- a/src/ranks/ordering.rs
+++ b/src/ranks/ordering.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_web::{HttpResponse, web};
-use bytes::Bytes;
+use actix_web::{HttpRequest, HttpResponse, web};
 use futures_util::future;
 use prost::Message as _;
 
 use crate::collections::Map;
+use crate::direct::connections::request_body::{self, BodyError, BodyLimits};
 use crate::direct::known::heartbeat::PeerAddr;
 use crate::ranks::daemon::Agent;
 use crate::ranks::order_tree;
@@ -18,9 +18,33 @@
 use crate::ranks::switch::{Progress, RankOrder};
 use crate::telemetry::events;
 
+/// The limits of the bodies of orders. The longest ones hold the map of a large group.
+const ORDER_LIMITS: BodyLimits = BodyLimits { bytes: 256 * 1024, time: Duration::from_secs(5) };
+
+/// Returns the answer to an order that could not be read.
+fn refuse_body(error: BodyError) -> HttpResponse {
+    match error {
+        BodyError::TooLarge => HttpResponse::PayloadTooLarge(),
+        BodyError::NoRoom => HttpResponse::ServiceUnavailable(),
+        BodyError::TooSlow => HttpResponse::RequestTimeout(),
+        BodyError::Truncated => HttpResponse::BadRequest(),
+    }
+    .force_close()
+    .finish()
+}
+
 /// Passes an order from the coordinator to the local engine, and on to the agents of other ranks.
 /// Returns all of their outcomes.
-pub(super) async fn handle_order(agent: web::Data<Rc<Agent>>, body: Bytes) -> HttpResponse {
+pub(super) async fn handle_order(
+    agent: web::Data<Rc<Agent>>,
+    request: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let (body, _held) =
+        match request_body::read(&request, payload, ORDER_LIMITS, &agent.buffers).await {
+            Ok(read) => read,
+            Err(error) => return refuse_body(error),
+        };
     let Ok(message) = OrderMessage::decode(body) else {
         return HttpResponse::BadRequest().finish();
     };
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -5,10 +5,12 @@
 
 use serde::Deserialize;
 
-use crate::direct::connections::buffers::Limits;
 use crate::direct::decisions::warmth::Tolerance;
+use crate::settings::host;
 use crate::settings::{InvalidValue, common};
 
+pub use crate::settings::host::BufferSettings;
+
 /// DirectSettings is the content of the settings file of `bitternwall-platform-entry`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -152,35 +154,6 @@
     }
 }
 
-/// BufferSettings limit the bytes that are buffered for callers that read or send slowly.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct BufferSettings {
-    /// The memory that the process may use, in megabytes, if the host limits it.
-    pub memory_mb: Option<u64>,
-    /// Limit for all callers together, in kilobytes.
-    pub total_kb: Option<u64>,
-    /// Limit for one answer, in kilobytes.
-    pub answer_kb: Option<u64>,
-}
-
-impl BufferSettings {
-    fn total_kb(&self) -> u64 {
-        let of_memory = self.memory_mb.map(|megabytes| megabytes * 1024 / MEMORY_PARTS);
-        self.total_kb.or(of_memory).unwrap_or(DEFAULT_BUFFERS_KB)
-    }
-
-    fn answer_kb(&self) -> u64 {
-        self.answer_kb.unwrap_or(DEFAULT_ANSWER_KB.min(self.total_kb()))
-    }
-
-    /// Returns the limits in bytes.
-    pub fn limits(&self) -> Limits {
-        let bytes = |kilobytes: u64| usize::try_from(kilobytes * 1024).unwrap_or(usize::MAX);
-        Limits { total: bytes(self.total_kb()), answer: bytes(self.answer_kb()) }
-    }
-}
-
 /// At this interval, losing four heartbeats in a row is rare, and load data is at most this old.
 const DEFAULT_HEARTBEAT_MS: u64 = 100;
 /// Longer than callers keep idle connections, so that the entry never closes a connection first.
@@ -199,19 +172,6 @@
 /// Plain requests are short; a second one for each slot keeps the target busy between them.
 const DEFAULT_PLAIN_FILL: f64 = 2.0;
 
-/// The part of the memory that buffers may take is one in this many. The rest is for the buffers of the
-/// kernel, which count as well, and for state.
-const MEMORY_PARTS: u64 = 4;
-/// A quarter of the memory of a small host.
-const DEFAULT_BUFFERS_KB: u64 = 32 * 1024;
-/// As large as the largest bodies of plain services usually are.
-const DEFAULT_ANSWER_KB: u64 = 4 * 1024;
-/// The least that one answer needs: a document that is kept until it is whole, and the beginning of
-/// an event.
-const MIN_ANSWER_KB: u64 = 512;
-/// Most memory that a host can have.
-const MAX_MEMORY_MB: u64 = 1024 * 1024;
-
 /// As long as agents refuse a request that crashed their targets.
 const DEFAULT_CRASH_REFUSAL_MS: u64 = 600_000;
 
@@ -327,21 +287,5 @@
             let fill = settings.placement.plain_fill;
             common::check_range("placement.plain_fill", fill, 0.1..=100.0)
         })
-        .or_else(|| check_buffers(&settings.buffers))
-}
-
-fn check_buffers(buffers: &BufferSettings) -> Option<InvalidValue> {
-    let max_kb = buffers.memory_mb.unwrap_or(MAX_MEMORY_MB).saturating_mul(1024);
-    let memory = buffers.memory_mb.and_then(|megabytes| {
-        common::check_range("buffers.memory_mb", megabytes, 16..=MAX_MEMORY_MB)
-    });
-    memory
-        .or_else(|| {
-            let total = buffers.total_kb?;
-            common::check_range("buffers.total_kb", total, MIN_ANSWER_KB..=max_kb)
-        })
-        .or_else(|| {
-            let answer = buffers.answer_kb?;
-            common::check_range("buffers.answer_kb", answer, MIN_ANSWER_KB..=buffers.total_kb())
-        })
+        .or_else(|| host::check(&settings.buffers))
 }
--- /dev/null
+++ b/src/settings/host.rs
@@ -0,0 +1,65 @@
+//! What a process may take up of its host: memory for buffers.
+
+use serde::Deserialize;
+
+use crate::direct::connections::buffers::Limits;
+use crate::settings::{InvalidValue, common};
+
+/// BufferSettings limit the bytes that are buffered for callers that read or send slowly.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BufferSettings {
+    /// The memory that the process may use, in megabytes, if the host limits it.
+    pub memory_mb: Option<u64>,
+    /// Limit for all callers together, in kilobytes.
+    pub total_kb: Option<u64>,
+    /// Limit for one answer, in kilobytes.
+    pub answer_kb: Option<u64>,
+}
+
+impl BufferSettings {
+    fn total_kb(&self) -> u64 {
+        let of_memory = self.memory_mb.map(|megabytes| megabytes * 1024 / MEMORY_PARTS);
+        self.total_kb.or(of_memory).unwrap_or(DEFAULT_BUFFERS_KB)
+    }
+
+    fn answer_kb(&self) -> u64 {
+        self.answer_kb.unwrap_or(DEFAULT_ANSWER_KB.min(self.total_kb()))
+    }
+
+    /// Returns the limits in bytes.
+    pub fn limits(&self) -> Limits {
+        let bytes = |kilobytes: u64| usize::try_from(kilobytes * 1024).unwrap_or(usize::MAX);
+        Limits { total: bytes(self.total_kb()), answer: bytes(self.answer_kb()) }
+    }
+}
+
+/// The part of the memory that buffers may take is one in this many. The rest is for the buffers of the
+/// kernel, which count as well, and for state.
+const MEMORY_PARTS: u64 = 4;
+/// A quarter of the memory of a small host.
+const DEFAULT_BUFFERS_KB: u64 = 32 * 1024;
+/// As large as the largest bodies of plain services usually are.
+const DEFAULT_ANSWER_KB: u64 = 4 * 1024;
+/// The least that one answer needs: a document that is kept until it is whole, and the beginning of
+/// an event.
+const MIN_ANSWER_KB: u64 = 512;
+/// Most memory that a host can have.
+const MAX_MEMORY_MB: u64 = 1024 * 1024;
+
+/// Returns the first invalid value, or `None` if all settings are valid.
+pub fn check(buffers: &BufferSettings) -> Option<InvalidValue> {
+    let max_kb = buffers.memory_mb.unwrap_or(MAX_MEMORY_MB).saturating_mul(1024);
+    let memory = buffers.memory_mb.and_then(|megabytes| {
+        common::check_range("buffers.memory_mb", megabytes, 16..=MAX_MEMORY_MB)
+    });
+    memory
+        .or_else(|| {
+            let total = buffers.total_kb?;
+            common::check_range("buffers.total_kb", total, MIN_ANSWER_KB..=max_kb)
+        })
+        .or_else(|| {
+            let answer = buffers.answer_kb?;
+            common::check_range("buffers.answer_kb", answer, MIN_ANSWER_KB..=buffers.total_kb())
+        })
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 pub mod common;
 pub mod direct;
 pub mod entry;
+pub mod host;
 pub mod rank;
 
 use std::{fs, io, path, result};
--- a/src/settings/rank.rs
+++ b/src/settings/rank.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use crate::settings::host::{self, BufferSettings};
 use crate::settings::{InvalidValue, common};
 
 /// RankSettings is the content of the settings file of `bitternwall-platform-agent`.
@@ -31,6 +32,9 @@
     pub link_mbps: f64,
     /// Time from the stop signal until the process is killed, in seconds.
     pub grace_s: f64,
+    /// How much is buffered for those that read or send slowly.
+    #[serde(default = "default_buffers")]
+    pub buffers: BufferSettings,
     /// The format and the level of the log.
     #[serde(default)]
     pub log: common::LogSettings,
@@ -52,6 +56,13 @@
 /// The speed of a small host's link, so that time limits that follow from it are not too short.
 const DEFAULT_LINK_MBPS: f64 = 10.0;
 
+/// Half of the memory of a small host; orders are few and short.
+const DEFAULT_MEMORY_MB: u64 = 64;
+
+fn default_buffers() -> BufferSettings {
+    BufferSettings { memory_mb: Some(DEFAULT_MEMORY_MB), ..BufferSettings::default() }
+}
+
 fn default_link_mbps() -> f64 {
     DEFAULT_LINK_MBPS
 }
@@ -81,4 +92,5 @@
         .or_else(|| common::check_range("beat_ms", settings.beat_ms, 20..=10_000))
         .or_else(|| common::check_range("link_mbps", settings.link_mbps, 0.1..=1_000_000.0))
         .or_else(|| common::check_range("grace_s", settings.grace_s, 0.5..=3_600.0))
+        .or_else(|| host::check(&settings.buffers))
 }
--- a/tests/documentation/settings.rs
+++ b/tests/documentation/settings.rs
@@ -94,9 +94,9 @@
     fields.filter(|name| !name.contains(' ')).map(str::to_owned).collect()
 }
 
-fn assert_lists_declared_fields(section: &str, source: &str) {
+fn assert_lists_declared_fields(section: &str, sources: &[&str]) {
     let listed = listed(section);
-    let declared = declared_fields(source);
+    let declared: Vec<String> = sources.iter().flat_map(|source| declared_fields(source)).collect();
     assert!(declared.len() > 8, "{declared:?}");
     for name in declared {
         let has_name = |field: &String| field.rsplit('.').next() == Some(name.as_str());
@@ -106,10 +106,12 @@
 
 #[test]
 fn the_page_lists_every_field_that_the_daemons_declare() {
-    assert_lists_declared_fields("bitternwall-entry", "src/settings/entry.rs");
-    assert_lists_declared_fields("bitternwall-agent", "src/settings/agent.rs");
-    assert_lists_declared_fields("bitternwall-platform-entry", "src/settings/direct.rs");
-    assert_lists_declared_fields("bitternwall-platform-agent", "src/settings/rank.rs");
+    assert_lists_declared_fields("bitternwall-entry", &["src/settings/entry.rs"]);
+    assert_lists_declared_fields("bitternwall-agent", &["src/settings/agent.rs"]);
+    let host = "src/settings/host.rs";
+    let (entry, agent) = ("src/settings/direct.rs", "src/settings/rank.rs");
+    assert_lists_declared_fields("bitternwall-platform-entry", &[entry, host]);
+    assert_lists_declared_fields("bitternwall-platform-agent", &[agent, host]);
 }
 
 fn assert_accepts(program: &str, arguments: &[&str], file: &str) {
