A connection has one request at a time, and is not read while its answer stands unread

Clients sent requests ahead on a few connections and read nothing; the process grew until its host ended it, and all callers of that entry lost what was in progress. Requests without a route need no target, no place and no key, so no limit on requests in flight could hold it.

Cause: the HTTP server reads 128 KB of a connection and decodes all requests in them (its limit of 16 ahead is looked at before, not while it decodes), and answers were added to what the connection held within the budget, though all were of one client.

Now the stream hands the server one head at a time, then the body as its handler asks for it, and the next head once the answer is written. 4 KB are read ahead, so that the end of a connection is seen; the rest stays in the kernel and with the client. This works at every port of both daemons, since what fills memory is decoded there, before any route or key is known.

--- a/src/direct/connections/backlog.rs
+++ b/src/direct/connections/backlog.rs
@@ -4,14 +4,18 @@
 //! connection takes more than the kernel does while the budget for buffers allows it, so that an answer
 //! is read from its target though its caller is slow. A process that is stopping must not exit
 //! before all of it is written.
+//!
+//! While a connection has unwritten bytes, no further request is read from it, see
+//! [`read_ahead`](crate::direct::connections::read_ahead).
 
 use std::cell::Cell;
 use std::collections::VecDeque;
+use std::future;
 use std::io;
 use std::mem;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf as _, BytesMut};
@@ -21,11 +25,17 @@
 use tokio::time;
 
 use crate::direct::connections::buffers::{Buffers, Held, Limits};
+use crate::direct::connections::flow::Flow;
+use crate::direct::connections::read_ahead::{Outcome, ReadAhead};
 
 /// The size of one block of buffered bytes. Blocks are counted in full, since they are allocated in
 /// full.
 const BLOCK_BYTES: usize = 8 * 1024;
 
+/// The answer to a request whose head is too long. It is written before the request has been read.
+const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
+
 /// The connections with unwritten bytes, and the budget for these; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Backlog {
@@ -52,17 +62,17 @@
     /// Returns a stream that is counted here while it has unwritten bytes. What is left of them when
     /// the HTTP server drops it goes to `leftovers`.
     pub fn count(&self, inner: TcpStream, leftovers: UnboundedSender<Leftover>) -> CountedStream {
-        CountedStream { inner: Some(inner), unwritten: self.unwritten(), leftovers }
-    }
-
-    fn unwritten(&self) -> Unwritten {
-        Unwritten {
+        let read_ahead = ReadAhead::new(self.buffers.hold());
+        let unwritten = Unwritten {
             blocks: VecDeque::new(),
             offered: 0,
             held: self.buffers.hold(),
-            backlog: self.clone(),
+            connections: Rc::clone(&self.connections),
+            flow: Rc::default(),
             is_behind: false,
-        }
+        };
+        let open = OpenStream { stream: inner, unwritten };
+        CountedStream { open: Some(open), read_ahead, leftovers }
     }
 }
 
@@ -72,7 +82,8 @@
     /// Bytes that the HTTP server has offered and keeps, since they exceed the budget.
     offered: usize,
     held: Held,
-    backlog: Backlog,
+    connections: Rc<Cell<usize>>,
+    flow: Rc<Flow>,
     is_behind: bool,
 }
 
@@ -90,20 +101,28 @@
         }
     }
 
-    /// Returns the bytes that may be buffered in addition, in whole blocks.
-    fn room(&self) -> usize {
-        self.held.room() / BLOCK_BYTES * BLOCK_BYTES
+    /// Buffers the beginning of bytes that the HTTP server offers, in whole blocks, as far as the
+    /// budget allows it. Returns its length.
+    fn take(&mut self, bytes: &[u8]) -> usize {
+        self.held.set(self.blocks.len() * BLOCK_BYTES);
+        let room = self.held.room() / BLOCK_BYTES * BLOCK_BYTES;
+        let taken = bytes.len().min(room);
+        self.push(&bytes[..taken]);
+        self.offered = bytes.len() - taken;
+        self.recount();
+        taken
     }
 
     fn recount(&mut self) {
         self.held.set(self.blocks.len() * BLOCK_BYTES + self.offered);
         let is_behind = self.held.bytes() > 0;
-        let count = &self.backlog.connections;
+        let count = &self.connections;
         match (mem::replace(&mut self.is_behind, is_behind), is_behind) {
             (false, true) => count.set(count.get() + 1),
             (true, false) => count.set(count.get().saturating_sub(1)),
             _ => {}
         }
+        self.flow.set_unwritten(is_behind);
     }
 
     /// Writes blocks until all are written or the kernel takes no more.
@@ -131,31 +150,36 @@
     }
 }
 
-/// A caller's connection.
-pub struct CountedStream {
-    /// `None` once the connection was left to be written out.
-    inner: Option<TcpStream>,
+/// An open connection with its unwritten bytes.
+struct OpenStream {
+    stream: TcpStream,
     unwritten: Unwritten,
-    leftovers: UnboundedSender<Leftover>,
 }
 
-impl CountedStream {
+impl OpenStream {
     /// Writes what is buffered. Ready once all of it is written.
     fn poll_buffered(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Some(stream) = &mut self.inner else { return Poll::Ready(Ok(())) };
-        let result = self.unwritten.poll_write(cx, stream);
+        let result = self.unwritten.poll_write(cx, &mut self.stream);
         if matches!(result, Poll::Ready(Err(_))) {
             self.unwritten.blocks.clear();
         }
         self.unwritten.recount();
         result
     }
+}
 
-    fn poll_direct(&mut self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        match &mut self.inner {
-            Some(stream) => Pin::new(stream).poll_write(cx, buf),
-            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
-        }
+/// A caller's connection.
+pub struct CountedStream {
+    /// `None` once the connection was left to be written out.
+    open: Option<OpenStream>,
+    read_ahead: ReadAhead,
+    leftovers: UnboundedSender<Leftover>,
+}
+
+impl CountedStream {
+    /// Returns the flow that the connection's requests share with it.
+    pub fn flow(&self) -> Option<Rc<Flow>> {
+        self.open.as_ref().map(|open| Rc::clone(&open.unwritten.flow))
     }
 }
 
@@ -165,10 +189,17 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        match &mut self.inner {
-            Some(stream) => Pin::new(stream).poll_read(cx, buf),
-            None => Poll::Ready(Ok(())),
+        let Self { open, read_ahead, .. } = &mut *self;
+        let Some(OpenStream { stream, unwritten }) = open else { return Poll::Ready(Ok(())) };
+        match ready!(read_ahead.poll_read(cx, stream, &unwritten.flow, buf))? {
+            Outcome::Read => {}
+            Outcome::HeadTooLong => {
+                buf.clear();
+                unwritten.push(HEAD_TOO_LONG);
+                unwritten.recount();
+            }
         }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -179,83 +210,79 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let stream = &mut *self;
-        stream.unwritten.offered = 0;
-        let result = match stream.poll_buffered(cx) {
-            Poll::Ready(Ok(())) => stream.poll_direct(cx, buf),
+        let Some(open) = &mut self.open else {
+            return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
+        };
+        let result = match open.poll_buffered(cx) {
+            Poll::Ready(Ok(())) => Pin::new(&mut open.stream).poll_write(cx, buf),
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => Poll::Pending,
         };
         if result.is_ready() {
+            open.unwritten.offered = 0;
+            open.unwritten.recount();
             return result;
         }
-        let unwritten = &mut stream.unwritten;
-        let taken = buf.len().min(unwritten.room());
-        unwritten.push(&buf[..taken]);
-        unwritten.offered = buf.len() - taken;
-        unwritten.recount();
-        match taken {
+        match open.unwritten.take(buf) {
             0 => Poll::Pending,
-            _ => Poll::Ready(Ok(taken)),
+            taken => Poll::Ready(Ok(taken)),
         }
     }
 
     // Buffered bytes do not hold up the HTTP server; its task is woken when the kernel takes more.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.poll_buffered(cx) {
+        let Some(open) = &mut self.open else { return Poll::Ready(Ok(())) };
+        match open.poll_buffered(cx) {
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Ready(Ok(())) | Poll::Pending => Poll::Ready(Ok(())),
         }
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.poll_buffered(cx) {
-            Poll::Ready(Ok(())) => {}
-            other => return other,
-        }
-        match &mut self.inner {
-            Some(stream) => Pin::new(stream).poll_shutdown(cx),
-            None => Poll::Ready(Ok(())),
+        let Some(open) = &mut self.open else { return Poll::Ready(Ok(())) };
+        match open.poll_buffered(cx) {
+            Poll::Ready(Ok(())) => Pin::new(&mut open.stream).poll_shutdown(cx),
+            other => other,
         }
     }
 }
 
 impl Drop for CountedStream {
     fn drop(&mut self) {
-        if self.unwritten.blocks.is_empty() {
+        let Some(mut open) = self.open.take() else { return };
+        if open.unwritten.blocks.is_empty() {
             return;
         }
-        let Some(stream) = self.inner.take() else { return };
-        let backlog = self.unwritten.backlog.clone();
-        let mut unwritten = mem::replace(&mut self.unwritten, backlog.unwritten());
-        unwritten.offered = 0;
-        unwritten.recount();
+        open.unwritten.offered = 0;
+        open.unwritten.recount();
         // Nobody receives once the server has ended; the bytes are dropped then.
-        drop(self.leftovers.send(Leftover { stream, unwritten }));
+        drop(self.leftovers.send(Leftover(open)));
     }
 }
 
 /// A connection that the HTTP server has closed before its caller has read all bytes.
-pub struct Leftover {
-    stream: TcpStream,
-    unwritten: Unwritten,
-}
+pub struct Leftover(OpenStream);
 
 impl Leftover {
     /// Writes the bytes. Ends early if the caller reads none for `idle_timeout` or closes.
     async fn write(mut self, idle_timeout: Duration) -> io::Result<()> {
-        while let Some(block) = self.unwritten.blocks.front_mut() {
-            let written = time::timeout(idle_timeout, self.stream.write(block)).await??;
-            if written == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
-            block.advance(written);
-            if block.is_empty() {
-                self.unwritten.blocks.pop_front();
-                self.unwritten.recount();
-            }
+        let mut left = self.0.unwritten.blocks.len();
+        while left > 0 {
+            let blocks =
+                time::timeout(idle_timeout, future::poll_fn(|cx| self.poll_block(cx, left)));
+            left = blocks.await??;
+        }
+        self.0.stream.shutdown().await
+    }
+
+    /// Writes until fewer than `left` blocks are left. Returns their number.
+    fn poll_block(&mut self, cx: &mut Context<'_>, left: usize) -> Poll<io::Result<usize>> {
+        let written = self.0.poll_buffered(cx)?;
+        let blocks = self.0.unwritten.blocks.len();
+        match written {
+            Poll::Pending if blocks >= left => Poll::Pending,
+            Poll::Pending | Poll::Ready(()) => Poll::Ready(Ok(blocks)),
         }
-        self.stream.shutdown().await
     }
 }
 
--- a/src/direct/connections/listener.rs
+++ b/src/direct/connections/listener.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use std::{future, io, result};
 
-use actix_http::{HttpService, KeepAlive, Protocol};
-use actix_service::{Service, ServiceFactory as _, map_config};
+use actix_http::{Extensions, HttpService, KeepAlive, Protocol, Request, Response};
+use actix_service::{Service, ServiceFactory as _, apply_fn_factory, map_config};
 use actix_web::dev::AppConfig;
 use actix_web::{App, web};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,6 +17,7 @@
 
 use crate::direct::connections::backlog::{self, Backlog, CountedStream};
 use crate::direct::connections::sockets;
+use crate::direct::connections::tracking;
 use crate::telemetry::events;
 
 /// The result of starting a server.
@@ -69,20 +70,31 @@
     let listener =
         sockets::listen(address).map_err(|source| ListenError::Bind { address, source })?;
     let app = App::new().configure(routes);
+    let app = map_config(app, |()| AppConfig::default());
+    let tracked = apply_fn_factory(app, |mut request: Request, service: &_| {
+        let answering = tracking::begin(&mut request);
+        let answer = Service::<Request>::call(service, request);
+        async move { Ok(tracking::track(Response::from(answer.await?), answering)) }
+    });
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(idle_timeout))
         .client_request_timeout(HEAD_TIMEOUT)
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1_allow_half_closed(false)
-        .h1(map_config(app, |()| AppConfig::default()));
+        .on_connect_ext(|stream: &CountedStream, extensions: &mut Extensions| {
+            if let Some(flow) = stream.flow() {
+                extensions.insert(flow);
+            }
+        })
+        .h1(tracked);
     let service = factory.new_service(()).await.map_err(|_| ListenError::Routes { address })?;
     let service = Rc::new(service);
     let backlog = backlog.clone();
     let leftovers = backlog::write_leftovers(idle_timeout);
     actix_rt::spawn(accept(listener, address, move |stream| {
-        let service = Rc::clone(&service);
         let peer = stream.peer_addr().ok();
         let stream = backlog.count(stream, leftovers.clone());
+        let service = Rc::clone(&service);
         actix_rt::spawn(async move {
             // An error means that the client or a timeout ended the connection, which is no fault.
             let ready = future::poll_fn(|cx| Service::<Accepted>::poll_ready(&*service, cx));
--- a/src/direct/connections/mod.rs
+++ b/src/direct/connections/mod.rs
@@ -3,12 +3,15 @@
 pub mod backlog;
 pub mod buffers;
 pub mod event_stream;
+pub mod flow;
 pub mod framing;
 pub mod http;
 pub mod internal;
 pub mod listener;
 pub mod pool;
 pub mod process;
+pub mod read_ahead;
 pub mod request_body;
 pub mod sockets;
+pub mod tracking;
 pub mod turn;
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -28,6 +28,8 @@
 mod group_load;
 #[path = "direct/lookups.rs"]
 mod lookups;
+#[path = "direct/open_connections.rs"]
+mod open_connections;
 #[path = "direct/rate_limits.rs"]
 mod rate_limits;
 #[path = "direct/read_times.rs"]
