Connections of each port are limited, and idle ones give way

A client that opened connections took the descriptors of all others: callers could not connect, and accepted requests found none for a connection to a target. A part of a second head kept a connection for good, as the HTTP server's timeout for heads is for the first one and its idle timeout ends with the first byte.

Cause: nothing counted connections. Each port now has a limit that follows from the files and the memory of the host; three tenths of the files for sockets are for callers, and as many are left for their requests at targets. At the limit a new connection takes the place of the one that has been idle longest, then of one whose body has stopped for 1 s, then of one whose answer nobody has read for 5 s; while all have a request in progress it is closed before anything is read, which is a promise that nothing ran. Each head has 10 s from its first byte, and the rest of a long one waits while the budget is spent. Idle connections to targets have a limit too. Settings connections.max_files, metrics bitternwall_connections*, event 7073.

--- a/src/direct/connections/backlog.rs
+++ b/src/direct/connections/backlog.rs
@@ -24,9 +24,12 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time;
 
+use crate::clock::Clock;
 use crate::direct::connections::buffers::{Buffers, Held, Limits};
 use crate::direct::connections::flow::Flow;
+use crate::direct::connections::port::{Admitted, Port};
 use crate::direct::connections::read_ahead::{Outcome, ReadAhead};
+use crate::telemetry::events;
 
 /// The size of one block of buffered bytes. Blocks are counted in full, since they are allocated in
 /// full.
@@ -36,17 +39,29 @@
 const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
 
-/// The connections with unwritten bytes, and the budget for these; clones share them.
-#[derive(Clone, Debug, Default)]
+/// The connections of one port, those with unwritten bytes, and the budget for these; clones share them.
+#[derive(Clone)]
 pub struct Backlog {
     connections: Rc<Cell<usize>>,
     buffers: Buffers,
+    port: Port,
 }
 
 impl Backlog {
-    /// Returns an empty backlog with limits.
+    /// Returns the backlog of a port without a limit of its connections.
     pub fn within(limits: Limits) -> Self {
-        Self { connections: Rc::default(), buffers: Buffers::new(limits) }
+        let port = Port::new("callers", usize::MAX, Clock::system());
+        Self::at(port, Buffers::new(limits))
+    }
+
+    /// Returns the backlog of a port, whose connections share the buffers with others.
+    pub fn at(port: Port, buffers: Buffers) -> Self {
+        Self { connections: Rc::default(), buffers, port }
+    }
+
+    /// Returns the port.
+    pub fn port(&self) -> &Port {
+        &self.port
     }
 
     /// Returns the number of connections with bytes that the kernel has not taken yet.
@@ -60,19 +75,24 @@
     }
 
     /// Returns a stream that is counted here while it has unwritten bytes. What is left of them when
-    /// the HTTP server drops it goes to `leftovers`.
-    pub fn count(&self, inner: TcpStream, leftovers: UnboundedSender<Leftover>) -> CountedStream {
+    /// the HTTP server drops it goes to `leftovers`. `None` if the port admits no connection now.
+    pub fn count(
+        &self,
+        inner: TcpStream,
+        leftovers: UnboundedSender<Leftover>,
+    ) -> Option<CountedStream> {
+        let admitted = self.port.admit()?;
         let read_ahead = ReadAhead::new(self.buffers.hold());
         let unwritten = Unwritten {
             blocks: VecDeque::new(),
             offered: 0,
             held: self.buffers.hold(),
             connections: Rc::clone(&self.connections),
-            flow: Rc::default(),
+            admitted,
             is_behind: false,
         };
         let open = OpenStream { stream: inner, unwritten };
-        CountedStream { open: Some(open), read_ahead, leftovers }
+        Some(CountedStream { open: Some(open), read_ahead, leftovers })
     }
 }
 
@@ -83,7 +103,7 @@
     offered: usize,
     held: Held,
     connections: Rc<Cell<usize>>,
-    flow: Rc<Flow>,
+    admitted: Admitted,
     is_behind: bool,
 }
 
@@ -122,7 +142,12 @@
             (true, false) => count.set(count.get().saturating_sub(1)),
             _ => {}
         }
-        self.flow.set_unwritten(is_behind);
+        self.admitted.flow().set_unwritten(is_behind);
+    }
+
+    /// Records that the kernel took bytes, which it does as their client reads.
+    fn record_progress(&self) {
+        self.admitted.flow().record_progress(self.admitted.port().now());
     }
 
     /// Writes blocks until all are written or the kernel takes no more.
@@ -137,6 +162,7 @@
             if block.is_empty() {
                 self.blocks.pop_front();
             }
+            self.record_progress();
         }
         Poll::Ready(Ok(()))
     }
@@ -157,9 +183,16 @@
 }
 
 impl OpenStream {
+    fn flow(&self) -> &Flow {
+        self.unwritten.admitted.flow()
+    }
+
     /// Writes what is buffered. Ready once all of it is written.
     fn poll_buffered(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let result = self.unwritten.poll_write(cx, &mut self.stream);
+        let result = match self.flow().is_closing() {
+            true => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+            false => self.unwritten.poll_write(cx, &mut self.stream),
+        };
         if matches!(result, Poll::Ready(Err(_))) {
             self.unwritten.blocks.clear();
         }
@@ -168,6 +201,17 @@
     }
 }
 
+impl Drop for OpenStream {
+    /// Resets a connection that was closed for another one, so that the kernel keeps nothing for it.
+    fn drop(&mut self) {
+        if self.flow().is_closing()
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            events::log(events::RESET_FAILED, format_args!("cause=\"{error}\""));
+        }
+    }
+}
+
 /// A caller's connection.
 pub struct CountedStream {
     /// `None` once the connection was left to be written out.
@@ -179,7 +223,7 @@
 impl CountedStream {
     /// Returns the flow that the connection's requests share with it.
     pub fn flow(&self) -> Option<Rc<Flow>> {
-        self.open.as_ref().map(|open| Rc::clone(&open.unwritten.flow))
+        self.open.as_ref().map(|open| Rc::clone(open.unwritten.admitted.flow()))
     }
 }
 
@@ -191,7 +235,8 @@
     ) -> Poll<io::Result<()>> {
         let Self { open, read_ahead, .. } = &mut *self;
         let Some(OpenStream { stream, unwritten }) = open else { return Poll::Ready(Ok(())) };
-        match ready!(read_ahead.poll_read(cx, stream, &unwritten.flow, buf))? {
+        let (flow, now) = (unwritten.admitted.flow(), unwritten.admitted.port().now());
+        match ready!(read_ahead.poll_read(cx, stream, flow, now, buf))? {
             Outcome::Read => {}
             Outcome::HeadTooLong => {
                 buf.clear();
@@ -221,6 +266,7 @@
         if result.is_ready() {
             open.unwritten.offered = 0;
             open.unwritten.recount();
+            open.unwritten.record_progress();
             return result;
         }
         match open.unwritten.take(buf) {
@@ -250,7 +296,7 @@
 impl Drop for CountedStream {
     fn drop(&mut self) {
         let Some(mut open) = self.open.take() else { return };
-        if open.unwritten.blocks.is_empty() {
+        if open.unwritten.blocks.is_empty() || open.flow().is_closing() {
             return;
         }
         open.unwritten.offered = 0;
@@ -264,7 +310,8 @@
 pub struct Leftover(OpenStream);
 
 impl Leftover {
-    /// Writes the bytes. Ends early if the caller reads none for `idle_timeout` or closes.
+    /// Writes the bytes. Ends early if the caller reads none for `idle_timeout` or closes, or if the
+    /// connection is closed for another one.
     async fn write(mut self, idle_timeout: Duration) -> io::Result<()> {
         let mut left = self.0.unwritten.blocks.len();
         while left > 0 {
@@ -277,6 +324,7 @@
 
     /// Writes until fewer than `left` blocks are left. Returns their number.
     fn poll_block(&mut self, cx: &mut Context<'_>, left: usize) -> Poll<io::Result<usize>> {
+        self.0.flow().set_reader(cx);
         let written = self.0.poll_buffered(cx)?;
         let blocks = self.0.unwritten.blocks.len();
         match written {
--- a/src/direct/connections/flow.rs
+++ b/src/direct/connections/flow.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::{Context, Waker};
+use std::time::Duration;
 
 /// Bytes of a chunked body that the HTTP server gets at once. The end of such a body is not known in
 /// advance, so what follows it may be handed over with it.
@@ -46,10 +47,20 @@
     body: Cell<BodyLeft>,
     wants_body: Cell<bool>,
     is_unwritten: Cell<bool>,
+    is_closing: Cell<bool>,
+    /// When the client last made the connection progress, on the clock of its port.
+    progress: Cell<Duration>,
+    /// When the head that is being received began.
+    head_began: Cell<Option<Duration>>,
     reader: RefCell<Option<Waker>>,
 }
 
 impl Flow {
+    /// Returns the flow of a connection that is accepted at this time.
+    pub fn new(now: Duration) -> Self {
+        Self { progress: Cell::new(now), ..Self::default() }
+    }
+
     /// Returns what the connection is waiting for.
     pub fn phase(&self) -> Phase {
         let max = match self.body.get() {
@@ -66,12 +77,46 @@
         }
     }
 
+    /// Returns true once the connection is to be closed.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
+    /// Returns when the client last made the connection progress.
+    pub fn progress(&self) -> Duration {
+        self.progress.get()
+    }
+
+    /// Returns when the head that is being received began; `None` between requests.
+    pub fn head_began(&self) -> Option<Duration> {
+        self.head_began.get()
+    }
+
+    /// Records that the client has sent or read something.
+    pub fn record_progress(&self, now: Duration) {
+        self.progress.set(now);
+    }
+
+    /// Records that a part of a head arrived, at its end or before it.
+    pub fn record_head(&self, ended: bool, now: Duration) {
+        let began = self.head_began.get().unwrap_or(now);
+        self.head_began.set((!ended).then_some(began));
+        // Between requests the time counts from the last answer, in a head from its beginning.
+        self.progress.set(began);
+    }
+
     /// Records that the HTTP server has got so many bytes of a body.
-    pub fn record_body(&self, bytes: usize) {
+    pub fn record_body(&self, bytes: usize, now: Duration) {
         if let BodyLeft::Sized(left) = self.body.get() {
             let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
             self.body.set(BodyLeft::Sized(left.saturating_sub(bytes)));
         }
+        self.progress.set(now);
+    }
+
+    /// Returns true if bytes of answers are unwritten.
+    pub fn is_unread(&self) -> bool {
+        self.is_unwritten.get()
     }
 
     /// Records whether bytes of answers are unwritten.
@@ -95,6 +140,12 @@
         }
     }
 
+    /// Makes the connection close. What is unwritten is dropped.
+    pub fn close(&self) {
+        self.is_closing.set(true);
+        self.wake();
+    }
+
     /// Sets the task that is woken when the stream may have more to read.
     pub fn set_reader(&self, cx: &Context<'_>) {
         let mut reader = self.reader.borrow_mut();
--- a/src/direct/connections/listener.rs
+++ b/src/direct/connections/listener.rs
@@ -13,9 +13,10 @@
 use actix_web::dev::AppConfig;
 use actix_web::{App, web};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time;
+use tokio::{task, time};
 
 use crate::direct::connections::backlog::{self, Backlog, CountedStream};
+use crate::direct::connections::port::{HEAD_TIMEOUT, Port};
 use crate::direct::connections::sockets;
 use crate::direct::connections::tracking;
 use crate::telemetry::events;
@@ -46,9 +47,6 @@
 /// A connection as it is handed to the HTTP service.
 type Accepted = (CountedStream, Protocol, Option<SocketAddr>);
 
-/// Time for a client to send a request's head, as in common servers.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Time for the client to close its side of a connection that is being closed.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -56,7 +54,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Starts a server for routes at an address, which runs until the process ends. `idle_timeout`
-/// is the limit for its connections, and `backlog` counts those with unwritten answers.
+/// is the limit for its connections, and `backlog` limits them and counts those with unwritten answers.
 ///
 /// # Errors
 ///
@@ -91,9 +89,10 @@
     let service = Rc::new(service);
     let backlog = backlog.clone();
     let leftovers = backlog::write_leftovers(idle_timeout);
-    actix_rt::spawn(accept(listener, address, move |stream| {
+    let port = backlog.port().clone();
+    actix_rt::spawn(accept(listener, address, port, move |stream| {
         let peer = stream.peer_addr().ok();
-        let stream = backlog.count(stream, leftovers.clone());
+        let Some(stream) = backlog.count(stream, leftovers.clone()) else { return };
         let service = Rc::clone(&service);
         actix_rt::spawn(async move {
             // An error means that the client or a timeout ended the connection, which is no fault.
@@ -106,13 +105,22 @@
     Ok(())
 }
 
-async fn accept(listener: TcpListener, address: SocketAddr, handle: impl Fn(TcpStream)) {
+async fn accept(
+    listener: TcpListener,
+    address: SocketAddr,
+    port: Port,
+    handle: impl Fn(TcpStream),
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 if stream.set_nodelay(true).is_ok() {
                     handle(stream);
                 }
+                if port.is_full() {
+                    // Those that new connections replace close before more are accepted.
+                    task::yield_now().await;
+                }
             }
             Err(error) => {
                 events::log(
--- a/src/direct/connections/mod.rs
+++ b/src/direct/connections/mod.rs
@@ -9,6 +9,8 @@
 pub mod internal;
 pub mod listener;
 pub mod pool;
+pub mod port;
+pub mod port_metrics;
 pub mod process;
 pub mod read_ahead;
 pub mod request_body;
--- a/src/direct/connections/pool.rs
+++ b/src/direct/connections/pool.rs
@@ -2,9 +2,10 @@
 //!
 //! Load pattern: many short requests to few targets, each of which accepts a limited number of
 //! connections from all of its clients together. Reuse keeps the connections of an entry near its
-//! requests in flight, which the slots of targets limit; the pool has no limit of its own.
+//! requests in flight, which the slots of targets limit. The pool has a limit besides, so that idle
+//! connections leave descriptors for others.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,12 +49,22 @@
     clock: Clock,
     codecs: Codecs,
     idle: Rc<RefCell<Map<SocketAddr, Vec<IdleConnection>>>>,
+    /// The number of idle connections.
+    count: Rc<Cell<usize>>,
+    max_count: usize,
 }
 
 impl Pool {
     /// Returns an empty pool.
     pub fn new(clock: Clock) -> Self {
-        Self { clock, codecs: Codecs::new(), idle: Rc::default() }
+        let (idle, count) = (Rc::default(), Rc::default());
+        Self { clock, codecs: Codecs::new(), idle, count, max_count: usize::MAX }
+    }
+
+    /// Returns the pool with a limit of its idle connections.
+    #[must_use]
+    pub fn within(self, max_count: usize) -> Self {
+        Self { max_count, ..self }
     }
 
     /// Takes an idle connection that still seems open out of the pool.
@@ -62,6 +73,7 @@
         let mut pool = self.idle.borrow_mut();
         let list = pool.get_mut(&addr)?;
         while let Some(idle) = list.pop() {
+            self.count.set(self.count.get().saturating_sub(1));
             let age = now.saturating_sub(idle.since);
             let limit = match reuse {
                 Reuse::Any => idle.max_idle,
@@ -83,24 +95,27 @@
         Connection::open(addr, timeout, &self.codecs).await
     }
 
-    /// Puts back a connection whose answer has ended, if it can be reused. `idle_limit` is the time
+    /// Puts back a connection whose answer has ended, if it can be reused and there is room for it. `idle_limit` is the time
     /// for which the server keeps it idle, if it stated one.
     pub fn put_back(&self, addr: SocketAddr, connection: Connection, idle_limit: Option<Duration>) {
-        if !connection.is_reusable() {
+        if self.count.get() >= self.max_count || !connection.is_reusable() {
             return;
         }
         let max_idle = idle_limit.map_or(MAX_IDLE, |limit| limit.mul_f64(IDLE_LIMIT_SHARE));
         let idle = IdleConnection { connection, since: self.clock.monotonic(), max_idle };
         self.idle.borrow_mut().entry(addr).or_default().push(idle);
+        self.count.set(self.count.get() + 1);
     }
 
     /// Closes connections that have been idle for too long, and those to addresses for which
     /// `wanted` returns false.
     pub fn prune(&self, wanted: impl Fn(SocketAddr) -> bool) {
         let now = self.clock.monotonic();
-        self.idle.borrow_mut().retain(|addr, list| {
+        let mut pool = self.idle.borrow_mut();
+        pool.retain(|addr, list| {
             list.retain(|idle| now.saturating_sub(idle.since) <= idle.max_idle);
             wanted(*addr) && !list.is_empty()
         });
+        self.count.set(pool.values().map(Vec::len).sum());
     }
 }
--- a/src/direct/connections/process.rs
+++ b/src/direct/connections/process.rs
@@ -70,9 +70,13 @@
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub async fn serve_admin(address: SocketAddr, registry: &Registry) -> Result<()> {
+pub async fn serve_admin(
+    address: SocketAddr,
+    backlog: &Backlog,
+    registry: &Registry,
+) -> Result<()> {
     let pages = web::Data::new(admin::Admin::new(registry.clone()));
-    listener::serve(address, INTERNAL_IDLE_TIMEOUT, &Backlog::default(), move |cfg| {
+    listener::serve(address, INTERNAL_IDLE_TIMEOUT, backlog, move |cfg| {
         cfg.app_data(pages.clone()).configure(admin::configure);
     })
     .await?;
--- a/src/direct/connections/read_ahead.rs
+++ b/src/direct/connections/read_ahead.rs
@@ -6,6 +6,7 @@
 use std::mem;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use rustix::io::Errno;
@@ -21,6 +22,9 @@
 /// The longest head, which is the limit of the HTTP server.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
+/// Bytes of a head that are received though the buffers are full.
+const FREE_HEAD_BYTES: usize = 4 * 1024;
+
 /// The result of reading for the HTTP server.
 pub enum Outcome {
     /// It got bytes; at the end of the stream none.
@@ -56,19 +60,23 @@
         cx: &mut Context<'_>,
         stream: &mut TcpStream,
         flow: &Flow,
+        now: Duration,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<Outcome>> {
         flow.set_reader(cx);
+        if flow.is_closing() {
+            return Poll::Ready(Ok(Outcome::Read));
+        }
         if mem::take(&mut self.handed_over) {
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
         match flow.phase() {
-            Phase::Head => self.poll_head(cx, stream, buf),
+            Phase::Head => self.poll_head(cx, stream, flow, now, buf),
             Phase::Body(max) => {
                 let before = buf.filled().len();
                 ready!(self.poll_body(cx, stream, max, buf))?;
-                flow.record_body(buf.filled().len() - before);
+                flow.record_body(buf.filled().len() - before, now);
                 self.handed_over = true;
                 Poll::Ready(Ok(Outcome::Read))
             }
@@ -83,8 +91,14 @@
         &mut self,
         cx: &mut Context<'_>,
         stream: &mut TcpStream,
+        flow: &Flow,
+        now: Duration,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<Outcome>> {
+        let waits_for_room = self.head_bytes > FREE_HEAD_BYTES && self.held.is_spent();
+        if waits_for_room {
+            return Poll::Pending;
+        }
         if self.bytes.is_empty() && ready!(self.poll_fill(cx, stream))? == 0 {
             return Poll::Ready(Ok(Outcome::Read));
         }
@@ -92,6 +106,7 @@
         let end = self.scan.find_end(&self.bytes[..available]);
         let part = self.bytes.split_to(end.unwrap_or(available));
         buf.put_slice(&part);
+        flow.record_head(end.is_some(), now);
         self.head_bytes += part.len();
         let too_long = self.head_bytes > MAX_HEAD_BYTES;
         if end.is_some() {
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -16,7 +16,10 @@
 use crate::clock::Clock;
 use crate::daemon::{reload, signals};
 use crate::direct::connections::backlog::Backlog;
+use crate::direct::connections::buffers::Buffers;
 use crate::direct::connections::listener;
+use crate::direct::connections::port::{self, ConnectionLimits, Port};
+use crate::direct::connections::port_metrics::PortMetrics;
 use crate::direct::connections::process::{self, Result};
 use crate::direct::decisions::stopping::{Phase, Stopping};
 use crate::direct::known::store::{Collection, Formats, Store};
@@ -59,6 +62,37 @@
     pub keep_s: u32,
 }
 
+/// The connections of each port of an entry, which share the buffers.
+struct Ports {
+    limits: ConnectionLimits,
+    callers: Backlog,
+    ready: Backlog,
+    addresses: Backlog,
+    peers: Backlog,
+    metrics: Backlog,
+}
+
+impl Ports {
+    fn new(settings: &DirectSettings, clock: &Clock) -> Self {
+        let limits = settings.connections.limits(&settings.buffers);
+        let buffers = Buffers::new(settings.buffers.limits());
+        let port = |name, max| Backlog::at(Port::new(name, max, clock.clone()), buffers.clone());
+        Self {
+            limits,
+            callers: port("callers", limits.callers),
+            ready: port("ready", limits.checks),
+            addresses: port("addresses", limits.addresses),
+            peers: port("peers", limits.peers),
+            metrics: port("metrics", limits.checks),
+        }
+    }
+
+    fn all(&self) -> Vec<Port> {
+        let Self { callers, ready, addresses, peers, metrics, .. } = self;
+        [callers, ready, addresses, peers, metrics].map(|backlog| backlog.port().clone()).into()
+    }
+}
+
 /// Interval of the work that no event triggers: pending removals, loads of peers, idle connections
 /// and a stop in progress.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -94,7 +128,9 @@
         cold_tolerance: settings.cold_tolerance(),
     };
     let mut entry = Entry::new(clock.clone(), options, adapter.protocol, metrics);
-    entry.backlog = Backlog::within(settings.buffers.limits());
+    let ports = Ports::new(&settings, &clock);
+    entry.backlog = ports.callers.clone();
+    entry.pool = entry.pool.within(ports.limits.idle);
     let entry = Rc::new(entry);
     let sync = Rc::new(StateSync {
         entry: Rc::clone(&entry),
@@ -108,7 +144,9 @@
         transfers: Arc::new(Semaphore::new(transfer::MAX_TRANSFERS)),
     });
     start_heartbeats(&sync, &settings, &clock).await?;
-    serve(&entry, &sync, &settings, adapter, &registry).await?;
+    serve(&entry, &sync, &settings, &ports, adapter, &registry).await?;
+    let port_metrics = PortMetrics::register(&registry)?;
+    actix_rt::spawn(port::sweep(ports.all(), port_metrics));
     for collection in Collection::ALL {
         actix_rt::spawn(Rc::clone(&sync).follow(collection));
     }
@@ -151,18 +189,19 @@
     entry: &Rc<Entry>,
     sync: &Rc<StateSync>,
     settings: &DirectSettings,
+    ports: &Ports,
     adapter: Adapter,
     registry: &Registry,
 ) -> Result<()> {
     let listen = &settings.listen;
     let idle_timeout = Duration::from_millis(settings.caller_idle_ms);
     let callers = web::Data::new(Rc::clone(entry));
-    listener::serve(listen.callers, idle_timeout, &entry.backlog, move |cfg| {
+    listener::serve(listen.callers, idle_timeout, &ports.callers, move |cfg| {
         cfg.app_data(callers.clone()).configure(adapter.callers);
     })
     .await?;
     let ready = web::Data::new(Rc::clone(entry));
-    listener::serve(listen.ready, idle_timeout, &Backlog::default(), move |cfg| {
+    listener::serve(listen.ready, idle_timeout, &ports.ready, move |cfg| {
         cfg.app_data(ready.clone()).configure(adapter.ready);
     })
     .await?;
@@ -171,21 +210,16 @@
         local_addr: listen.callers,
         keep_s: settings.addresses.keep_s,
     });
-    listener::serve(listen.addresses, idle_timeout, &Backlog::default(), move |cfg| {
+    listener::serve(listen.addresses, idle_timeout, &ports.addresses, move |cfg| {
         cfg.app_data(address_context.clone()).configure(adapter.addresses);
     })
     .await?;
     let sync = web::Data::new(Rc::clone(sync));
-    listener::serve(
-        listen.peers,
-        process::INTERNAL_IDLE_TIMEOUT,
-        &Backlog::default(),
-        move |cfg| {
-            cfg.app_data(sync.clone()).configure(transfer::configure).configure(fleet::configure);
-        },
-    )
+    listener::serve(listen.peers, process::INTERNAL_IDLE_TIMEOUT, &ports.peers, move |cfg| {
+        cfg.app_data(sync.clone()).configure(transfer::configure).configure(fleet::configure);
+    })
     .await?;
-    process::serve_admin(listen.metrics, registry).await
+    process::serve_admin(listen.metrics, &ports.metrics, registry).await
 }
 
 /// Runs the housekeeping and handles a stop signal, until the process may exit.
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -12,6 +12,7 @@
 use crate::clock::Clock;
 use crate::collections::Map;
 use crate::direct::connections::backlog::Backlog;
+use crate::direct::connections::buffers::Limits;
 use crate::direct::connections::pool::Pool;
 use crate::direct::decisions::admission::ServiceLoad;
 use crate::direct::decisions::stopping::Stopping;
@@ -164,7 +165,7 @@
             loads_changed: Cell::new(false),
             metrics,
             in_progress: Cell::new(0),
-            backlog: Backlog::default(),
+            backlog: Backlog::within(Limits::default()),
             stop: Cell::new(None),
             exiting: Cell::new(false),
             refusing: Cell::new(false),
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -20,6 +20,8 @@
 use crate::direct::connections::http::Codecs;
 use crate::direct::connections::listener;
 use crate::direct::connections::pool::Pool;
+use crate::direct::connections::port::{self, Port};
+use crate::direct::connections::port_metrics::PortMetrics;
 use crate::direct::connections::process::{self, Result};
 use crate::direct::peering::fleet::{self, FleetMessage, ShapeMessage};
 use crate::ranks::demand::DemandEstimator;
@@ -159,18 +161,21 @@
 }
 
 async fn serve(agent: &Rc<Agent>, registry: &Registry) -> Result<()> {
+    let RankSettings { listen, buffers, connections, .. } = &agent.settings;
+    let limits = connections.limits(buffers);
+    let clock = &agent.clock;
+    let port = |name, max| Backlog::at(Port::new(name, max, clock.clone()), agent.buffers.clone());
+    let (peers, metrics) = (port("peers", limits.peers), port("metrics", limits.checks));
     let data = web::Data::new(Rc::clone(agent));
-    listener::serve(
-        agent.settings.listen.peers,
-        process::INTERNAL_IDLE_TIMEOUT,
-        &Backlog::default(),
-        move |cfg| {
-            cfg.app_data(data.clone());
-            cfg.route(orders::ORDERS_PATH, web::post().to(ordering::handle_order));
-        },
-    )
+    listener::serve(listen.peers, process::INTERNAL_IDLE_TIMEOUT, &peers, move |cfg| {
+        cfg.app_data(data.clone());
+        cfg.route(orders::ORDERS_PATH, web::post().to(ordering::handle_order));
+    })
     .await?;
-    process::serve_admin(agent.settings.listen.metrics, registry).await
+    process::serve_admin(listen.metrics, &metrics, registry).await?;
+    let ports = vec![peers.port().clone(), metrics.port().clone()];
+    actix_rt::spawn(port::sweep(ports, PortMetrics::register(registry)?));
+    Ok(())
 }
 
 impl Agent {
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use crate::direct::decisions::warmth::Tolerance;
-use crate::settings::host;
+use crate::settings::host::{self, ConnectionSettings};
 use crate::settings::{InvalidValue, common};
 
 pub use crate::settings::host::BufferSettings;
@@ -53,6 +53,9 @@
     /// How much is buffered for callers that read or send slowly.
     #[serde(default)]
     pub buffers: BufferSettings,
+    /// How many connections are open at once.
+    #[serde(default)]
+    pub connections: ConnectionSettings,
     /// The format and the level of the log.
     #[serde(default)]
     pub log: common::LogSettings,
@@ -287,5 +290,5 @@
             let fill = settings.placement.plain_fill;
             common::check_range("placement.plain_fill", fill, 0.1..=100.0)
         })
-        .or_else(|| host::check(&settings.buffers))
+        .or_else(|| host::check(&settings.buffers, &settings.connections))
 }
--- a/src/settings/rank.rs
+++ b/src/settings/rank.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::host::{self, BufferSettings};
+use crate::settings::host::{self, BufferSettings, ConnectionSettings};
 use crate::settings::{InvalidValue, common};
 
 /// RankSettings is the content of the settings file of `bitternwall-platform-agent`.
@@ -35,6 +35,9 @@
     /// How much is buffered for those that read or send slowly.
     #[serde(default = "default_buffers")]
     pub buffers: BufferSettings,
+    /// How many connections are open at once.
+    #[serde(default)]
+    pub connections: ConnectionSettings,
     /// The format and the level of the log.
     #[serde(default)]
     pub log: common::LogSettings,
@@ -92,5 +95,5 @@
         .or_else(|| common::check_range("beat_ms", settings.beat_ms, 20..=10_000))
         .or_else(|| common::check_range("link_mbps", settings.link_mbps, 0.1..=1_000_000.0))
         .or_else(|| common::check_range("grace_s", settings.grace_s, 0.5..=3_600.0))
-        .or_else(|| host::check(&settings.buffers))
+        .or_else(|| host::check(&settings.buffers, &settings.connections))
 }
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -132,8 +132,7 @@
 /// A connection whose exchange was abandoned could not be reset and is closed instead.
 pub const RESET_FAILED: LogEvent =
     LogEvent { number: 7006, severity: Severity::Warning, title: "connection not reset" };
-/// A target crashed while it ran a request, or another entry reported enough crashes under a request
-/// to refuse it.
+/// A target crashed under a request, or another entry reported enough crashes to refuse one.
 pub const TARGET_CRASHED: LogEvent =
     LogEvent { number: 7007, severity: Severity::Warning, title: "target crashed" };
 /// The process exits before the answer to a request has ended.
@@ -209,8 +208,7 @@
 /// A datagram could not be decoded as a heartbeat.
 pub const HEARTBEAT_UNREADABLE: LogEvent =
     LogEvent { number: 7042, severity: Severity::Warning, title: "heartbeat unreadable" };
-/// More entries are or were live than this one has known of; allowances of the whole fleet are
-/// divided by their number.
+/// More entries are or were live than were known, by whose number allowances of the fleet are divided.
 pub const FLEET_GREW: LogEvent =
     LogEvent { number: 7043, severity: Severity::Info, title: "fleet grew" };
 /// The operator began to empty a data centre, or took that back.
@@ -246,6 +244,9 @@
 /// A request was refused since its body does not fit into the buffers.
 pub const BODY_REFUSED: LogEvent =
     LogEvent { number: 7071, severity: Severity::Info, title: "body refused" };
+/// Connections were closed for new ones or since their heads took too long, or new ones were refused.
+pub const CONNECTIONS_CLOSED: LogEvent =
+    LogEvent { number: 7073, severity: Severity::Warning, title: "connections closed" };
 /// A service has had no available target for so long that requests for it no longer wait.
 pub const OUTAGE_LASTS: LogEvent =
     LogEvent { number: 7072, severity: Severity::Warning, title: "outage lasts" };
@@ -369,6 +370,7 @@
     BUFFERS_SHORT,
     BODY_REFUSED,
     OUTAGE_LASTS,
+    CONNECTIONS_CLOSED,
     ENTRIES_UNREACHABLE,
     ENTRIES_REACHABLE,
     ENGINE_UNREACHABLE,
--- a/tests/documentation/problems.rs
+++ b/tests/documentation/problems.rs
@@ -84,6 +84,7 @@
 fn every_metric_of_the_direct_path_is_on_the_page_of_operations() {
     let mut registered = literals("src/direct/state/metrics.rs", "bitternwall_direct_");
     registered.append(&mut literals("src/ranks/metrics.rs", "bitternwall_rank_"));
+    registered.append(&mut literals("src/direct/connections/port_metrics.rs", "bitternwall_"));
     assert!(registered.len() > 10, "{registered:?}");
     let page = read("docs/OPERATIONS.md");
     let rows = table_rows(&page).into_iter().map(|row| row[0].trim_matches('`').to_owned());
