--- a/src/direct/connections/listener.rs
+++ b/src/direct/connections/listener.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 use std::{future, io, result};
 
-use actix_http::{Extensions, HttpService, KeepAlive, Protocol, Request, Response};
-use actix_service::{Service, ServiceFactory as _, apply_fn_factory, map_config};
+use actix_http::error::DispatchError;
+use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
+use actix_service::{Service, ServiceFactory, apply_fn_factory, map_config};
 use actix_web::dev::AppConfig;
 use actix_web::{App, web};
 use tokio::net::{TcpListener, TcpStream};
@@ -45,7 +46,7 @@
 }
 
 /// A connection as it is handed to the HTTP service.
-type Accepted = (CountedStream, Protocol, Option<SocketAddr>);
+type Accepted = (CountedStream, Option<SocketAddr>);
 
 /// Time for the client to close its side of a connection that is being closed.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -67,24 +68,7 @@
 ) -> Result<()> {
     let listener =
         sockets::listen(address).map_err(|source| ListenError::Bind { address, source })?;
-    let app = App::new().configure(routes);
-    let app = map_config(app, |()| AppConfig::default());
-    let tracked = apply_fn_factory(app, |mut request: Request, service: &_| {
-        let answering = tracking::begin(&mut request);
-        let answer = Service::<Request>::call(service, request);
-        async move { Ok(tracking::track(Response::from(answer.await?), answering)) }
-    });
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(idle_timeout))
-        .client_request_timeout(HEAD_TIMEOUT)
-        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .on_connect_ext(|stream: &CountedStream, extensions: &mut Extensions| {
-            if let Some(flow) = stream.flow() {
-                extensions.insert(flow);
-            }
-        })
-        .h1(tracked);
+    let factory = http(idle_timeout, routes, future::pending);
     let service = factory.new_service(()).await.map_err(|_| ListenError::Routes { address })?;
     let service = Rc::new(service);
     let backlog = backlog.clone();
@@ -98,13 +82,44 @@
             // An error means that the client or a timeout ended the connection, which is no fault.
             let ready = future::poll_fn(|cx| Service::<Accepted>::poll_ready(&*service, cx));
             if ready.await.is_ok() {
-                drop(service.call((stream, Protocol::Http1, peer)).await);
+                drop(service.call((stream, peer)).await);
             }
         });
     }));
     Ok(())
 }
 
+/// Returns the HTTP service for routes. A connection ends after its request in progress once what
+/// `stopped` returns is ready.
+pub(super) fn http<F>(
+    idle_timeout: Duration,
+    routes: impl Fn(&mut web::ServiceConfig) + 'static,
+    stopped: impl Fn() -> F + 'static,
+) -> impl ServiceFactory<Accepted, Config = (), Response = (), Error = DispatchError, InitError = ()>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let app = App::new().configure(routes);
+    let app = map_config(app, |()| AppConfig::default());
+    let tracked = apply_fn_factory(app, |mut request: Request, service: &_| {
+        let answering = tracking::begin(&mut request);
+        let answer = Service::<Request>::call(service, request);
+        async move { Ok(tracking::track(Response::from(answer.await?), answering)) }
+    });
+    HttpService::build()
+        .graceful_shutdown_signal(stopped)
+        .keep_alive(KeepAlive::Timeout(idle_timeout))
+        .client_request_timeout(HEAD_TIMEOUT)
+        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &CountedStream, extensions: &mut Extensions| {
+            if let Some(flow) = stream.flow() {
+                extensions.insert(flow);
+            }
+        })
+        .h1(tracked)
+}
+
 async fn accept(
     listener: TcpListener,
     address: SocketAddr,
--- a/src/direct/connections/mod.rs
+++ b/src/direct/connections/mod.rs
@@ -17,3 +17,4 @@
 pub mod sockets;
 pub mod tracking;
 pub mod turn;
+pub mod worker_server;
--- a/src/direct/connections/port.rs
+++ b/src/direct/connections/port.rs
@@ -14,7 +14,6 @@
 use crate::clock::Clock;
 use crate::collections::Map;
 use crate::direct::connections::flow::{Flow, Phase};
-use crate::direct::connections::port_metrics::PortMetrics;
 use crate::telemetry::events;
 
 /// Interval at which overdue heads are looked for.
@@ -153,9 +152,9 @@
         flow.close();
     }
 
-    /// Closes connections whose heads are overdue, wakes those that wait for buffers, and reports the
-    /// connections.
-    pub fn sweep(&self, metrics: &PortMetrics) {
+    /// Closes connections whose heads are overdue, wakes those that wait for buffers, and logs and
+    /// returns what was closed and refused since the last time.
+    pub fn sweep(&self) -> Swept {
         let now = self.0.clock.monotonic();
         self.0.now.set(now);
         let flows: Vec<Rc<Flow>> = self.0.flows.borrow().values().cloned().collect();
@@ -168,7 +167,6 @@
         }
         let counts = (self.closed(), self.refused());
         let (closed, refused) = self.0.reported.replace(counts);
-        metrics.report(self, counts.0 - closed, counts.1 - refused);
         if counts != (closed, refused) {
             events::log(
                 events::CONNECTIONS_CLOSED,
@@ -182,14 +180,24 @@
                 ),
             );
         }
+        Swept { closed: counts.0 - closed, refused: counts.1 - refused }
     }
 }
 
-/// Sweeps ports until the process ends.
-pub async fn sweep(ports: Vec<Port>, metrics: PortMetrics) {
+/// Connections that were closed and refused since the last sweep.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Swept {
+    /// Closed for new ones, or since their heads took too long.
+    pub closed: u64,
+    /// Closed as soon as they were accepted.
+    pub refused: u64,
+}
+
+/// Sweeps ports and reports what that returns, until the process ends.
+pub async fn sweep(ports: Vec<Port>, report: impl Fn(&Port, Swept)) {
     loop {
         time::sleep(SWEEP_INTERVAL).await;
-        ports.iter().for_each(|port| port.sweep(&metrics));
+        ports.iter().for_each(|port| report(port, port.sweep()));
     }
 }
 
--- a/src/direct/connections/port_metrics.rs
+++ b/src/direct/connections/port_metrics.rs
@@ -2,7 +2,7 @@
 
 use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry};
 
-use crate::direct::connections::port::Port;
+use crate::direct::connections::port::{Port, Swept};
 use crate::telemetry::metrics::{self, Result};
 
 /// The metrics of the ports of one process.
@@ -37,11 +37,11 @@
         })
     }
 
-    /// Reports a port with the connections closed and refused since the last report.
-    pub fn report(&self, port: &Port, closed: u64, refused: u64) {
+    /// Reports a port after it was swept.
+    pub fn report(&self, port: &Port, swept: Swept) {
         let labels = [port.name()];
         self.open.with_label_values(&labels).set(i64::try_from(port.open()).unwrap_or(i64::MAX));
-        self.closed.with_label_values(&labels).inc_by(closed);
-        self.refused.with_label_values(&labels).inc_by(refused);
+        self.closed.with_label_values(&labels).inc_by(swept.closed);
+        self.refused.with_label_values(&labels).inc_by(swept.refused);
     }
 }
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -146,7 +146,8 @@
     start_heartbeats(&sync, &settings, &clock).await?;
     serve(&entry, &sync, &settings, &ports, adapter, &registry).await?;
     let port_metrics = PortMetrics::register(&registry)?;
-    actix_rt::spawn(port::sweep(ports.all(), port_metrics));
+    let report = move |port: &Port, swept| port_metrics.report(port, swept);
+    actix_rt::spawn(port::sweep(ports.all(), report));
     for collection in Collection::ALL {
         actix_rt::spawn(Rc::clone(&sync).follow(collection));
     }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -11,7 +11,7 @@
 
 use actix::{Addr, AsyncContext as _, Context};
 use actix_web::dev::Server;
-use actix_web::{App, HttpServer, web};
+use actix_web::web;
 use prometheus::Registry;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::config::{codec, options as config_options, replica};
 use crate::daemon::signals;
+use crate::direct::connections::worker_server::{self, WorkerOptions};
 use crate::entry::core::Options;
 use crate::entry::membership::{self, Membership};
 use crate::entry::{
@@ -244,22 +245,20 @@
         next_request: Arc::new(AtomicU64::new(0)),
         max_body_bytes: settings.max_body_bytes,
     };
-    let app = move || {
-        App::new()
-            .app_data(web::Data::new(api.clone()))
+    let routes = move |cfg: &mut web::ServiceConfig| {
+        cfg.app_data(web::Data::new(api.clone()))
             .configure(caller_api::configure)
             .configure(addresses::configure)
             .configure(explain_api::configure)
-            .configure(|cfg| operator_api::configure(cfg, &operators))
+            .configure(|cfg| operator_api::configure(cfg, &operators));
+    };
+    let options = WorkerOptions {
+        workers: settings.http_workers,
+        shutdown_timeout_s: SHUTDOWN_TIMEOUT_SECONDS,
     };
-    let server = HttpServer::new(app)
-        .workers(settings.http_workers)
-        .tcp_nodelay(true)
-        .disable_signals()
-        .shutdown_timeout(SHUTDOWN_TIMEOUT_SECONDS)
-        .bind(settings.listen);
     let address = settings.listen;
-    Ok(server.map_err(|source| EntryError::Listen { address, source })?.run())
+    let server = worker_server::start(address, options, routes);
+    server.map_err(|source| EntryError::Listen { address, source })
 }
 
 fn serve_admin(
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -174,7 +174,9 @@
     .await?;
     process::serve_admin(listen.metrics, &metrics, registry).await?;
     let ports = vec![peers.port().clone(), metrics.port().clone()];
-    actix_rt::spawn(port::sweep(ports, PortMetrics::register(registry)?));
+    let port_metrics = PortMetrics::register(registry)?;
+    let report = move |port: &Port, swept| port_metrics.report(port, swept);
+    actix_rt::spawn(port::sweep(ports, report));
     Ok(())
 }
 
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use actix_web::dev::Server;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{HttpResponse, web};
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
+use crate::direct::connections::worker_server::{self, WorkerOptions};
+
 /// Admin is the state that the routes report.
 #[derive(Clone)]
 pub struct Admin {
@@ -25,14 +27,19 @@
     }
 }
 
+/// The options of the server, whose requests are few and short.
+const WORKER: WorkerOptions = WorkerOptions { workers: 1, shutdown_timeout_s: 30 };
+
 /// Starts a server with the routes at an address.
 ///
 /// # Errors
 ///
 /// Returns an error if the server cannot listen on the address.
 pub fn start(listen: SocketAddr, admin: Admin) -> io::Result<Server> {
-    let app = move || App::new().app_data(web::Data::new(admin.clone())).configure(configure);
-    Ok(HttpServer::new(app).workers(1).disable_signals().bind(listen)?.run())
+    let routes = move |cfg: &mut web::ServiceConfig| {
+        cfg.app_data(web::Data::new(admin.clone())).configure(configure);
+    };
+    worker_server::start(listen, WORKER, routes)
 }
 
 /// Adds the routes `/metrics`, `/healthz` and `/readyz`.
--- a/tests/direct/open_connections.rs
+++ b/tests/direct/open_connections.rs
@@ -11,9 +11,7 @@
 use bitternwall::direct::connections::listener;
 use bitternwall::direct::connections::pool::{Pool, Reuse};
 use bitternwall::direct::connections::port::{ConnectionLimits, HEAD_TIMEOUT, Port};
-use bitternwall::direct::connections::port_metrics::PortMetrics;
 use bitternwall::settings::host::{BufferSettings, ConnectionSettings};
-use prometheus::Registry;
 use serde_json::json;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -27,19 +25,17 @@
 struct Full {
     port: Port,
     clock: ManualClock,
-    metrics: PortMetrics,
 }
 
 impl Full {
     fn start(max: usize) -> Self {
         let (clock, handle) = Clock::manual(SystemTime::UNIX_EPOCH);
-        let metrics = PortMetrics::register(&Registry::new()).expect("no name twice");
-        Self { port: Port::new("callers", max, clock), clock: handle, metrics }
+        Self { port: Port::new("callers", max, clock), clock: handle }
     }
 
     fn advance(&self, by: Duration) {
         self.clock.advance(by);
-        self.port.sweep(&self.metrics);
+        self.port.sweep();
     }
 }
 
