Answers to other entries are made only as fast as they are read

Cause: the limits of connections had put all ports on the buffers for slow readers. Ruled out: small kernel buffers.

Answers at all ports but that of callers are now made as fast as their clients read, as before. Test: an_unbuffered_answer_is_made_only_as_fast_as_its_client_reads.

--- a/src/direct/connections/backlog.rs
+++ b/src/direct/connections/backlog.rs
@@ -45,6 +45,8 @@
     connections: Rc<Cell<usize>>,
     buffers: Buffers,
     port: Port,
+    /// True if answers are read from their sources though their clients are slow.
+    keeps_answers: bool,
 }
 
 impl Backlog {
@@ -56,7 +58,14 @@
 
     /// Returns the backlog of a port, whose connections share the buffers with others.
     pub fn at(port: Port, buffers: Buffers) -> Self {
-        Self { connections: Rc::default(), buffers, port }
+        Self { connections: Rc::default(), buffers, port, keeps_answers: true }
+    }
+
+    /// Returns the backlog for answers that are made only as fast as their clients read, so that limits
+    /// of those in progress hold until they are sent.
+    #[must_use]
+    pub fn unbuffered(self) -> Self {
+        Self { keeps_answers: false, ..self }
     }
 
     /// Returns the port.
@@ -89,6 +98,7 @@
             held: self.buffers.hold(),
             connections: Rc::clone(&self.connections),
             admitted,
+            keeps_answers: self.keeps_answers,
             is_behind: false,
         };
         let open = OpenStream { stream: inner, unwritten };
@@ -104,6 +114,7 @@
     held: Held,
     connections: Rc<Cell<usize>>,
     admitted: Admitted,
+    keeps_answers: bool,
     is_behind: bool,
 }
 
@@ -125,7 +136,10 @@
     /// budget allows it. Returns its length.
     fn take(&mut self, bytes: &[u8]) -> usize {
         self.held.set(self.blocks.len() * BLOCK_BYTES);
-        let room = self.held.room() / BLOCK_BYTES * BLOCK_BYTES;
+        let room = match self.keeps_answers {
+            true => self.held.room() / BLOCK_BYTES * BLOCK_BYTES,
+            false => 0,
+        };
         let taken = bytes.len().min(room);
         self.push(&bytes[..taken]);
         self.offered = bytes.len() - taken;
--- a/src/direct/connections/framing.rs
+++ b/src/direct/connections/framing.rs
@@ -5,7 +5,8 @@
 
 use std::result;
 
-use actix_http::{ResponseHead, StatusCode, header};
+use actix_http::body::BodySize;
+use actix_http::{Method, ResponseHead, StatusCode, header};
 use bytes::Bytes;
 
 /// The result of counting framing.
@@ -53,3 +54,14 @@
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     !bodyless && !framed
 }
+
+/// Returns how a request's body is framed. `GET` and `HEAD` without a body get no `Content-Length`,
+/// other methods one of zero.
+pub(super) fn body_size(method: &Method, length: usize) -> BodySize {
+    let bodyless = matches!(*method, Method::GET | Method::HEAD);
+    match u64::try_from(length) {
+        Ok(0) if bodyless => BodySize::None,
+        Ok(length) => BodySize::Sized(length),
+        Err(_) => BodySize::Sized(u64::MAX),
+    }
+}
--- a/src/direct/connections/http.rs
+++ b/src/direct/connections/http.rs
@@ -9,7 +9,6 @@
 use std::result;
 use std::time::Duration;
 
-use actix_http::body::BodySize;
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderValue};
@@ -25,7 +24,7 @@
 
 use crate::direct::connections::event_stream::EventError;
 use crate::direct::connections::framing::{self, Framing, FramingTooLong};
-use crate::direct::connections::sockets;
+use crate::direct::connections::sockets::{self, Buffering};
 use crate::direct::connections::turn::Turn;
 use crate::telemetry::events;
 
@@ -175,7 +174,21 @@
     ///
     /// Returns an error if it is not established within `timeout`.
     pub async fn open(addr: SocketAddr, timeout: Duration, codecs: &Codecs) -> Result<Self> {
-        let stream = time::timeout(timeout, sockets::connect(addr))
+        Self::open_with(addr, timeout, codecs, Buffering::LongAnswers).await
+    }
+
+    /// Opens a connection with these buffers in the kernel.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not established within `timeout`.
+    pub async fn open_with(
+        addr: SocketAddr,
+        timeout: Duration,
+        codecs: &Codecs,
+        buffering: Buffering,
+    ) -> Result<Self> {
+        let stream = time::timeout(timeout, sockets::connect(addr, buffering))
             .await
             .map_err(|_| HttpError::ConnectTimeout(timeout))?
             .map_err(HttpError::Connect)?;
@@ -224,7 +237,7 @@
         head.uri = request.uri.clone();
         head.headers = request.headers.clone();
         head.set_connection_type(ConnectionType::KeepAlive);
-        let size = body_size(request);
+        let size = framing::body_size(&request.method, request.body.len());
         let is_large = request.body.len() > MAX_COPIED_BODY_BYTES;
         let mut out = BytesMut::with_capacity(1024 + request.body.len().min(MAX_COPIED_BODY_BYTES));
         let head = RequestHeadType::Owned(head);
@@ -383,14 +396,3 @@
     }
     headers
 }
-
-/// Returns how a request's body is framed. `GET` and `HEAD` without a body get no `Content-Length`,
-/// other methods one of zero.
-fn body_size(request: &Request) -> BodySize {
-    let bodyless = matches!(request.method, Method::GET | Method::HEAD);
-    match u64::try_from(request.body.len()) {
-        Ok(0) if bodyless => BodySize::None,
-        Ok(length) => BodySize::Sized(length),
-        Err(_) => BodySize::Sized(u64::MAX),
-    }
-}
--- a/src/direct/connections/listener.rs
+++ b/src/direct/connections/listener.rs
@@ -66,8 +66,8 @@
     backlog: &Backlog,
     routes: impl Fn(&mut web::ServiceConfig) + 'static,
 ) -> Result<()> {
-    let listener =
-        sockets::listen(address).map_err(|source| ListenError::Bind { address, source })?;
+    let listener = sockets::listen(address, backlog.port().buffering())
+        .map_err(|source| ListenError::Bind { address, source })?;
     let factory = http(idle_timeout, routes, future::pending);
     let service = factory.new_service(()).await.map_err(|_| ListenError::Routes { address })?;
     let service = Rc::new(service);
--- a/src/direct/connections/pool.rs
+++ b/src/direct/connections/pool.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::collections::Map;
 use crate::direct::connections::http::{Codecs, Connection, Result};
+use crate::direct::connections::sockets::Buffering;
 
 /// Longest idle time of a connection that is reused, if the target states no limit. It is below the
 /// five seconds after which HTTP servers commonly close an idle connection.
@@ -52,19 +53,22 @@
     /// The number of idle connections.
     count: Rc<Cell<usize>>,
     max_count: usize,
+    buffering: Buffering,
 }
 
 impl Pool {
     /// Returns an empty pool.
     pub fn new(clock: Clock) -> Self {
         let (idle, count) = (Rc::default(), Rc::default());
-        Self { clock, codecs: Codecs::new(), idle, count, max_count: usize::MAX }
+        let (max_count, buffering) = (usize::MAX, Buffering::LongAnswers);
+        Self { clock, codecs: Codecs::new(), idle, count, max_count, buffering }
     }
 
-    /// Returns the pool with a limit of its idle connections.
+    /// Returns the pool for connections to targets: with a limit of those that are idle, and with small
+    /// buffers in the kernel.
     #[must_use]
     pub fn within(self, max_count: usize) -> Self {
-        Self { max_count, ..self }
+        Self { max_count, buffering: Buffering::Small, ..self }
     }
 
     /// Takes an idle connection that still seems open out of the pool.
@@ -92,7 +96,7 @@
     ///
     /// Returns an error if it is not established within `timeout`.
     pub async fn open(&self, addr: SocketAddr, timeout: Duration) -> Result<Connection> {
-        Connection::open(addr, timeout, &self.codecs).await
+        Connection::open_with(addr, timeout, &self.codecs, self.buffering).await
     }
 
     /// Puts back a connection whose answer has ended, if it can be reused and there is room for it. `idle_limit` is the time
--- a/src/direct/connections/port.rs
+++ b/src/direct/connections/port.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::collections::Map;
 use crate::direct::connections::flow::{Flow, Phase};
+use crate::direct::connections::sockets::Buffering;
 use crate::telemetry::events;
 
 /// Interval at which overdue heads are looked for.
@@ -50,6 +51,7 @@
 struct Shared {
     name: &'static str,
     max_connections: usize,
+    buffering: Buffering,
     clock: Clock,
     /// The time of the last sweep.
     now: Cell<Duration>,
@@ -66,9 +68,20 @@
 impl Port {
     /// Returns a port without connections.
     pub fn new(name: &'static str, max_connections: usize, clock: Clock) -> Self {
+        Self::with_buffers(name, max_connections, Buffering::Small, clock)
+    }
+
+    /// Returns a port without connections, which have these buffers in the kernel.
+    pub fn with_buffers(
+        name: &'static str,
+        max_connections: usize,
+        buffering: Buffering,
+        clock: Clock,
+    ) -> Self {
         Self(Rc::new(Shared {
             name,
             max_connections,
+            buffering,
             now: Cell::new(clock.monotonic()),
             clock,
             flows: RefCell::default(),
@@ -90,6 +103,11 @@
         self.0.name
     }
 
+    /// Returns the buffers in the kernel that its connections have.
+    pub fn buffering(&self) -> Buffering {
+        self.0.buffering
+    }
+
     /// Returns the number of connections that were closed for new ones or for their heads so far.
     pub fn closed(&self) -> u64 {
         self.0.closed.get()
--- a/src/direct/connections/worker_server.rs
+++ b/src/direct/connections/worker_server.rs
@@ -18,10 +18,10 @@
 use crate::direct::connections::buffers::{Buffers, Limits};
 use crate::direct::connections::listener;
 use crate::direct::connections::port::{self, Port};
-use crate::direct::connections::sockets;
+use crate::direct::connections::sockets::{self, Buffering};
 
 /// The budget for buffers of all workers together.
-const BUFFERS: Limits = Limits { total: 32 * 1024 * 1024, answer: 1024 * 1024 };
+const BUFFERS: Limits = Limits { total: 32 * 1024 * 1024, answer: 0 };
 
 /// The connections of all workers together.
 const MAX_CONNECTIONS: usize = 1_024;
@@ -56,11 +56,11 @@
         .disable_signals()
         .shutdown_timeout(shutdown_timeout_s);
     let stopping = builder.graceful_shutdown_signal();
-    let listening = sockets::listen(address)?.into_std()?;
+    let listening = sockets::listen(address, Buffering::LongAnswers)?.into_std()?;
     let server = builder.listen("http", listening, move || {
         let port = Port::new("http", max_connections, Clock::system());
         actix_rt::spawn(port::sweep(vec![port.clone()], |_, _| {}));
-        let backlog = Backlog::at(port, Buffers::new(share));
+        let backlog = Backlog::at(port, Buffers::new(share)).unbuffered();
         let leftovers = backlog::write_leftovers(IDLE_TIMEOUT);
         let stopping = stopping.clone();
         let stopped = Rc::new(move || {
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -21,6 +21,7 @@
 use crate::direct::connections::port::{self, ConnectionLimits, Port};
 use crate::direct::connections::port_metrics::PortMetrics;
 use crate::direct::connections::process::{self, Result};
+use crate::direct::connections::sockets::Buffering;
 use crate::direct::decisions::stopping::{Phase, Stopping};
 use crate::direct::known::store::{Collection, Formats, Store};
 use crate::direct::message::TargetProtocol;
@@ -77,13 +78,16 @@
         let limits = settings.connections.limits(&settings.buffers);
         let buffers = Buffers::new(settings.buffers.limits());
         let port = |name, max| Backlog::at(Port::new(name, max, clock.clone()), buffers.clone());
+        let other = |name, max| port(name, max).unbuffered();
+        let long = Buffering::LongAnswers;
+        let peers = Port::with_buffers("peers", limits.peers, long, clock.clone());
         Self {
             limits,
             callers: port("callers", limits.callers),
-            ready: port("ready", limits.checks),
-            addresses: port("addresses", limits.addresses),
-            peers: port("peers", limits.peers),
-            metrics: port("metrics", limits.checks),
+            ready: other("ready", limits.checks),
+            addresses: other("addresses", limits.addresses),
+            peers: Backlog::at(peers, buffers.clone()).unbuffered(),
+            metrics: other("metrics", limits.checks),
         }
     }
 
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -164,7 +164,9 @@
     let RankSettings { listen, buffers, connections, .. } = &agent.settings;
     let limits = connections.limits(buffers);
     let clock = &agent.clock;
-    let port = |name, max| Backlog::at(Port::new(name, max, clock.clone()), agent.buffers.clone());
+    let port = |name, max| {
+        Backlog::at(Port::new(name, max, clock.clone()), agent.buffers.clone()).unbuffered()
+    };
     let (peers, metrics) = (port("peers", limits.peers), port("metrics", limits.checks));
     let data = web::Data::new(Rc::clone(agent));
     listener::serve(listen.peers, process::INTERNAL_IDLE_TIMEOUT, &peers, move |cfg| {
--- a/tests/direct/slow_readers.rs
+++ b/tests/direct/slow_readers.rs
@@ -48,10 +48,13 @@
 }
 
 async fn serve(limits: Limits) -> Server {
+    serve_with(Backlog::within(limits)).await
+}
+
+async fn serve_with(backlog: Backlog) -> Server {
     let probe = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a port");
     let addr = probe.local_addr().expect("an address");
     drop(probe);
-    let backlog = Backlog::within(limits);
     let ended = Rc::new(Cell::new(0));
     let data = web::Data::new(backlog.clone());
     let counter = web::Data::new(Rc::clone(&ended));
@@ -180,6 +183,18 @@
     wait_until("nothing is left", || server.backlog.buffers().used() == 0).await;
 }
 
+// The limit on transfers of the cluster state holds only while they last, and they overran it together
+// once the whole answer was buffered at once.
+#[actix_rt::test]
+async fn an_unbuffered_answer_is_made_only_as_fast_as_its_client_reads() {
+    let server = serve_with(Backlog::within(LIMITS).unbuffered()).await;
+    let client = ask(server.addr, "/pieces", "").await;
+    time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(server.ended.get(), 0, "the source is read ahead of its client");
+    assert!(server.backlog.buffers().used() <= CONNECTION_BYTES);
+    assert!(read_answer(client).await == whole_body());
+}
+
 #[actix_rt::test]
 async fn a_caller_that_leaves_frees_its_buffers() {
     let server = serve(LIMITS).await;
