--- a/review/rig-2/fleet.rs
+++ b/review/rig-2/fleet.rs
@@ -84,9 +84,11 @@
 }
 
 impl Fleet {
-    /// Starts a store, relays and entries. The configuration is in the store before.
+    /// Starts a store, relays for so many entries, and the first of these entries. The configuration
+    /// is in the store before.
     pub fn start(
         entries: usize,
+        started: usize,
         bounds: &Bounds,
         configuration: &str,
         record: Record,
@@ -112,8 +114,8 @@
             ports,
         };
         for index in 0..entries {
-            let child = fleet.start_entry(index, bounds)?;
-            fleet.entries.push(Some(child));
+            let child = (index < started).then(|| fleet.start_entry(index, bounds)).transpose()?;
+            fleet.entries.push(child);
         }
         Ok(fleet)
     }
@@ -294,11 +296,11 @@
         }
     }
 
-    /// Starts entries again that were killed, with the settings that they had.
-    pub fn restart_entries(&mut self, entries: &[usize], bounds: &Bounds) -> io::Result<()> {
+    /// Starts entries that do not run. Their settings name the first three as seeds in any case.
+    pub fn start_entries(&mut self, entries: &[usize], bounds: &Bounds) -> io::Result<()> {
         for entry in entries {
             self.entries[*entry] = Some(self.start_entry(*entry, bounds)?);
-            self.record.line(&format!("edge-{entry} starts again"));
+            self.record.line(&format!("edge-{entry} starts"));
         }
         Ok(())
     }
--- a/review/rig-2/scripts/cold.rs
+++ b/review/rig-2/scripts/cold.rs
@@ -37,7 +37,7 @@
 pub fn run(record: &Record) -> io::Result<u8> {
     let cold = Some((OVERRUN, SLACK, 5_000));
     let bounds = Bounds { retry_allowance: 191.0, grace_s: 8, config_apply_ms: 2_000, cold };
-    let mut fleet = Fleet::start(ENTRIES, &bounds, CONFIGURATION, record.clone())?;
+    let mut fleet = Fleet::start(ENTRIES, ENTRIES, &bounds, CONFIGURATION, record.clone())?;
     let arrivals = fleet.folder.join("arrivals").display().to_string();
     let server = |index: usize, cold: Duration| -> io::Result<Settings> {
         Ok(Settings {
--- a/review/rig-2/scripts/held_step.rs
+++ b/review/rig-2/scripts/held_step.rs
@@ -80,7 +80,7 @@
 
 pub fn run(record: &Record) -> io::Result<u8> {
     let bounds = Bounds { retry_allowance: 191.0, grace_s: 8, config_apply_ms: 2_000, cold: None };
-    let mut fleet = Fleet::start(ENTRIES, &bounds, &configuration(), record.clone())?;
+    let mut fleet = Fleet::start(ENTRIES, ENTRIES, &bounds, &configuration(), record.clone())?;
     let listeners = engines::listen((0..RANKS).map(|rank| fleet.side(rank)))?;
     let servers: Vec<(_, String)> =
         listeners.into_iter().map(|listener| (listener, fleet::new_server_id())).collect();
@@ -134,7 +134,7 @@
         thread::sleep(Duration::from_secs(1));
         let seeds_up = std::env::var_os("SEEDS_UP").is_some();
         let back: Vec<usize> = (if seeds_up { 0 } else { SEEDS }..ENTRIES).collect();
-        fleet.restart_entries(&back, &bounds)?;
+        fleet.start_entries(&back, &bounds)?;
         fleet.start_agents(&addresses)?;
         record.line(match seeds_up {
             true => "all machines are back",
--- a/review/rig-2/scripts/stale_seeds.rs
+++ b/review/rig-2/scripts/stale_seeds.rs
@@ -1,5 +1,5 @@
-//! All machines are killed at once, and the three that the others have as seeds stay down. A request
-//! that crashes servers then comes at one machine after the other.
+//! The three machines that the settings of all name as seeds are removed for good, and others are added.
+//! A request that crashes servers then comes at one machine after the other.
 
 use std::io;
 use std::thread;
@@ -12,7 +12,9 @@
 use crate::sys::{self, Record};
 
 const ENTRIES: usize = 12;
-/// The machines that the settings of all name as seeds.
+/// The machines that run at first.
+const FIRST: usize = 7;
+/// Those of them that the settings of all name as seeds.
 const SEEDS: [usize; 3] = [0, 1, 2];
 /// `contactMs`.
 const CONTACT_MS: u64 = 3_000;
@@ -55,7 +57,7 @@
 
 pub fn run(record: &Record) -> io::Result<u8> {
     let bounds = Bounds { retry_allowance: 191.0, grace_s: 8, config_apply_ms: 2_000, cold: None };
-    let mut fleet = Fleet::start(ENTRIES, &bounds, CONFIGURATION, record.clone())?;
+    let mut fleet = Fleet::start(ENTRIES, FIRST, &bounds, CONFIGURATION, record.clone())?;
     let arrivals = fleet.folder.join("arrivals").display().to_string();
     for index in 0..6 {
         let settings = Settings {
@@ -79,17 +81,15 @@
     }
     thread::sleep(Duration::from_secs(4));
     if has_trouble() {
-        let all: Vec<usize> = (0..ENTRIES).collect();
-        fleet.kill_entries(&all);
-        record.line("the disruption: all machines were killed at once");
-        thread::sleep(Duration::from_secs(1));
-        let back: Vec<usize> = (0..ENTRIES).filter(|entry| !SEEDS.contains(entry)).collect();
-        fleet.restart_entries(&back, &bounds)?;
-        record.line("the disruption has ended; edge-0 to edge-2, the seeds, stay down");
-        if !fleet.wait_ready(Duration::from_secs(15)) {
-            record.say("the entries are not ready");
-            return Ok(NOT_RUN);
-        }
+        fleet.kill_entries(&SEEDS);
+        record.line("the disruption: edge-0 to edge-2, the seeds, are removed for good");
+    }
+    thread::sleep(Duration::from_secs(1));
+    let added: Vec<usize> = (FIRST..ENTRIES).collect();
+    fleet.start_entries(&added, &bounds)?;
+    if !fleet.wait_ready(Duration::from_secs(15)) {
+        record.say("the entries are not ready");
+        return Ok(NOT_RUN);
     }
     // All machines have been in touch for a while before the request comes.
     thread::sleep(Duration::from_secs(6));
@@ -99,7 +99,7 @@
         return Ok(NOT_RUN);
     }
     let mut sent = Vec::new();
-    for entry in running.iter().cycle().take(running.len() + 3) {
+    for entry in running.iter().cycle().take(running.len() * 2) {
         thread::sleep(PAUSE);
         sent.push(send(&fleet, *entry, PATH).0);
     }
