Entries find each other by records in the store, and tell agents of themselves

Cause: a process learned of the first other one from the seeds of its settings alone. With all of them down each entry that starts is alone, and agents, which learn of their group from an entry, know no rank but their own, so nobody releases the step. Evidence: the restarted entries log no 7040, the agents 8001 without 8002, and two agents of one group both take themselves for its coordinator (8006).

Change: the store readers keep a record of their address in the store under a lease; an entry that hears nobody reads the records, sends heartbeats to those named, and writes its own if none answers. Entries introduce themselves to agents whose notices do not come, each to its share. Seeds of a changed settings file are used at once. New: events 7048, 7049, 7055, 7056, 8019, metrics bitternwall_direct_heard_entries and bitternwall_rank_entry_answers.

--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -17,8 +17,9 @@
 const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Watches the settings file until the process ends. On SIGHUP, and when the file has changed,
-/// reads and checks it again and logs whether the settings differ. An invalid file changes nothing.
-/// Changed addresses take effect at the next start.
+/// reads and checks it again and logs whether the settings differ; if they do, `apply` is called with
+/// the new ones. An invalid file changes nothing. What `apply` leaves out takes effect at the next
+/// start.
 ///
 /// The handler of SIGHUP is installed at once, before the returned future is polled, since the
 /// signal ends a process without one.
@@ -26,11 +27,12 @@
     file: PathBuf,
     settings: T,
     check: fn(&T) -> Option<InvalidValue>,
+    apply: impl Fn(&T),
 ) -> impl Future<Output = ()> {
     let hangup = signal(SignalKind::hangup());
     async move {
         match hangup {
-            Ok(hangup) => watch_with(hangup, file, settings, check).await,
+            Ok(hangup) => watch_with(hangup, file, settings, check, apply).await,
             Err(error) => {
                 events::log(events::SETTINGS_REFUSED, format_args!("cause=\"no SIGHUP: {error}\""))
             }
@@ -43,6 +45,7 @@
     file: PathBuf,
     mut settings: T,
     check: fn(&T) -> Option<InvalidValue>,
+    apply: impl Fn(&T),
 ) {
     let mut modified = modified_at(&file);
     loop {
@@ -63,6 +66,9 @@
                     format_args!("signal={signalled} changed={changed}"),
                 );
                 settings = reloaded;
+                if changed {
+                    apply(&settings);
+                }
             }
             Err(error) => {
                 events::log(events::SETTINGS_REFUSED, format_args!("cause=\"{error}\""));
--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -1,7 +1,7 @@
 //! Runs an entry on the direct path: cluster state, heartbeats, HTTP servers, reload of the
 //! settings and graceful stop.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -25,9 +25,11 @@
 use crate::direct::decisions::stopping::{Phase, Stopping};
 use crate::direct::known::store::{Collection, Formats, Store};
 use crate::direct::message::TargetProtocol;
+use crate::direct::peering::contacts;
 use crate::direct::peering::crash_store;
 use crate::direct::peering::fleet;
 use crate::direct::peering::gossip::{self, Identity};
+use crate::direct::peering::introductions;
 use crate::direct::peering::sync::StateSync;
 use crate::direct::peering::transfer;
 use crate::direct::state::entry::{Entry, Options};
@@ -113,7 +115,12 @@
 pub async fn run(file: PathBuf, settings: DirectSettings, adapter: Adapter) -> Result<()> {
     logs::start_on_stdout(&settings.log)?;
     let stop_signal = signals::stop_requested()?;
-    actix_rt::spawn(reload::watch(file, settings.clone(), settings::direct::check));
+    let seeds = Rc::new(RefCell::new(settings.seed_peers()));
+    let reloaded_seeds = Rc::clone(&seeds);
+    let apply = move |settings: &DirectSettings| {
+        *reloaded_seeds.borrow_mut() = settings.seed_peers();
+    };
+    actix_rt::spawn(reload::watch(file, settings.clone(), settings::direct::check, apply));
     let clock = Clock::system();
     let registry = Registry::new();
     let metrics = Metrics::register(&registry)?;
@@ -142,6 +149,8 @@
         formats: adapter.formats,
         changed: Rc::new(Notify::new()),
         outdated: Rc::new(Notify::new()),
+        agents: RefCell::default(),
+        seeds,
         listed_since: Cell::default(),
         logged_list: Cell::default(),
         withheld_until: Cell::default(),
@@ -181,10 +190,11 @@
         incarnation: process::new_incarnation(clock.wall()),
         callers_addr: settings.listen.callers,
         peer_addr: address,
-        seeds: settings.seed_peers(),
     };
     sync.entry.permits.set_socket(Rc::clone(&socket));
     actix_rt::spawn(gossip::receive(Rc::clone(sync), Rc::clone(&socket)));
+    actix_rt::spawn(introductions::send(Rc::clone(sync), Rc::clone(&socket), address));
+    actix_rt::spawn(contacts::find(Rc::clone(sync), address));
     actix_rt::spawn(gossip::send(Rc::clone(sync), socket, identity));
     actix_rt::spawn(transfer::fetch_newer_state(Rc::clone(sync)));
     Ok(())
--- a/src/direct/decisions/mod.rs
+++ b/src/direct/decisions/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempts;
 pub mod backoffs;
 pub mod claims;
+pub mod contact_rounds;
 pub mod demand;
 pub mod departures;
 pub mod outages;
--- a/src/direct/known/configuration.rs
+++ b/src/direct/known/configuration.rs
@@ -141,6 +141,13 @@
     pub cold: Result<Option<ColdStart>, UnreadableValue>,
 }
 
+impl Service {
+    /// Returns true if the targets are ranks of groups that place experts.
+    pub fn has_experts(&self) -> bool {
+        self.engine.as_ref().is_some_and(|engine| engine.expert_sets > 0)
+    }
+}
+
 /// A holder of API keys.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Customer {
--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -129,6 +129,23 @@
     pub slowness_percent: u32,
 }
 
+/// The datagram of an entry to an agent beside a rank. Agents read it as a
+/// [`RankMessage`](crate::ranks::messages::RankMessage), which has the same field.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AgentDatagram {
+    /// Tells the agent of the entry that sends the datagram.
+    #[prost(message, optional, tag = "5")]
+    pub introduction: Option<Introduction>,
+}
+
+/// An introduction tells an agent of an entry, at the address that the datagram comes from.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Introduction {
+    /// The entry's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+}
+
 /// The load that an entry puts on one target.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Load {
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -1,10 +1,12 @@
 //! What an entry knows of the fleet, its configuration and the crashes of targets, with ages. No I/O.
 
+pub mod agents;
 pub mod answered_parts;
 pub mod cluster_state;
 mod companions;
 pub mod configuration;
 pub mod confirmation;
+pub mod contact;
 pub mod crash_history;
 pub mod crash_memory;
 pub mod crash_record;
--- a/src/direct/known/peers.rs
+++ b/src/direct/known/peers.rs
@@ -141,6 +141,19 @@
         }
     }
 
+    /// Makes heartbeats go to an entry that another source than a heartbeat names. Returns true unless
+    /// the entry was heard recently or its address is known.
+    pub fn introduce(&mut self, name: &str, addr: SocketAddr, now: Duration) -> bool {
+        let heard = self.peers.get(name);
+        if heard.is_some_and(|peer| now.saturating_sub(peer.last_received) < FORGET_AFTER)
+            || self.addresses.contains_key(&addr)
+        {
+            return false;
+        }
+        self.record_address(addr, now);
+        true
+    }
+
     /// Returns the sorted addresses that heartbeats go to, and forgets entries that have been
     /// silent for too long. Addresses in `always` are included in any case.
     pub fn recipients(&mut self, always: &[SocketAddr], now: Duration) -> Vec<SocketAddr> {
--- a/src/direct/known/store.rs
+++ b/src/direct/known/store.rs
@@ -26,6 +26,9 @@
     /// again.
     #[error("the store has dropped the history of the watch")]
     Compacted,
+    /// The lease to renew has ended, and its items are gone.
+    #[error("the lease has ended")]
+    LeaseEnded,
     /// The answer states no era, or one that is no number, so its revisions cannot be compared.
     #[error("the answer of the store states no valid era: {0:?}")]
     InvalidEra(String),
@@ -105,6 +108,19 @@
     pub ttl: Duration,
 }
 
+/// A lease of the store, by its id. When it ends, the store removes the items that carry it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease(pub u64);
+
+/// How recent an answer of the store has to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// It includes all writes that the store has acknowledged.
+    Latest,
+    /// It may be seconds old, which costs the store less.
+    MayBeStale,
+}
+
 /// One change of a collection.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -163,7 +179,13 @@
     pub list_crashes: Call<(), Vec<Item>>,
     /// Writes such a record, whatever its key held before. An error does not exclude that it is
     /// written.
-    pub save_crash: Call<SavedItem, ()>,
+    pub save_crash: Call<SavedItem, Lease>,
+    /// Reads the records by which entries find each other.
+    pub list_contacts: Call<Freshness, Vec<Item>>,
+    /// Writes such a record under a lease of its own, whatever its key held before.
+    pub save_contact: Call<SavedItem, Lease>,
+    /// Renews a lease; [`StoreError::LeaseEnded`] if it has ended.
+    pub renew: Call<Lease, ()>,
 }
 
 /// What an item of [`Collection::Configuration`] is about, by its key.
--- a/src/direct/peering/crash_store.rs
+++ b/src/direct/peering/crash_store.rs
@@ -105,7 +105,7 @@
         while let Some(report) = next_unsaved(&sync) {
             let item = encode(&report, entry.clock.wall());
             match (sync.store.save_crash)(item).await {
-                Ok(()) => entry.crashes.borrow_mut().mark_saved(&report),
+                Ok(_lease) => entry.crashes.borrow_mut().mark_saved(&report),
                 Err(error) => {
                     entry.metrics.store_failed(COLLECTION);
                     events::log(
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -35,8 +35,6 @@
     pub callers_addr: SocketAddr,
     /// The address at which this entry receives heartbeats.
     pub peer_addr: SocketAddr,
-    /// Addresses of entries that are sent heartbeats in any case, from the settings.
-    pub seeds: Vec<SocketAddr>,
 }
 
 /// Sends heartbeats until the process ends: each regular one to the entries of the own data centre and
@@ -44,7 +42,7 @@
 pub async fn send(sync: Rc<StateSync>, socket: Rc<UdpSocket>, identity: Identity) {
     let mut sequence = 0;
     let mut changed = true;
-    if identity.seeds.iter().any(|seed| *seed != identity.peer_addr) {
+    if sync.seeds.borrow().iter().any(|seed| *seed != identity.peer_addr) {
         sync.entry.peers.borrow_mut().expect_others();
     }
     loop {
@@ -57,7 +55,7 @@
         }
         let recipients = {
             let mut peers = sync.entry.peers.borrow_mut();
-            let recipients = peers.recipients(&identity.seeds, now);
+            let recipients = peers.recipients(&sync.seeds.borrow(), now);
             if changed { recipients } else { peers.turn(&recipients, sequence) }
         };
         for addr in recipients.into_iter().filter(|addr| *addr != identity.peer_addr) {
@@ -165,7 +163,10 @@
     }
     let now = entry.now();
     if let Some(notice) = &heartbeat.rank {
-        rank_notices::record(entry, notice);
+        if let Ok(engine) = notice.engine.parse() {
+            sync.agents.borrow_mut().record_notice(engine, now);
+            rank_notices::record(entry, notice, engine);
+        }
         return;
     }
     let name = heartbeat.name.clone();
--- a/src/direct/peering/rank_notices.rs
+++ b/src/direct/peering/rank_notices.rs
@@ -7,9 +7,9 @@
 use crate::direct::state::entry::Entry;
 use crate::telemetry::events;
 
-/// Records a notice. An address that cannot be parsed, or that no target has, is ignored.
-pub fn record(entry: &Entry, notice: &RankNotice) {
-    let Ok(engine) = notice.engine.parse::<SocketAddr>() else { return };
+/// Records a notice about the rank of an engine. An address that cannot be parsed, or that no target
+/// has, is ignored.
+pub fn record(entry: &Entry, notice: &RankNotice, engine: SocketAddr) {
     let now = entry.now();
     for addr in notice.silent.iter().filter_map(|addr| addr.parse::<SocketAddr>().ok()) {
         let silent = entry.targets.borrow_mut().record_silent(addr, now);
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -4,8 +4,9 @@
 //! state from them. An entry that finds too few readers reads the store itself, and one that the
 //! store refuses fetches the state from any entry that has it. See docs/PLATFORM.md.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::mem;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,11 +17,11 @@
 
 use crate::collections::Map;
 use crate::direct::decisions::read_times::ReadTimes;
+use crate::direct::known::agents::Agents;
 use crate::direct::known::cluster_state::KnownVersions;
 use crate::direct::known::heartbeat::Heartbeat;
 use crate::direct::known::store::{
-    Change, Changes, Collection, Formats, Item, OperatorItem, Position, Store, StoreError,
-    UnreadableValue, Watch,
+    Change, Changes, Collection, Formats, Item, OperatorItem, Position, Store, StoreError, Watch,
 };
 use crate::direct::state::entry::{Entry, Options};
 use crate::telemetry::events;
@@ -39,6 +40,10 @@
     pub store: Rc<Store>,
     /// The decoders of stored values.
     pub formats: Formats,
+    /// Addresses of entries that are sent heartbeats in any case, from the settings.
+    pub seeds: Rc<RefCell<Vec<SocketAddr>>>,
+    /// The agents beside ranks that send notices.
+    pub agents: RefCell<Agents>,
     /// Notified when this entry's cluster state has changed.
     pub changed: Rc<Notify>,
     /// Notified when another entry has a newer cluster state.
@@ -83,7 +88,8 @@
         self.entry.peers.borrow().reader_position(name, *heartbeat_interval, self.entry.now())
     }
 
-    fn is_reader(&self) -> bool {
+    /// Returns true if this entry is one of those that read the store on behalf of all.
+    pub(super) fn is_reader(&self) -> bool {
         self.reader_position().is_some()
     }
 
@@ -314,15 +320,6 @@
         }
     }
 
-    /// Logs and counts a field that cannot be decoded, in a value that is used otherwise.
-    pub(super) fn record_unreadable(&self, collection: &str, key: &str, error: &UnreadableValue) {
-        events::log(
-            events::VALUE_UNREADABLE,
-            format_args!("collection={collection} key={key:?} cause=\"{error}\""),
-        );
-        self.entry.metrics.value_unreadable();
-    }
-
     /// Makes the next heartbeat go to all entries at once.
     pub(super) fn notify_changed(&self) {
         self.changed.notify_one();
--- a/src/direct/peering/target_list.rs
+++ b/src/direct/peering/target_list.rs
@@ -9,7 +9,7 @@
 
 use crate::collections::Set;
 use crate::direct::known::cluster_state::{ClusterState, TargetRecord};
-use crate::direct::known::store::{Collection, Item, Position};
+use crate::direct::known::store::{Collection, Item, Position, UnreadableValue};
 use crate::direct::known::store_outages::Absence;
 use crate::direct::peering::sync::StateSync;
 use crate::telemetry::events;
@@ -19,6 +19,15 @@
 const WITHHOLD_TIME: Duration = Duration::from_secs(10);
 
 impl StateSync {
+    /// Logs and counts a field that cannot be decoded, in a value that is used otherwise.
+    pub(super) fn record_unreadable(&self, collection: &str, key: &str, error: &UnreadableValue) {
+        events::log(
+            events::VALUE_UNREADABLE,
+            format_args!("collection={collection} key={key:?} cause=\"{error}\""),
+        );
+        self.entry.metrics.value_unreadable();
+    }
+
     /// Decodes an item of the target list. One that is invalid becomes a record without a target.
     pub fn decode_target(&self, item: Item) -> (String, TargetRecord) {
         let target = match (self.formats.target)(&item.key, &item.value) {
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -255,9 +255,9 @@
     /// Counts the live entries, and logs when they are more than before.
     pub fn count_entries(&self) {
         let mut peers = self.peers.borrow_mut();
-        peers.count(self.options.heartbeat_interval, self.now());
+        let heard = peers.count(self.options.heartbeat_interval, self.now()).saturating_sub(1);
         let entries = peers.fleet_size().unwrap_or(0);
-        self.metrics.entries(entries);
+        self.metrics.entries(entries, heard);
         if entries > self.known_entries.replace(entries) {
             events::log(events::FLEET_GREW, format_args!("entries={entries}"));
         }
--- a/src/direct/state/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -33,6 +33,7 @@
     resumed: IntCounter,
     retries: IntCounterVec,
     entries: IntGauge,
+    heard_entries: IntGauge,
     callers_left: IntCounter,
     headers_unreadable: IntCounter,
     crashes: IntCounterVec,
@@ -140,6 +141,10 @@
                 "bitternwall_direct_entries",
                 "Entries by which the retry allowance of the fleet is divided.",
             )?,
+            heard_entries: gauge(
+                "bitternwall_direct_heard_entries",
+                "Other entries whose heartbeats arrive.",
+            )?,
             callers_left: counter(
                 "bitternwall_direct_callers_left_total",
                 "Callers that left before the end of their answer.",
@@ -301,9 +306,11 @@
         self.retries.with_label_values(&[service, outcome]).inc();
     }
 
-    /// Sets the number of entries by which the retry allowance of the fleet is divided.
-    pub fn entries(&self, entries: u32) {
+    /// Sets the number of entries by which the retry allowance of the fleet is divided, and the number
+    /// of others that are heard.
+    pub fn entries(&self, entries: u32, heard: u32) {
         self.entries.set(i64::from(entries));
+        self.heard_entries.set(i64::from(heard));
     }
 
     /// Counts a caller that disconnected before the end of its answer.
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -10,6 +10,7 @@
 use actix_web::web;
 use prometheus::Registry;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::clock::Clock;
@@ -27,6 +28,7 @@
 use crate::ranks::demand::DemandEstimator;
 use crate::ranks::engine::Engines;
 use crate::ranks::expert_counts::{CountSums, CountTable, Increments};
+use crate::ranks::known_entries::KnownEntries;
 use crate::ranks::metrics::Metrics;
 use crate::ranks::ordering;
 use crate::ranks::orders;
@@ -69,7 +71,9 @@
     pub(super) local_experts: RefCell<HeldExperts>,
     pub(super) members: RefCell<Members>,
     pub(super) fleet: RefCell<FleetMessage>,
-    pub(super) entries: RefCell<Vec<SocketAddr>>,
+    pub(super) entries: Rc<RefCell<KnownEntries>>,
+    /// Notified when an entry that was not known has introduced itself.
+    pub(super) introduced: Notify,
     /// The engines that answer nobody, and when that was last found.
     pub(super) silent_engines: RefCell<Map<SocketAddr, Duration>>,
     /// The ranks whose engines are being polled.
@@ -102,7 +106,14 @@
 pub async fn run(file: PathBuf, settings: RankSettings, protocol: EngineProtocol) -> Result<()> {
     logs::start_on_stdout(&settings.log)?;
     let stop_signal = signals::stop_requested()?;
-    actix_rt::spawn(reload::watch(file, settings.clone(), settings::rank::check));
+    let draw = rand::random_range(0..usize::MAX);
+    let entries = KnownEntries::new(settings.seed_entries(), draw);
+    let entries = Rc::new(RefCell::new(entries));
+    let reloaded_entries = Rc::clone(&entries);
+    let apply = move |settings: &RankSettings| {
+        reloaded_entries.borrow_mut().set_seeds(settings.seed_entries());
+    };
+    actix_rt::spawn(reload::watch(file, settings.clone(), settings::rank::check, apply));
     let clock = Clock::system();
     let registry = Registry::new();
     let metrics = Metrics::register(&registry)?;
@@ -123,7 +134,8 @@
         local_experts: RefCell::default(),
         members: RefCell::default(),
         fleet: RefCell::default(),
-        entries: RefCell::default(),
+        entries,
+        introduced: Notify::new(),
         silent_engines: RefCell::default(),
         polled_ranks: RefCell::default(),
         last_silence_notice: Cell::default(),
@@ -190,12 +202,12 @@
     /// Polls the entries' list of targets until the process ends; uses another entry when one
     /// fails.
     pub(super) async fn poll_fleet(self: Rc<Self>) {
-        let mut entries = self.settings.seed_entries();
-        self.entries.borrow_mut().clone_from(&entries);
         let mut lost = false;
-        let mut next: usize = rand::random_range(0..entries.len().max(1));
         loop {
-            let Some(entry) = entries.get(next % entries.len().max(1)).copied() else { return };
+            let Some(entry) = self.entries.borrow().to_ask(self.now()) else {
+                self.introduced.notified().await;
+                continue;
+            };
             let known = self.fleet.borrow().digest;
             match fleet::fetch(entry, known, &self.codecs).await {
                 Ok(changed) => {
@@ -203,17 +215,12 @@
                         events::log(events::ENTRIES_REACHABLE, format_args!("entry={entry}"));
                         lost = false;
                     }
+                    self.entries.borrow_mut().record_answer(entry);
                     if let Some(message) = changed {
+                        let listed = message.entries.iter().filter_map(|addr| addr.parse().ok());
+                        self.entries.borrow_mut().record_listed(listed.collect());
                         *self.fleet.borrow_mut() = message;
                     }
-                    entries = self.settings.seed_entries();
-                    let fleet = self.fleet.borrow();
-                    let addrs = fleet.entries.iter();
-                    entries.extend(addrs.filter_map(|addr| addr.parse::<SocketAddr>().ok()));
-                    if let Some(index) = entries.iter().position(|addr| *addr == entry) {
-                        next = index;
-                    }
-                    self.entries.borrow_mut().clone_from(&entries);
                 }
                 Err(error) => {
                     if !lost {
@@ -223,10 +230,23 @@
                         );
                         lost = true;
                     }
-                    next += 1;
+                    self.entries.borrow_mut().record_failure(entry, self.now());
                 }
             }
-            time::sleep(if lost { FLEET_RETRY_DELAY } else { FLEET_POLL_INTERVAL }).await;
+            self.metrics.asked_entry.set(i64::from(!lost));
+            let pause = if lost { FLEET_RETRY_DELAY } else { FLEET_POLL_INTERVAL };
+            tokio::select! {
+                () = time::sleep(pause) => {}
+                () = self.introduced.notified() => {}
+            }
+        }
+    }
+
+    /// Records that an entry at this address has introduced itself.
+    pub(super) fn record_introduction(&self, entry: SocketAddr, name: &str) {
+        if self.entries.borrow_mut().record_introduction(entry, self.now()) {
+            events::log(events::ENTRY_INTRODUCED, format_args!("entry={name} addr={entry}"));
+            self.introduced.notify_one();
         }
     }
 
--- a/src/ranks/messages.rs
+++ b/src/ranks/messages.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 
+use crate::direct::known::heartbeat::Introduction;
 use crate::ranks::report::{HeldExperts, RankReport, Slowness, Switch};
 
 /// RankMessage is one datagram between agents.
@@ -24,6 +25,9 @@
     /// with the state.
     #[prost(message, optional, tag = "4")]
     pub counts: Option<CountsMessage>,
+    /// Tells of the entry that sends the datagram, which comes with nothing else.
+    #[prost(message, optional, tag = "5")]
+    pub introduction: Option<Introduction>,
 }
 
 /// StateMessage is the state of one rank.
--- a/src/ranks/messaging.rs
+++ b/src/ranks/messaging.rs
@@ -81,9 +81,9 @@
         let name = self.settings.name.clone();
         let message = Heartbeat { name, rank: Some(notice), ..Heartbeat::default() };
         let datagram = message.encode_to_vec();
-        for entry in self.entries.borrow().iter() {
+        for entry in self.entries.borrow().all(self.now()) {
             // The next notice makes up for a lost one.
-            let _lost = self.socket.try_send_to(&datagram, *entry);
+            let _lost = self.socket.try_send_to(&datagram, entry);
         }
     }
 
@@ -146,6 +146,7 @@
             incarnation: self.incarnation,
             state,
             counts,
+            introduction: None,
         }
     }
 
@@ -239,6 +240,9 @@
         loop {
             match self.socket.recv_from(&mut buf).await {
                 Ok((length, from)) => match RankMessage::decode(&buf[..length]) {
+                    Ok(RankMessage { introduction: Some(introduction), .. }) => {
+                        self.record_introduction(from, &introduction.name);
+                    }
                     Ok(message) => self.record_message(&message),
                     Err(error) => events::log(
                         events::HEARTBEAT_UNREADABLE,
--- a/src/ranks/metrics.rs
+++ b/src/ranks/metrics.rs
@@ -14,6 +14,8 @@
     pub map_version: IntGauge,
     /// Number of messages with expert counts that were left out.
     pub ignored_counts: IntCounter,
+    /// 1 while an entry tells the agent of the other ranks.
+    pub asked_entry: IntGauge,
     /// The busiest rank's expected work relative to the mean rank's, in percent.
     pub skew_percent: IntGauge,
 }
@@ -35,6 +37,10 @@
                 "bitternwall_rank_ignored_counts_total",
                 "Messages with expert counts that were left out.",
             )?,
+            asked_entry: gauge(
+                "bitternwall_rank_entry_answers",
+                "1 while an entry tells the agent of the other ranks.",
+            )?,
             map_version: gauge("bitternwall_rank_map_version", "The version of the map in use.")?,
             skew_percent: gauge(
                 "bitternwall_rank_skew_percent",
--- a/src/ranks/mod.rs
+++ b/src/ranks/mod.rs
@@ -10,6 +10,7 @@
 pub mod demand;
 pub mod engine;
 pub mod expert_counts;
+pub mod known_entries;
 pub mod map_codec;
 pub mod messages;
 mod messaging;
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -223,6 +223,12 @@
 /// The store answers again after it has answered no entry for so long that leases may have expired.
 pub const STORE_OUTAGE_OVER: LogEvent =
     LogEvent { number: 7047, severity: Severity::Warning, title: "store outage" };
+/// The entry hears no other one; it looks for them in the store.
+pub const ENTRY_ALONE: LogEvent =
+    LogEvent { number: 7048, severity: Severity::Warning, title: "entry alone" };
+/// The entry hears others again.
+pub const ENTRY_NOT_ALONE: LogEvent =
+    LogEvent { number: 7049, severity: Severity::Info, title: "entry not alone" };
 /// A connection could not be accepted.
 pub const ACCEPT_FAILED: LogEvent =
     LogEvent { number: 7050, severity: Severity::Error, title: "connection not accepted" };
@@ -238,6 +244,12 @@
 /// A request got a place after it had waited, where requests for its service differ in urgency.
 pub const PLACE_GRANTED: LogEvent =
     LogEvent { number: 7054, severity: Severity::Info, title: "place granted" };
+/// The store names an entry that this one did not hear; heartbeats go to it from now on.
+pub const CONTACT_FOUND: LogEvent =
+    LogEvent { number: 7055, severity: Severity::Info, title: "contact found" };
+/// The records by which entries find each other could not be read or written.
+pub const CONTACTS_FAILED: LogEvent =
+    LogEvent { number: 7056, severity: Severity::Warning, title: "contacts failed" };
 /// Buffers for callers became short, or free again.
 pub const BUFFERS_SHORT: LogEvent =
     LogEvent { number: 7070, severity: Severity::Warning, title: "buffers short" };
@@ -256,6 +268,9 @@
 /// The agent has fetched the list of the other ranks from an entry again.
 pub const ENTRIES_REACHABLE: LogEvent =
     LogEvent { number: 8002, severity: Severity::Info, title: "entries regained" };
+/// An entry that the agent did not know has introduced itself.
+pub const ENTRY_INTRODUCED: LogEvent =
+    LogEvent { number: 8019, severity: Severity::Info, title: "entry introduced" };
 /// The engine on the agent's host does not respond.
 pub const ENGINE_UNREACHABLE: LogEvent =
     LogEvent { number: 8003, severity: Severity::Warning, title: "engine lost" };
@@ -362,11 +377,15 @@
     TARGET_COLD,
     TARGET_WARM,
     STORE_OUTAGE_OVER,
+    ENTRY_ALONE,
+    ENTRY_NOT_ALONE,
     ACCEPT_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
     PLACE_REFUSED,
     PLACE_GRANTED,
+    CONTACT_FOUND,
+    CONTACTS_FAILED,
     BUFFERS_SHORT,
     BODY_REFUSED,
     OUTAGE_LASTS,
@@ -386,6 +405,7 @@
     GROUP_STALLED,
     ENGINE_READ_FAILED,
     COUNTS_IGNORED,
+    ENTRY_INTRODUCED,
 ];
 
 /// Logs an event with its details, usually fields of the form `name=value`.
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -2,5 +2,6 @@
 //! instance, and a server whose answers never end.
 
 pub mod endless;
+pub mod rank;
 pub mod server;
 pub mod store;
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -55,8 +55,12 @@
     calls: u64,
     /// The items of one page of a listing; `None` for [`PAGE_ITEMS`].
     page_items: Option<usize>,
-    /// The leases granted, by id, with their times to live. They do not end.
+    /// The leases granted, by id, with their times to live. They end on request only.
     leases: BTreeMap<u64, Duration>,
+    /// The id of the lease that was granted last.
+    last_lease: u64,
+    /// The leases of the keys that carry one.
+    leased: BTreeMap<String, u64>,
 }
 
 /// A copy of the store's content at one moment.
@@ -79,6 +83,7 @@
                 .route("/v1/kv-range", web::get().to(range))
                 .route("/v1/kv-watch", web::get().to(watch))
                 .route("/v1/kv-lease", web::post().to(grant_lease))
+                .route("/v1/kv-keep/{lease}", web::post().to(renew_lease))
                 .route("/v1/kv-txn", web::post().to(write));
         })
     }
@@ -108,6 +113,15 @@
         });
     }
 
+    /// Ends all leases, and removes the keys that carry them.
+    pub fn end_leases(&self) {
+        let keys = self.with(|state| {
+            state.leases.clear();
+            std::mem::take(&mut state.leased)
+        });
+        keys.keys().for_each(|key| self.remove(key));
+    }
+
     /// Returns a copy of the content, for [`PlatformStore::restore`].
     pub fn copy(&self) -> Copy {
         Copy(self.with(|state| state.clone()))
@@ -301,13 +315,27 @@
         return HttpResponse::BadRequest().finish();
     }
     let lease = store.with(|state| {
-        let lease = u64::try_from(state.leases.len()).unwrap_or(u64::MAX).saturating_add(1);
-        state.leases.insert(lease, Duration::from_millis(ttl_ms));
-        lease
+        state.last_lease += 1;
+        state.leases.insert(state.last_lease, Duration::from_millis(ttl_ms));
+        state.last_lease
     });
     HttpResponse::Ok().json(json!({"lease": lease, "ttlMs": ttl_ms}))
 }
 
+async fn renew_lease(store: web::Data<PlatformStore>, lease: web::Path<u64>) -> HttpResponse {
+    let response = match store.admit().await {
+        Some(response) => response,
+        None => match store.with(|state| state.leases.get(&lease).copied()) {
+            Some(ttl) => {
+                let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+                HttpResponse::Ok().json(json!({"lease": *lease, "ttlMs": ttl_ms}))
+            }
+            None => HttpResponse::NotFound().finish(),
+        },
+    };
+    store.answer(response).await
+}
+
 #[derive(Deserialize)]
 struct WriteRequest {
     puts: Vec<PutRequest>,
@@ -338,7 +366,10 @@
             return HttpResponse::NotFound().finish();
         }
         match STANDARD.decode(&put.value) {
-            Ok(value) => store.put(&put.key, value),
+            Ok(value) => {
+                store.put(&put.key, value);
+                store.with(|state| state.leased.insert(put.key.clone(), put.lease));
+            }
             Err(_) => return HttpResponse::BadRequest().finish(),
         }
     }
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -12,6 +12,8 @@
 mod cold_targets;
 #[path = "direct/connections.rs"]
 mod connections;
+#[path = "direct/contacts.rs"]
+mod contacts;
 #[path = "direct/contention.rs"]
 mod contention;
 #[path = "direct/crash_history.rs"]
