An answer without the digest of a fleet is not taken for one

An agent whose stale seed is the address of another program took that program's empty 200 for an entry's answer: a fleet without ranks, so the agent stayed without its group and never asked anybody else.

Change: every entry sends a digest other than 0; an answer without it counts as none, and the next entry is asked.

--- a/src/direct/connections/internal.rs
+++ b/src/direct/connections/internal.rs
@@ -23,6 +23,9 @@
     /// The process answered with another status than 200.
     #[error("the process answers with status {0}")]
     Status(StatusCode),
+    /// The answer lacks what every entry sends, so another program has the address.
+    #[error("the answer is not that of an entry")]
+    NoEntry,
     /// The answer cannot be decoded.
     #[error("the answer cannot be read: {0}")]
     Unreadable(#[from] prost::DecodeError),
--- a/src/direct/peering/fleet.rs
+++ b/src/direct/peering/fleet.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3;
 
 use crate::direct::connections::http::Codecs;
-use crate::direct::connections::internal::{self, InternalRequest};
+use crate::direct::connections::internal::{self, ExchangeError, InternalRequest};
 use crate::direct::peering::sync::StateSync;
 
 /// The path at which an entry serves [`FleetMessage`].
@@ -113,6 +113,9 @@
         max_answer_bytes: MAX_ANSWER_BYTES,
     };
     let message: FleetMessage = internal::send(entry, request, codecs).await?;
+    if message.digest == 0 {
+        return Err(ExchangeError::NoEntry);
+    }
     Ok((known == 0 || message.digest != known).then_some(message))
 }
 
