--- a/src/direct/connections/http.rs
+++ b/src/direct/connections/http.rs
@@ -13,8 +13,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{
-    ConnectionType, KeepAlive, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
-    ServiceConfigBuilder, Uri,
+    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, Uri,
 };
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -22,6 +21,7 @@
 use tokio::time;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::direct::connections::codecs::Codecs;
 use crate::direct::connections::event_stream::EventError;
 use crate::direct::connections::framing::{self, Framing, FramingTooLong};
 use crate::direct::connections::sockets::{self, Buffering};
@@ -110,24 +110,6 @@
     pub body: Bytes,
 }
 
-/// A factory for the codecs of connections, which share one clock for dates.
-#[derive(Clone)]
-pub struct Codecs(ServiceConfig);
-
-impl Codecs {
-    /// Returns a factory. It must be called in a running actix system.
-    pub fn new() -> Self {
-        let keep_alive = KeepAlive::Os;
-        Self(ServiceConfigBuilder::new().keep_alive(keep_alive).build())
-    }
-}
-
-impl Default for Codecs {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// What the connection reads next.
 enum Stage {
     /// The head of an answer, if a request was sent.
@@ -193,7 +175,7 @@
             .map_err(|_| HttpError::ConnectTimeout(timeout))?
             .map_err(HttpError::Connect)?;
         stream.set_nodelay(true)?;
-        let codec = ClientCodec::new(codecs.0.clone());
+        let codec = codecs.client();
         Ok(Self {
             stream,
             stage: Stage::Idle(Box::new(codec)),
--- a/src/direct/connections/internal.rs
+++ b/src/direct/connections/internal.rs
@@ -9,7 +9,8 @@
 use prost::Message;
 use tokio::time;
 
-use crate::direct::connections::http::{self, Codecs, Connection, HttpError, Request};
+use crate::direct::connections::codecs::Codecs;
+use crate::direct::connections::http::{self, Connection, HttpError, Request};
 
 /// The result of a request to another process.
 pub type Result<T> = result::Result<T, ExchangeError>;
--- a/src/direct/connections/mod.rs
+++ b/src/direct/connections/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backlog;
 pub mod buffers;
+pub mod codecs;
 pub mod event_stream;
 pub mod flow;
 pub mod framing;
--- a/src/direct/connections/pool.rs
+++ b/src/direct/connections/pool.rs
@@ -12,7 +12,8 @@
 
 use crate::clock::Clock;
 use crate::collections::Map;
-use crate::direct::connections::http::{Codecs, Connection, Result};
+use crate::direct::connections::codecs::Codecs;
+use crate::direct::connections::http::{Connection, Result};
 use crate::direct::connections::sockets::Buffering;
 
 /// Longest idle time of a connection that is reused, if the target states no limit. It is below the
--- a/src/direct/peering/fleet.rs
+++ b/src/direct/peering/fleet.rs
@@ -11,7 +11,7 @@
 use prost::Message as _;
 use xxhash_rust::xxh3;
 
-use crate::direct::connections::http::Codecs;
+use crate::direct::connections::codecs::Codecs;
 use crate::direct::connections::internal::{self, ExchangeError, InternalRequest};
 use crate::direct::peering::sync::StateSync;
 
--- a/src/direct/peering/transfer.rs
+++ b/src/direct/peering/transfer.rs
@@ -14,7 +14,7 @@
 use prost::Message as _;
 use tokio::time;
 
-use crate::direct::connections::http::Codecs;
+use crate::direct::connections::codecs::Codecs;
 use crate::direct::connections::internal::{self, ExchangeError, InternalRequest};
 use crate::direct::known::cluster_state::{ClusterState, KnownVersions, TargetRecord};
 use crate::direct::known::standing::StandingMessage;
--- a/src/ranks/daemon.rs
+++ b/src/ranks/daemon.rs
@@ -18,7 +18,7 @@
 use crate::daemon::{reload, signals};
 use crate::direct::connections::backlog::Backlog;
 use crate::direct::connections::buffers::Buffers;
-use crate::direct::connections::http::Codecs;
+use crate::direct::connections::codecs::Codecs;
 use crate::direct::connections::listener;
 use crate::direct::connections::pool::Pool;
 use crate::direct::connections::port::{self, Port};
--- a/src/ranks/orders.rs
+++ b/src/ranks/orders.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 
-use crate::direct::connections::http::Codecs;
+use crate::direct::connections::codecs::Codecs;
 use crate::direct::connections::internal::{self, InternalRequest};
 use crate::direct::known::heartbeat::PeerAddr;
 use crate::ranks::map_codec;
--- a/tests/direct/connections.rs
+++ b/tests/direct/connections.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use actix_http::{Method, Uri};
-use bitternwall::direct::connections::http::{self, Codecs, Connection, HttpError, Request};
+use bitternwall::direct::connections::codecs::Codecs;
+use bitternwall::direct::connections::http::{self, Connection, HttpError, Request};
 use bytes::Bytes;
 use futures_util::future::{self, Either};
 use tokio::task;
