An answer whose status excludes a body has none, whatever its head says

Callers saw: a server answered 204 or 304 with a length or chunks and sent 44 bytes of an answer of its own; the caller's kept connection got them after the 204, as the answer to its next request (MIXED). A correct 304 with the length of the body it stands for ended in 504.

Cause: the reader took the body as announced, and the writer leaves out the length of such an answer but writes the body it is given.

Change: 204, 304 and answers to HEAD have no body for the reader; a 204 that announces one is malformed. Both tests of platform/tests/process/bodyless.rs failed before ("faked!" on the kept connection, 504) and pass.

--- a/src/direct/connections/framing.rs
+++ b/src/direct/connections/framing.rs
@@ -47,12 +47,31 @@
     }
 }
 
-/// Returns true if an answer has a body whose end is only marked by the end of the connection.
+/// Returns true if answers with this status have no body, also where their heads describe one.
+pub(super) fn is_bodyless(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
+/// Returns true if the body of an answer that may have one ends with the connection.
 pub(super) fn is_unframed(head: &ResponseHead) -> bool {
-    let bodyless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
-    !bodyless && !framed
+    !is_framed(head)
+}
+
+/// Returns true if an answer announces a body though its status excludes one: what follows then may
+/// be that body or the next answer. The head of a 304 may describe the body that a 200 would have.
+pub(super) fn has_unexpected_body(head: &ResponseHead) -> bool {
+    let length = head.headers.get(header::CONTENT_LENGTH);
+    let is_empty = length.is_some_and(|length| length.as_bytes().trim_ascii() == b"0")
+        && !head.headers.contains_key(header::TRANSFER_ENCODING);
+    match head.status {
+        StatusCode::NO_CONTENT => is_framed(head) && !is_empty,
+        _ => false,
+    }
+}
+
+fn is_framed(head: &ResponseHead) -> bool {
+    head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
 }
 
 /// Returns how a request's body is framed. `GET` and `HEAD` without a body get no `Content-Length`,
--- a/src/direct/connections/http.rs
+++ b/src/direct/connections/http.rs
@@ -13,7 +13,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{
-    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, Uri,
+    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri,
 };
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -74,6 +74,9 @@
     /// The peer sends interim answers, but no final one.
     #[error("more than {MAX_INTERIM_HEADS} interim answers")]
     TooManyInterimHeads,
+    /// An interim answer has a body or changes the protocol, or an answer without content has a body.
+    #[error("an answer with status {0} that may have no body is followed by one")]
+    UnexpectedBody(StatusCode),
     /// The answer's body consists of framing rather than data.
     #[error(transparent)]
     FramingTooLong(#[from] FramingTooLong),
@@ -134,6 +137,8 @@
     framing: Framing,
     /// True if the body has neither a length nor chunks.
     unframed: bool,
+    /// True if the answer to the request in progress has no body whatever its head says.
+    asked_for_head: bool,
     turn: Turn,
 }
 
@@ -184,6 +189,7 @@
             in_exchange: false,
             framing: Framing::default(),
             unframed: false,
+            asked_for_head: false,
             turn: Turn::default(),
         })
     }
@@ -214,6 +220,7 @@
     pub async fn send(&mut self, request: &Request) -> Result<()> {
         let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
         self.in_exchange = true;
+        self.asked_for_head = request.method == Method::HEAD;
         let mut head = RequestHead::default();
         head.method = request.method.clone();
         head.uri = request.uri.clone();
@@ -239,8 +246,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the peer closes the connection first, sends anything but an answer, or
-    /// sends interim answers only.
+    /// Returns an error if the peer closes the connection first, sends anything but an answer, sends
+    /// interim answers only, or announces a body where there can be none.
     pub async fn head(&mut self) -> Result<ResponseHead> {
         let mut interim = 0;
         loop {
@@ -249,6 +256,10 @@
             self.turn.count(self.buf.len());
             let Stage::Idle(codec) = &mut self.stage else { return Err(HttpError::Closed) };
             if let Some(head) = codec.decode(&mut self.buf)? {
+                if framing::has_unexpected_body(&head) {
+                    self.stage = Stage::Broken;
+                    return Err(HttpError::UnexpectedBody(head.status));
+                }
                 if head.status.is_informational() {
                     interim += 1;
                     if interim > MAX_INTERIM_HEADS {
@@ -271,8 +282,11 @@
         self.in_exchange = true;
         self.framing = Framing::default();
         self.keep_alive = codec.keep_alive();
-        let has_body = codec.message_type() != MessageType::None;
-        self.unframed = framing::is_unframed(head);
+        let is_bodyless = self.asked_for_head || framing::is_bodyless(head.status);
+        let has_body = !is_bodyless && codec.message_type() != MessageType::None;
+        self.unframed = !is_bodyless && framing::is_unframed(head);
+        // The codec waits for a body that such a head describes though none follows.
+        self.keep_alive &= !is_bodyless || codec.message_type() == MessageType::None;
         self.stage = if self.unframed {
             self.keep_alive = false;
             Stage::UntilClose
