An interim answer with a body, and 101, are malformed

Callers saw: with 100, 103 or 199 and a Content-Length from a server, the connection closed without an answer in a debug build, and 502 in a release build.

Cause: interim heads are skipped and the next head is read by the same codec, which asserts that no body is due.

Change: the attempt fails as for any malformed answer. The test failed before (no answer) and passes.

--- a/src/direct/connections/framing.rs
+++ b/src/direct/connections/framing.rs
@@ -64,8 +64,9 @@
     let is_empty = length.is_some_and(|length| length.as_bytes().trim_ascii() == b"0")
         && !head.headers.contains_key(header::TRANSFER_ENCODING);
     match head.status {
+        StatusCode::SWITCHING_PROTOCOLS => true,
         StatusCode::NO_CONTENT => is_framed(head) && !is_empty,
-        _ => false,
+        status => status.is_informational() && is_framed(head) && !is_empty,
     }
 }
 
