Answers in progress that are kept for resends have a limit of their bytes

Reported: a faulty target sends bytes without end, and the machine that had called it runs out of memory. Shown: the agent takes 231 MB more within 3 s of an endless answer to keyed requests (the test's target stops at 300 MB).

Cause: the answer to a request that may not be repeated is kept whole for resends while it is in progress, without a limit and without slowing the target down; queue.kept_bytes counts complete answers only.

Change: answers in progress share as much room again; one beyond it goes on without being kept, at the pace of its callers, and a resend is told that the outcome is unknown.

--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -39,6 +39,8 @@
     pub world: world::AgentWorld,
     /// The client of the target.
     pub target: target::TargetClient,
+    /// The bytes that answers in progress may keep for resends.
+    pub kept_bytes: u64,
     /// The client of the key-value service.
     pub store: store::Store,
     /// The service that the target serves.
@@ -105,7 +107,7 @@
             host_list: parts.host_list,
             drained: Some(parts.drained),
             links: links::Links::default(),
-            relay: relay::Relay::default(),
+            relay: relay::Relay::new(parts.kept_bytes),
             exchanges: collections::Map::default(),
             probing: false,
             probe_outdated: false,
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -99,6 +99,7 @@
             probe_timeout,
             Duration::from_millis(links.stream_gap_ms),
         ),
+        kept_bytes: settings.queue.kept_bytes,
         store: store::Store::new(store::StoreOptions {
             endpoints: settings.store.clone(),
             call_timeout: Duration::from_millis(settings.claims.call_timeout_ms),
--- a/src/agent/relay.rs
+++ b/src/agent/relay.rs
@@ -1,10 +1,13 @@
 //! Relays answers from the target to the attempts that wait for them.
 //!
 //! One task fills an [`Answer`], and one follower task per waiting attempt sends it and numbers its
-//! pieces. An answer that is kept for resends holds all its pieces; any other one has a single
-//! follower and holds only the pieces that the follower has not sent yet.
+//! pieces. An answer that is kept for resends holds all its pieces; any other one holds only those
+//! that no follower has sent yet, and a target that goes on waits for them.
+//!
+//! Load pattern: a target sends without end what is to be kept, to several callers at once. Answers in
+//! progress share a limit, beyond which one goes on without being kept.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -14,6 +17,7 @@
 
 use crate::agent::events;
 use crate::collections;
+use crate::telemetry::events as log;
 use crate::wire;
 use crate::wire::frame;
 use crate::wire::server;
@@ -30,30 +34,102 @@
     pub headers: Vec<wire::Header>,
 }
 
+/// Room counts the bytes that answers in progress keep for resends.
+#[derive(Debug)]
+pub struct Room {
+    limit: u64,
+    used: Cell<u64>,
+}
+
+impl Room {
+    /// Returns empty room for so many bytes.
+    pub fn new(limit: u64) -> Self {
+        Self { limit, used: Cell::new(0) }
+    }
+
+    /// Takes room for some bytes. Returns false if there is too little.
+    fn take(&self, bytes: u64) -> bool {
+        let used = self.used.get().saturating_add(bytes);
+        let fits = used <= self.limit;
+        if fits {
+            self.used.set(used);
+        }
+        fits
+    }
+
+    fn give_back(&self, bytes: u64) {
+        self.used.set(self.used.get().saturating_sub(bytes));
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     head: Option<Head>,
     pieces: VecDeque<Bytes>,
     /// The index of the first piece in `pieces`.
     first_index: u64,
+    /// The number of pieces that some follower has sent.
+    sent: u64,
     /// The bytes of all pieces so far, including those already dropped.
     length: u64,
+    /// The bytes for which room is taken.
+    kept_bytes: u64,
     /// Whether the answer ended completely; `None` while it is in progress.
     complete: Option<bool>,
 }
 
+impl State {
+    /// Drops the pieces that some follower has sent.
+    fn drop_sent(&mut self) {
+        while self.first_index < self.sent && self.pieces.pop_front().is_some() {
+            self.first_index += 1;
+        }
+    }
+}
+
 /// Answer is the part of one job's answer that the target has sent so far.
 #[derive(Debug)]
 pub struct Answer {
     state: RefCell<State>,
     changed: sync::Notify,
-    keep: bool,
+    /// Where the bytes are counted while the answer is kept and in progress; `None` if it is not kept.
+    room: RefCell<Option<Rc<Room>>>,
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.give_back();
+    }
 }
 
 impl Answer {
-    /// Creates an empty answer; `keep` retains its pieces for later followers.
-    pub fn new(keep: bool) -> Self {
-        Self { state: RefCell::default(), changed: sync::Notify::new(), keep }
+    /// Creates an empty answer. With `room` it retains its pieces for later followers, as long as
+    /// there is room for them.
+    pub fn new(room: Option<Rc<Room>>) -> Self {
+        Self { state: RefCell::default(), changed: sync::Notify::new(), room: RefCell::new(room) }
+    }
+
+    /// Gives back the room that is taken.
+    fn give_back(&self) {
+        let bytes = std::mem::take(&mut self.state.borrow_mut().kept_bytes);
+        if let Some(room) = self.room.borrow().as_ref() {
+            room.give_back(bytes);
+        }
+    }
+
+    /// Takes room for a piece. If there is none, the answer is not kept any longer.
+    fn keeps(&self, bytes: u64) -> bool {
+        let Some(room) = self.room.borrow().clone() else { return false };
+        if room.take(bytes) {
+            self.state.borrow_mut().kept_bytes += bytes;
+            return true;
+        }
+        self.give_back();
+        self.room.take();
+        let mut state = self.state.borrow_mut();
+        state.drop_sent();
+        log::log(log::ANSWER_NOT_KEPT, format_args!("bytes={}", state.length));
+        false
     }
 
     /// Sets the status and headers.
@@ -64,15 +140,17 @@
 
     /// Appends a piece. If the answer is not kept and its follower is too far behind, waits first.
     pub async fn push(&self, piece: Bytes) {
+        let bytes = u64::try_from(piece.len()).unwrap_or(u64::MAX);
+        let keeps = self.keeps(bytes);
         loop {
             let changed = self.changed.notified();
-            if self.keep || self.state.borrow().pieces.len() < MAX_BUFFERED_PIECES {
+            if keeps || self.state.borrow().pieces.len() < MAX_BUFFERED_PIECES {
                 break;
             }
             changed.await;
         }
         let mut state = self.state.borrow_mut();
-        state.length += u64::try_from(piece.len()).unwrap_or(u64::MAX);
+        state.length += bytes;
         state.pieces.push_back(piece);
         drop(state);
         self.changed.notify_waiters();
@@ -81,6 +159,8 @@
     /// Ends the answer as complete or incomplete, unless it has already ended.
     pub fn end(&self, complete: bool) {
         self.state.borrow_mut().complete.get_or_insert(complete);
+        // From now on the core counts a kept answer.
+        self.give_back();
         self.changed.notify_waiters();
     }
 
@@ -100,11 +180,17 @@
                 headers,
             }));
         }
-        let offset = usize::try_from(next - state.first_index).unwrap_or(usize::MAX);
+        let Some(offset) = next.checked_sub(state.first_index) else {
+            // The beginning is no longer there.
+            let length = state.length;
+            let end = wire::AnswerEnd { id: Some(id), pieces: next, length, complete: false };
+            return Some(frame::Kind::AnswerEnd(end));
+        };
+        let offset = usize::try_from(offset).unwrap_or(usize::MAX);
         if let Some(data) = state.pieces.get(offset).cloned() {
-            if !self.keep {
-                state.pieces.pop_front();
-                state.first_index += 1;
+            state.sent = state.sent.max(next + 1);
+            if self.room.borrow().is_none() {
+                state.drop_sent();
                 self.changed.notify_waiters();
             }
             return Some(frame::Kind::AnswerBody(wire::AnswerBody {
@@ -150,17 +236,27 @@
 }
 
 /// Relay holds the answers that are in progress or kept.
-#[derive(Default)]
 pub struct Relay {
+    /// The room of the answers that are in progress and kept.
+    room: Rc<Room>,
     answers: collections::Map<events::JobId, RelayedAnswer>,
     /// Each running follower holds a clone, so that the reference count shows whether any is left.
     follower_guard: Rc<()>,
 }
 
 impl Relay {
+    /// Returns a relay whose answers in progress keep so many bytes at most.
+    pub fn new(kept_bytes: u64) -> Self {
+        Self {
+            room: Rc::new(Room::new(kept_bytes)),
+            answers: collections::Map::default(),
+            follower_guard: Rc::default(),
+        }
+    }
+
     /// Adds an empty answer for a job that is being dispatched.
     pub fn open(&mut self, job: events::JobId, keep: bool) -> Rc<Answer> {
-        let answer = Rc::new(Answer::new(keep));
+        let answer = Rc::new(Answer::new(keep.then(|| Rc::clone(&self.room))));
         self.answers
             .insert(job, RelayedAnswer { answer: Rc::clone(&answer), followers: Vec::new() });
         answer
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -84,6 +84,9 @@
 /// The process did not run for longer than the deadline of its connections.
 pub const AGENT_PAUSED: LogEvent =
     LogEvent { number: 2007, severity: Severity::Warning, title: "process was paused" };
+/// An answer in progress is no longer kept for resends, since answers in progress keep too much.
+pub const ANSWER_NOT_KEPT: LogEvent =
+    LogEvent { number: 2008, severity: Severity::Warning, title: "answer not kept" };
 /// The key-value service failed while claims were read.
 pub const CLAIMS_UNAVAILABLE: LogEvent =
     LogEvent { number: 2008, severity: Severity::Warning, title: "claims unavailable" };
@@ -328,6 +331,7 @@
     AGENT_CONFIG,
     AGENT_DRAINING,
     AGENT_PAUSED,
+    ANSWER_NOT_KEPT,
     CLAIMS_UNAVAILABLE,
     STORE_WATCH_REOPENED,
     STORE_CALL_TIMED_OUT,
--- a/standins/src/platform/endless.rs
+++ b/standins/src/platform/endless.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::io::{self, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -101,6 +101,8 @@
 #[derive(Default)]
 struct Shared {
     stopping: AtomicBool,
+    /// Bytes that are still sent, over all connections; they stay open afterwards.
+    left: AtomicUsize,
     state: Mutex<State>,
 }
 
@@ -123,9 +125,19 @@
     ///
     /// Returns an error if no port can be bound.
     pub fn start(flood: Flood) -> io::Result<Self> {
+        Self::start_limited(flood, usize::MAX)
+    }
+
+    /// Starts a server that falls silent after so many bytes, so that a client that holds them all does
+    /// not fill the memory of the host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub fn start_limited(flood: Flood, max_bytes: usize) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared { left: AtomicUsize::new(max_bytes), ..Shared::default() });
         let acceptor = Arc::clone(&shared);
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -187,6 +199,13 @@
     stream.write_all(flood.start(attempt_id).as_bytes())?;
     let block = flood.block();
     while !shared.stopping.load(Ordering::Relaxed) {
+        let taken = shared.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+            left.checked_sub(block.len())
+        });
+        if taken.is_err() {
+            // Reads until the client closes the connection.
+            return io::copy(stream, &mut io::sink()).map(drop);
+        }
         stream.write_all(&block)?;
         if let Some(pause) = flood.pause() {
             thread::sleep(pause);
