The beginning of an event that the entry keeps has a limit

Related to answers without end: a stream of chunks that holds no end of an event was kept whole in the entry. Change: more than 256 KiB fail the attempt, as on the direct path. The test failed before (no step failed) and passes.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -223,8 +223,9 @@
     fn stream(&mut self, data: &[u8]) -> Step {
         let State::Streaming { head, splitter } = &mut self.state else { return Step::Failed };
         let events = splitter.push(data);
+        let is_too_long = splitter.is_too_long();
         if events.data.is_empty() {
-            return Step::Nothing;
+            return if is_too_long { Step::Failed } else { Step::Nothing };
         }
         let first = head.take();
         self.tokens += events.tokens;
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -22,6 +22,9 @@
     pub done: bool,
 }
 
+/// The longest beginning of an event that is kept, in bytes.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Splits a byte stream into events; an incomplete event is kept until its end arrives.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -29,6 +32,11 @@
 }
 
 impl Splitter {
+    /// Returns true if the beginning of an event is longer than [`MAX_EVENT_BYTES`].
+    pub fn is_too_long(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Adds bytes and returns the events that are complete now. Bytes after the event that ends the
     /// answer are not returned.
     pub fn push(&mut self, data: &[u8]) -> Events {
--- a/tests/answer_frames.rs
+++ b/tests/answer_frames.rs
@@ -4,6 +4,7 @@
 use bitternwall::entry::core::events::{AttemptFailure, Executed, Refusal, RefusalReason};
 use bitternwall::entry::core::tables::AttemptNumber;
 use bitternwall::entry::relay::{Piece, Relay, Step};
+use bitternwall::entry::sse;
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -255,3 +256,22 @@
     let outcome = runner.run(&case(), |case| run(&case));
     outcome.unwrap_or_else(|failure| panic!("{failure}"));
 }
+
+// Guards against an event without an end that fills the entry's memory.
+#[test]
+fn an_event_without_an_end_fails_its_attempt() {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let mut relay = Relay::new(tx);
+    let attempt = AttemptNumber(1);
+    relay.begin(attempt, "t-1");
+    let headers = vec![("content-type".to_owned(), "text/event-stream".to_owned())];
+    relay.head(attempt, 200, headers);
+    let piece = Bytes::from(vec![b'x'; 64 * 1024]);
+    let pieces = u64::try_from(sse::MAX_EVENT_BYTES / piece.len()).expect("a small number");
+    let steps: Vec<Step> =
+        (0..=pieces).map(|index| relay.body(attempt, index, piece.clone())).collect();
+    let (last, before) = steps.split_last().expect("several pieces");
+    assert!(before.iter().all(|step| *step == Step::Nothing), "{steps:?}");
+    assert_eq!(*last, Step::Failed);
+    assert!(rx.try_recv().is_err(), "nothing reaches the caller");
+}
