Entries that are cut off hand out the part of the fleet that they hear

Cause: an entry that hears at most half of the fleet hands out a third of a cold target's permits, so five that are cut off alone hand out five thirds beside the whole of the majority.

Change: the part is that of the fleet that the entry hears; the parts of all minorities add up to one at most. The test failed with a third in its place (37 permits in a second while 4 are cut off) and passes.

--- a/src/direct/decisions/rate_limits.rs
+++ b/src/direct/decisions/rate_limits.rs
@@ -8,7 +8,8 @@
 //!
 //! Cold targets (see [`warmth`](crate::direct::decisions::warmth)) share their permits in the same way,
 //! but each single second counts for them. So no permits are saved up, they can be used for a short
-//! time only, and an entry that may not be the only one that hands them out hands out a part.
+//! time only, and an entry that may not be the only one that hands them out hands out a part. Those
+//! that are cut off from most others hand out the part of the fleet that they hear.
 
 use std::cmp;
 use std::collections::VecDeque;
@@ -34,8 +35,7 @@
 /// have come or gone.
 const HANDOVER_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time after the start of a process within which it hands out no permits of cold targets, since it
-/// has not heard of most of the other entries.
+/// Time after its start within which a process, which has not heard of most others, hands out no permits.
 const INTRODUCTION_TIME: Duration = Duration::from_secs(1);
 
 /// The share of a cold target's permits that an entry hands out while another one may hand them out
@@ -91,8 +91,9 @@
     pub is_owner: bool,
     /// When the live entries last changed.
     pub changed_at: Duration,
-    /// True if most of the entries are not heard.
-    pub is_minority: bool,
+    /// The part of a cold target's permits that this entry may hand out by the number of entries that
+    /// it hears, from 0 to 1.
+    pub share: f64,
 }
 
 /// Whether this entry hands out the permits of a target, and since when.
@@ -299,7 +300,7 @@
         self.record_owner(target, fleet, now);
         let limit = self.limits.entry(target.to_owned()).or_default();
         let known = limit.in_force(now).map_or(per_s, |known| known.per_s.min(per_s));
-        let part = if fleet.is_minority { SHARED_PART } else { limit.part(now) };
+        let part = limit.part(now).min(fleet.share);
         limit.grant(known * part, Duration::ZERO, now)
     }
 
--- a/src/direct/known/peers.rs
+++ b/src/direct/known/peers.rs
@@ -31,20 +31,22 @@
 /// Addresses of entries in one heartbeat; the limit keeps it within one packet.
 pub const MAX_PEER_ADDRS: usize = 32;
 
-/// Limit of the entries on record, well above the size of any fleet. A process whose name is not on
-/// record is ignored beyond it.
+/// Limit of the entries on record, above the size of any fleet. New names are ignored beyond it.
 pub const MAX_ENTRIES: usize = 4_096;
 
 /// Every how many heartbeats to one entry one carries the addresses of other entries.
 const PEER_EXCHANGE_INTERVAL: u64 = 5;
 
-/// Time after an entry has joined during which addresses are exchanged more often in a large fleet,
-/// so that the new entry hears of all others soon and they of it.
+/// Time after an entry has joined in which addresses are exchanged more often in a large fleet, so
+/// that it hears of all others soon and they of it.
 const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
 
 /// Time without a heartbeat after which an entry is forgotten and sent none any more.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
+/// The part of what one entry hands out for all while the size of the fleet is not known.
+const UNKNOWN_FLEET_SHARE: f64 = 1.0 / 3.0;
+
 /// Store readers: entries that read the store on behalf of all others.
 pub const STORE_READERS: usize = 3;
 
@@ -75,7 +77,7 @@
     addresses: Map<SocketAddr, Duration>,
     /// When an entry was last heard for the first time in its incarnation.
     last_joined: Option<Duration>,
-    /// The number of live entries that was counted last, and when it or an incarnation changed.
+    /// The live entries counted last, and when their number or an incarnation changed.
     live_entries: u32,
     changed_at: Duration,
     /// The local entry's data centre.
@@ -291,12 +293,16 @@
         self.changed_at
     }
 
-    /// Returns true if at most half of the entries that were live at once are live now, so that the
-    /// others may be a fleet of their own that this entry does not hear.
-    pub fn is_minority(&self) -> bool {
+    /// Returns the part of what only one entry hands out for all that the local one may hand out, from
+    /// 0 to 1. If at most half of those that were live at once are live now, the others may be fleets
+    /// of their own that this entry does not hear, and their parts add up to at most one.
+    pub fn permit_share(&self) -> f64 {
         match self.fleet_size() {
-            Some(size) => size > 1 && self.live_entries.saturating_mul(2) <= size,
-            None => true,
+            Some(size) if size > 1 && self.live_entries.saturating_mul(2) <= size => {
+                f64::from(self.live_entries) / f64::from(size)
+            }
+            Some(_) => 1.0,
+            None => UNKNOWN_FLEET_SHARE,
         }
     }
 
@@ -350,10 +356,9 @@
     }
 
     /// Returns a live entry that has a newer cluster state than the one known, in `data_centre` if
-    /// possible. A newer configuration goes first, the target
-    /// list last. `draw` is any random
-    /// number; it spreads the requests over the entries that have the newer state, so that a change
-    /// reaches a fleet sooner than one entry could send it to all.
+    /// possible. A newer configuration goes first, the target list last. `draw` is any random number; it
+    /// spreads the requests over the entries that have the newer state, so that a change reaches a
+    /// fleet sooner than one entry could send it to all.
     pub fn find_newer(
         &self,
         known: KnownVersions,
--- a/src/direct/state/permit_owners.rs
+++ b/src/direct/state/permit_owners.rs
@@ -28,7 +28,7 @@
     fn fleet_of(&self, target: &str) -> Fleet {
         let is_owner = self.permit_owner(target).is_none();
         let peers = self.peers.borrow();
-        Fleet { is_owner, changed_at: peers.changed_at(), is_minority: peers.is_minority() }
+        Fleet { is_owner, changed_at: peers.changed_at(), share: peers.permit_share() }
     }
 
     /// Logs which targets have become cold or warm, and keeps track of who hands out their permits.
--- a/tests/direct/cold_targets.rs
+++ b/tests/direct/cold_targets.rs
@@ -1,5 +1,6 @@
 //! Cold targets, which bear few requests a second from all entries together.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bitternwall::collections::{Map, Set};
@@ -7,6 +8,8 @@
 use bitternwall::direct::decisions::targets::Targets;
 use bitternwall::direct::decisions::warmth::{Tolerance, Warmth};
 use bitternwall::direct::known::configuration::ColdStart;
+use bitternwall::direct::known::heartbeat::Heartbeat;
+use bitternwall::direct::known::peers::Peers;
 use bitternwall::direct::known::permit::Grant;
 use bitternwall::direct::known::target::Target;
 
@@ -68,7 +71,7 @@
         Fleet {
             is_owner: self.owner_of(entry, now) == entry,
             changed_at: ms(changed.max().unwrap_or(0)),
-            is_minority: false,
+            share: 1.0,
         }
     }
 
@@ -180,7 +183,7 @@
 
 #[test]
 fn a_process_that_has_just_started_hands_out_nothing_and_then_a_part() {
-    let alone = Fleet { is_owner: true, changed_at: ms(0), is_minority: false };
+    let alone = Fleet { is_owner: true, changed_at: ms(0), share: 1.0 };
     let mut limits = RateLimits::default();
     assert!(matches!(limits.grant_cold(TARGET, 18.0, &alone, ms(900)), Grant::Denied(_)));
     let granted = |limits: &mut RateLimits, from: u64, fleet: &Fleet| {
@@ -190,10 +193,61 @@
     };
     assert!(granted(&mut limits, 1_000, &Fleet { changed_at: ms(800), ..alone }) <= 8);
     assert!(granted(&mut limits, 3_000, &Fleet { changed_at: ms(800), ..alone }) >= 16);
-    let minority = Fleet { is_minority: true, ..alone };
+    let minority = Fleet { share: 1.0 / 3.0, ..alone };
     assert!(granted(&mut limits, 5_000, &minority) <= 8, "the others may hand them out too");
 }
 
+fn heartbeat(entry: usize, sequence: u64) -> Heartbeat {
+    Heartbeat { name: format!("entry-{entry}"), sequence, incarnation: 1, ..Heartbeat::default() }
+}
+
+// Guards against entries that are cut off, each of which took itself for the owner of a third.
+#[test]
+fn entries_that_are_cut_off_alone_hand_out_their_parts_of_the_fleet_only() {
+    const HEARTBEAT_MS: u64 = 100;
+    const ENTRIES: usize = 15;
+    const PER_S: f64 = 18.0;
+    for cut_off in 1..ENTRIES {
+        let mut granted = 0;
+        for entry in 0..ENTRIES {
+            let is_alone = entry < cut_off;
+            let mut peers = Peers::new("kafr");
+            peers.expect_others();
+            let count = |peers: &mut Peers, now| peers.count(ms(HEARTBEAT_MS), ms(now));
+            for now in (0..10_000).step_by(100) {
+                let heard = (0..ENTRIES).filter(|other| {
+                    let both = !is_alone && *other >= cut_off;
+                    *other != entry && (now < 4_000 || both)
+                });
+                for other in heard {
+                    let addr = SocketAddr::from((
+                        [10, 0, 0, 1],
+                        1_000 + u16::try_from(other).expect("few"),
+                    ));
+                    peers.record_heartbeat(heartbeat(other, now / 100 + 1), addr, ms(now));
+                }
+                count(&mut peers, now);
+            }
+            let now = ms(10_000);
+            // One of those that hear each other hands out for all of them.
+            if is_alone || entry == ENTRIES - 1 {
+                let share = peers.permit_share();
+                let fleet = Fleet { is_owner: true, changed_at: peers.changed_at(), share };
+                let mut limits = RateLimits::default();
+                for at in 0..1_000 {
+                    let grant = limits.grant_cold(TARGET, PER_S, &fleet, now + ms(at));
+                    if let Grant::Permits(count) = grant {
+                        granted += count;
+                    }
+                }
+            }
+        }
+        // The target tolerates `PER_S` times the overrun and the slack, whoever sends.
+        let tolerated = TOLERANCE.overrun * PER_S + TOLERANCE.slack;
+        assert!(f64::from(granted) <= tolerated, "{granted} permits while {cut_off} are cut off");
+    }
+}
+
 #[test]
 fn a_rate_leaves_a_reserve_below_what_is_tolerated() {
     assert!((TOLERANCE.rate(18.0) - 18.0).abs() < 0.01);
