--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -2,6 +2,8 @@
 //! progress.
 
 mod common;
+#[path = "leaving/kept_connections.rs"]
+mod kept_connections;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
