An entry takes no more of an answer ahead than its caller reads

Related to answers without end: an entry held whatever its agent sent for a caller that read slowly or not at all: 254 MB more within 3 s of an endless document before (the test's target stops at 300 MB).

Cause: the queue between the entry's relay and the caller's HTTP handler has no limit, and nothing on the link tells the agent how far its callers are.

Change: the entry states in its hello how many bytes of an answer it takes ahead, and says with AnswerTaken how many it no longer holds; the agent sends no further.

Tests: an_endless_document_that_nobody_reads_is_borne failed before and passes; a_caller_that_reads_slowly_gets_a_long_answer_whole.

--- a/src/agent/effects.rs
+++ b/src/agent/effects.rs
@@ -7,7 +7,7 @@
 use actix::prelude::*;
 
 use crate::agent::events;
-use crate::agent::{actor, claim_store, frames, target};
+use crate::agent::{actor, claim_store, frames, relay, target};
 use crate::external::{host_list, store};
 use crate::telemetry::events as log;
 use crate::wire;
@@ -172,7 +172,8 @@
 
 fn attach(agent: &mut actor::AgentActor, job: events::JobId, to: events::Subscriber) {
     if let Some(sender) = agent.links.sender(to.link) {
-        agent.relay.attach(job, to.id, sender);
+        let window = relay::Window::new(agent.links.answer_window(to.link));
+        agent.relay.attach(job, to.id, sender, window);
     }
 }
 
--- a/src/agent/frames.rs
+++ b/src/agent/frames.rs
@@ -62,6 +62,9 @@
             agent.relay.detach(id);
             agent.queue_event(events::Event::Cancel(id), cx);
         }
+        frame::Kind::AnswerTaken(wire::AnswerTaken { id: Some(id), bytes }) => {
+            agent.relay.record_taken(id, bytes);
+        }
         frame::Kind::ConfigRequest(request) => answer_config(agent, link, &request, cx),
         frame::Kind::ConfigState(state) => {
             handle_config_event(agent, replica::Event::PeerState(state), cx);
@@ -78,7 +81,7 @@
 ) {
     if let Some(member) = hello.member {
         log::log(log::LINK_OPENED, format_args!("entry {}", member.name));
-        agent.links.set_member(link, member);
+        agent.links.set_member(link, member, hello.answer_window);
     }
     if let Some(heartbeat) = hello.heartbeat {
         handle_heartbeat(agent, link, &heartbeat, cx);
@@ -164,7 +167,7 @@
     let local = agent.config.next_heartbeat(agent.clock.monotonic());
     let mut heartbeat = heartbeat(agent);
     codec::fill_heartbeat(&mut heartbeat, &local, 0);
-    wire::Hello { member: Some(agent.member.clone()), heartbeat: Some(heartbeat) }
+    wire::Hello { member: Some(agent.member.clone()), heartbeat: Some(heartbeat), answer_window: 0 }
 }
 
 /// Returns a heartbeat without its sequence number and echo, of which the echo differs between
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -11,6 +11,8 @@
 struct Link {
     sender: server::FrameSender,
     member: Option<wire::Member>,
+    /// Bytes of an answer that may be sent ahead of what the entry has taken; 0 for no limit.
+    answer_window: u64,
     last_received: Duration,
 }
 
@@ -23,7 +25,8 @@
 impl Links {
     /// Adds a connection.
     pub fn open(&mut self, link: server::LinkId, sender: server::FrameSender, now: Duration) {
-        self.links.insert(link, Link { sender, member: None, last_received: now });
+        self.links
+            .insert(link, Link { sender, member: None, answer_window: 0, last_received: now });
     }
 
     /// Removes a connection, which closes it. Returns true if it was open.
@@ -38,10 +41,10 @@
         }
     }
 
-    /// Sets the identity of the entry at the other end.
-    pub fn set_member(&mut self, link: server::LinkId, member: wire::Member) {
+    /// Sets the identity of the entry at the other end, and the bytes of an answer that it takes ahead.
+    pub fn set_member(&mut self, link: server::LinkId, member: wire::Member, answer_window: u64) {
         if let Some(row) = self.links.get_mut(&link) {
-            row.member = Some(member);
+            (row.member, row.answer_window) = (Some(member), answer_window);
         }
     }
 
@@ -77,6 +80,12 @@
         self.links.get(&link).map(|row| row.sender.clone())
     }
 
+    /// Returns the bytes of an answer that may be sent on a connection ahead of what the entry has
+    /// taken; 0 for no limit.
+    pub fn answer_window(&self, link: server::LinkId) -> u64 {
+        self.links.get(&link).map_or(0, |row| row.answer_window)
+    }
+
     /// Sends a frame on a connection, if it is open.
     pub fn send(&self, link: server::LinkId, kind: frame::Kind) {
         if let Some(row) = self.links.get(&link) {
--- a/src/agent/relay.rs
+++ b/src/agent/relay.rs
@@ -205,15 +205,51 @@
     }
 }
 
+/// Window limits how far an answer is sent ahead of what the entry's caller takes, so that the entry
+/// holds little for a caller that reads slowly or not at all.
+#[derive(Debug)]
+pub struct Window {
+    /// Bytes that may be sent ahead; 0 for no limit.
+    limit: u64,
+    /// Bytes that the entry no longer holds.
+    taken: Cell<u64>,
+    changed: sync::Notify,
+}
+
+impl Window {
+    /// Returns a window of so many bytes; 0 for no limit.
+    pub fn new(limit: u64) -> Self {
+        Self { limit, taken: Cell::new(0), changed: sync::Notify::new() }
+    }
+
+    fn record_taken(&self, bytes: u64) {
+        self.taken.set(self.taken.get().max(bytes));
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until more may be sent after `sent` bytes.
+    async fn wait(&self, sent: u64) {
+        loop {
+            let changed = self.changed.notified();
+            if self.limit == 0 || sent < self.taken.get().saturating_add(self.limit) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
 /// Sends an answer to one attempt from its beginning to its end, or until the connection closes.
 async fn send_answer(
     answer: Rc<Answer>,
     id: wire::AttemptId,
     sender: server::FrameSender,
+    window: Rc<Window>,
     _guard: Rc<()>,
 ) {
-    let (mut head_sent, mut next) = (false, 0);
+    let (mut head_sent, mut next, mut sent) = (false, 0, 0);
     loop {
+        window.wait(sent).await;
         let changed = answer.changed.notified();
         let Some(kind) = answer.next_frame(id, head_sent, next) else {
             changed.await;
@@ -221,8 +257,9 @@
         };
         let last = matches!(kind, frame::Kind::AnswerEnd(_));
         head_sent = true;
-        if matches!(kind, frame::Kind::AnswerBody(_)) {
+        if let frame::Kind::AnswerBody(body) = &kind {
             next += 1;
+            sent += u64::try_from(body.data.len()).unwrap_or(u64::MAX);
         }
         if !sender.send(kind).await || last {
             return;
@@ -240,6 +277,8 @@
     /// The room of the answers that are in progress and kept.
     room: Rc<Room>,
     answers: collections::Map<events::JobId, RelayedAnswer>,
+    /// The windows of the followers, each of which holds a clone while it runs.
+    windows: collections::Map<wire::AttemptId, Rc<Window>>,
     /// Each running follower holds a clone, so that the reference count shows whether any is left.
     follower_guard: Rc<()>,
 }
@@ -250,6 +289,7 @@
         Self {
             room: Rc::new(Room::new(kept_bytes)),
             answers: collections::Map::default(),
+            windows: collections::Map::default(),
             follower_guard: Rc::default(),
         }
     }
@@ -263,15 +303,30 @@
     }
 
     /// Starts a follower that sends a job's answer, from its beginning, to one more attempt.
-    pub fn attach(&mut self, job: events::JobId, id: wire::AttemptId, sender: server::FrameSender) {
+    pub fn attach(
+        &mut self,
+        job: events::JobId,
+        id: wire::AttemptId,
+        sender: server::FrameSender,
+        window: Window,
+    ) {
         let Some(relayed) = self.answers.get_mut(&job) else { return };
-        let task =
-            send_answer(Rc::clone(&relayed.answer), id, sender, Rc::clone(&self.follower_guard));
-        let task = actix_rt::spawn(task);
+        let window = Rc::new(window);
+        self.windows.retain(|_, window| Rc::strong_count(window) > 1);
+        self.windows.insert(id, Rc::clone(&window));
+        let (answer, guard) = (Rc::clone(&relayed.answer), Rc::clone(&self.follower_guard));
+        let task = actix_rt::spawn(send_answer(answer, id, sender, window, guard));
         relayed.followers.retain(|(_, task)| !task.is_finished());
         relayed.followers.push((id, task));
     }
 
+    /// Records that an entry no longer holds so many bytes of an attempt's answer.
+    pub fn record_taken(&self, id: wire::AttemptId, bytes: u64) {
+        if let Some(window) = self.windows.get(&id) {
+            window.record_taken(bytes);
+        }
+    }
+
     /// Stops the followers of an attempt.
     pub fn detach(&mut self, id: wire::AttemptId) {
         for relayed in self.answers.values_mut() {
--- a/src/entry/actor.rs
+++ b/src/entry/actor.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 
 pub use messages::{
-    AcceptedLinkEvent, CallerDisconnected, ConfigEvent, DialledLinkEvent, GetAddresses,
+    AcceptedLinkEvent, CallerDisconnected, CallerRead, ConfigEvent, DialledLinkEvent, GetAddresses,
     HostListRead, Leave, Submit,
 };
 
@@ -185,7 +185,9 @@
         let Some(attempt) = self.local_attempt(id) else { return };
         let Some(request) = self.request_of_attempt.get(&attempt) else { return };
         let Some(open) = self.requests.get_mut(request) else { return };
-        match step(&mut open.relay, attempt) {
+        let (request, step) = (*request, step(&mut open.relay, attempt));
+        self.tell_taken(request);
+        match step {
             relay::Step::Nothing => {}
             relay::Step::Started => self.tick(vec![Event::AnswerStarted(attempt)]),
             relay::Step::Answered => {
@@ -199,6 +201,17 @@
         }
     }
 
+    /// Tells the agent that answers a request how much of the answer its caller has taken, if that is
+    /// much more than it was told.
+    fn tell_taken(&mut self, request: RequestId) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some((attempt, bytes)) = open.attempt.zip(open.relay.newly_taken()) else { return };
+        let agent = agent_name(open.relay.target());
+        let id = wire::AttemptId { incarnation: self.incarnation(), counter: attempt.0 };
+        let taken = wire::AnswerTaken { id: Some(id), bytes };
+        self.links.send(&agent, Kind::AnswerTaken(taken));
+    }
+
     /// Returns the attempt to which a frame belongs, or `None` if another incarnation of the entry
     /// made it.
     fn local_attempt(&self, id: Option<&wire::AttemptId>) -> Option<AttemptNumber> {
@@ -231,7 +244,10 @@
             Kind::ConfigState(state) => {
                 self.handle_config_event(replica::Event::PeerState(state), cx);
             }
-            Kind::Hello(_) | Kind::StartAttempt(_) | Kind::CancelAttempt(_) => {}
+            Kind::Hello(_)
+            | Kind::StartAttempt(_)
+            | Kind::CancelAttempt(_)
+            | Kind::AnswerTaken(_) => {}
         }
     }
 
--- a/src/entry/actor/linking.rs
+++ b/src/entry/actor/linking.rs
@@ -105,7 +105,7 @@
         match event {
             server::LinkEvent::Opened { link, sender } => {
                 let member = Some(self.parts.membership.local_member().clone());
-                let hello = wire::Hello { member, heartbeat: None };
+                let hello = wire::Hello { member, heartbeat: None, answer_window: 0 };
                 self.accepted.open(link, sender, now, hello);
             }
             server::LinkEvent::Frame { link, kind } => match *kind {
--- a/src/entry/actor/messages.rs
+++ b/src/entry/actor/messages.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use actix::{Context, Handler, Message, MessageResult};
-use tokio::sync::mpsc;
 
 use super::{EntryActor, OpenRequest};
 use crate::config::replica;
@@ -24,23 +23,36 @@
     pub request: NewRequest,
     /// The request in the form in which the target receives it.
     pub outbound: outbound::Outbound,
-    /// Receives the pieces of the answer.
-    pub tx: mpsc::UnboundedSender<relay::Piece>,
+    /// Relays the answer.
+    pub relay: relay::Relay,
 }
 
 impl Handler<Submit> for EntryActor {
     type Result = ();
 
     fn handle(&mut self, message: Submit, cx: &mut Context<Self>) {
-        let Submit { request, outbound, tx } = message;
+        let Submit { request, outbound, relay } = message;
         self.parts.metrics.requests.inc();
-        let open = OpenRequest { relay: relay::Relay::new(tx), attempt: None, outbound };
+        let open = OpenRequest { relay, attempt: None, outbound };
         self.requests.insert(request.id, open);
         self.tick(vec![Event::Submitted(request)]);
         self.schedule_deadline_tick(cx);
     }
 }
 
+/// The caller of a request has read most of what waited for it.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CallerRead(pub RequestId);
+
+impl Handler<CallerRead> for EntryActor {
+    type Result = ();
+
+    fn handle(&mut self, message: CallerRead, _: &mut Context<Self>) {
+        self.tell_taken(message.0);
+    }
+}
+
 /// The caller of a request disconnected before its answer was complete.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -138,7 +138,10 @@
         headers: forwarded_headers(req),
         body,
     };
-    api.actor.do_send(actor::Submit { request, outbound, tx });
+    let relay = relay::Relay::new(tx);
+    let unread = relay.unread();
+    let id = request.id;
+    api.actor.do_send(actor::Submit { request, outbound, relay });
     let first = rx.recv().await;
     Ok(match first {
         Some(relay::Piece::Complete { head, body }) => {
@@ -147,7 +150,9 @@
         }
         Some(relay::Piece::Head(head)) => {
             let event_stream = relay::is_event_stream(&head.headers);
-            let body = AnswerBody { rx, guard: Some(guard), event_stream, flush_delay: None };
+            let reading = Reading { unread, actor: api.actor.clone(), request: id };
+            let body =
+                AnswerBody { rx, reading, guard: Some(guard), event_stream, flush_delay: None };
             start_response(api, &head).streaming(body)
         }
         Some(relay::Piece::Refused(refusal) | relay::Piece::Aborted(refusal)) => {
@@ -282,11 +287,27 @@
     }
 }
 
+/// Tells the actor when the caller has read most of what waited for it.
+struct Reading {
+    unread: relay::Unread,
+    actor: Addr<actor::EntryActor>,
+    request: RequestId,
+}
+
+impl Reading {
+    fn record(&self, data: &Bytes) {
+        if self.unread.remove(data.len()) {
+            self.actor.do_send(actor::CallerRead(self.request));
+        }
+    }
+}
+
 /// The body of a streamed response. If the answer is aborted, an event stream ends with an error
 /// event, and the connection is closed without the end of the body, so that the response never
 /// looks complete.
 struct AnswerBody {
     rx: mpsc::UnboundedReceiver<relay::Piece>,
+    reading: Reading,
     guard: Option<CallerGuard>,
     event_stream: bool,
     /// The delay between the error event and the closing of the connection, once it has begun.
@@ -310,7 +331,10 @@
         }
         let Poll::Ready(piece) = self.rx.poll_recv(cx) else { return Poll::Pending };
         match piece {
-            Some(relay::Piece::Data(data)) => Poll::Ready(Some(Ok(data))),
+            Some(relay::Piece::Data(data)) => {
+                self.reading.record(&data);
+                Poll::Ready(Some(Ok(data)))
+            }
             Some(relay::Piece::End) => {
                 self.finish();
                 Poll::Ready(None)
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -24,7 +24,7 @@
 use crate::entry::core::Options;
 use crate::entry::membership::{self, Membership};
 use crate::entry::{
-    actor, addresses, caller_api, config_source, explain_api, metrics, operator_api, rollout,
+    actor, addresses, caller_api, config_source, explain_api, metrics, operator_api, relay, rollout,
 };
 use crate::external::{host_list, store};
 use crate::members::table;
@@ -274,7 +274,8 @@
 /// Returns a function that starts the task which keeps the link to one process open.
 fn start_dial(local: wire::Member, deadline: Duration) -> actor::StartDial {
     Box::new(move |process, address, actor| {
-        let dialer = client::Dialer { address, local: local.clone(), deadline };
+        let answer_window = relay::WINDOW_BYTES;
+        let dialer = client::Dialer { address, local: local.clone(), answer_window, deadline };
         let process = Arc::clone(process);
         actix_rt::spawn(client::maintain_link(dialer, move |event| {
             actor.do_send(actor::DialledLinkEvent { process: Arc::clone(&process), event });
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,6 +7,8 @@
 //! attempt.
 
 use std::mem;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
@@ -17,6 +19,13 @@
 
 /// Bytes of an answer that are buffered before it is forwarded incomplete.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Bytes of an answer that an agent may send ahead of what the caller takes. It covers what is
+/// buffered before any of it is forwarded.
+pub const WINDOW_BYTES: u64 = 512 * 1024;
+/// Bytes that were taken since the agent was last told, from which on it is told again.
+const TAKEN_STEP_BYTES: u64 = WINDOW_BYTES / 4;
+/// Unread bytes from which on the caller's reading is awaited.
+const MANY_UNREAD_BYTES: u64 = 64 * 1024;
 /// The attempt number while no frame is expected; no entry makes so many attempts.
 const NO_ATTEMPT: AttemptNumber = AttemptNumber(u64::MAX);
 const CONTENT_TYPE: &str = "content-type";
@@ -69,10 +78,34 @@
     Failed,
 }
 
+/// Counts the bytes of an answer that were sent to the caller's HTTP handler and not written yet.
+#[derive(Clone, Debug, Default)]
+pub struct Unread(Arc<AtomicU64>);
+
+impl Unread {
+    fn add(&self, bytes: usize) {
+        self.0.fetch_add(u64::try_from(bytes).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    /// Records that bytes are written. Returns true if few are left of many, so that the target may go on.
+    pub fn remove(&self, bytes: usize) -> bool {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let before = self.0.fetch_sub(bytes, Ordering::Relaxed);
+        before >= MANY_UNREAD_BYTES && before.saturating_sub(bytes) < MANY_UNREAD_BYTES
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Relays the answer of one request from its current attempt to its caller.
 #[derive(Debug)]
 pub struct Relay {
     tx: mpsc::UnboundedSender<Piece>,
+    unread: Unread,
+    /// Bytes of the attempt's body that its agent was told to be taken.
+    told: u64,
     attempt: AttemptNumber,
     target: String,
     next_index: u64,
@@ -97,6 +130,8 @@
     pub fn new(tx: mpsc::UnboundedSender<Piece>) -> Self {
         Self {
             tx,
+            unread: Unread::default(),
+            told: 0,
             attempt: NO_ATTEMPT,
             target: String::new(),
             next_index: 0,
@@ -107,12 +142,39 @@
         }
     }
 
+    /// Returns the count of what the caller has not read, from which its HTTP handler subtracts.
+    pub fn unread(&self) -> Unread {
+        self.unread.clone()
+    }
+
+    /// Returns the name of the target that answers.
+    pub fn target(&self) -> &str {
+        &self.target
+    }
+
+    /// Returns how many bytes of the attempt's body are taken, if its agent is to be told.
+    pub fn newly_taken(&mut self) -> Option<u64> {
+        let buffered = match &self.state {
+            State::Buffering { size, .. } => *size,
+            State::Streaming { splitter, .. } => splitter.partial_bytes(),
+            State::AwaitingHead | State::Forwarding => 0,
+        };
+        let held = self.unread.get() + u64::try_from(buffered).unwrap_or(u64::MAX);
+        let taken = self.length.saturating_sub(held);
+        if self.attempt == NO_ATTEMPT || taken < self.told + TAKEN_STEP_BYTES {
+            return None;
+        }
+        self.told = taken;
+        Some(taken)
+    }
+
     /// Begins an attempt; frames of earlier attempts are ignored from now on.
     pub fn begin(&mut self, attempt: AttemptNumber, target: &str) {
         self.attempt = attempt;
         self.target = target.to_owned();
         self.next_index = 0;
         self.length = 0;
+        self.told = 0;
         self.state = State::AwaitingHead;
     }
 
@@ -254,6 +316,9 @@
     /// Sends a piece to the caller. A closed channel is ignored, since the caller's disconnect
     /// arrives as an event of its own.
     fn send(&mut self, piece: Piece) {
+        if let Piece::Data(data) = &piece {
+            self.unread.add(data.len());
+        }
         drop(self.tx.send(piece));
     }
 }
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -32,6 +32,11 @@
 }
 
 impl Splitter {
+    /// Returns the length of the beginning of an event that is kept.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns true if the beginning of an event is longer than [`MAX_EVENT_BYTES`].
     pub fn is_too_long(&self) -> bool {
         self.partial.len() > MAX_EVENT_BYTES
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -84,12 +84,12 @@
 /// The process did not run for longer than the deadline of its connections.
 pub const AGENT_PAUSED: LogEvent =
     LogEvent { number: 2007, severity: Severity::Warning, title: "process was paused" };
-/// An answer in progress is no longer kept for resends, since answers in progress keep too much.
-pub const ANSWER_NOT_KEPT: LogEvent =
-    LogEvent { number: 2008, severity: Severity::Warning, title: "answer not kept" };
 /// The key-value service failed while claims were read.
 pub const CLAIMS_UNAVAILABLE: LogEvent =
     LogEvent { number: 2008, severity: Severity::Warning, title: "claims unavailable" };
+/// An answer in progress is no longer kept for resends, since answers in progress keep too much.
+pub const ANSWER_NOT_KEPT: LogEvent =
+    LogEvent { number: 2009, severity: Severity::Warning, title: "answer not kept" };
 /// A watch of the key-value service received nothing for too long and is opened again.
 pub const STORE_WATCH_REOPENED: LogEvent =
     LogEvent { number: 3001, severity: Severity::Info, title: "store watch reopened" };
@@ -331,8 +331,8 @@
     AGENT_CONFIG,
     AGENT_DRAINING,
     AGENT_PAUSED,
-    ANSWER_NOT_KEPT,
     CLAIMS_UNAVAILABLE,
+    ANSWER_NOT_KEPT,
     STORE_WATCH_REOPENED,
     STORE_CALL_TIMED_OUT,
     CHANGE_ACCEPTED,
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -103,6 +103,9 @@
     pub address: SocketAddr,
     /// This process, as the hello describes it.
     pub local: wire::Member,
+    /// Bytes of each answer's body that the peer may send ahead of what this process has taken; zero for
+    /// no limit.
+    pub answer_window: u64,
     /// The longest time without a frame from the peer before the link is closed; also the limit
     /// for each step of opening it.
     pub deadline: Duration,
@@ -134,7 +137,11 @@
 async fn run_link(dialer: &Dialer, mut on_event: impl FnMut(LinkEvent)) -> Result<()> {
     let address = dialer.address;
     let (tx, rx) = mpsc::unbounded_channel();
-    let hello = wire::Hello { member: Some(dialer.local.clone()), heartbeat: None };
+    let hello = wire::Hello {
+        member: Some(dialer.local.clone()),
+        heartbeat: None,
+        answer_window: dialer.answer_window,
+    };
     send(&tx, Kind::Hello(hello));
     let mut inbound = open(dialer, rx).await?;
     let first = next_frame(&mut inbound, dialer).await?;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -2,7 +2,7 @@
 /// Frame is one message in either direction.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "frame::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "frame::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: ::core::option::Option<frame::Kind>,
 }
 /// Nested message and enum types in `Frame`.
@@ -29,6 +29,8 @@
         ConfigRequest(super::ConfigRequest),
         #[prost(message, tag = "10")]
         ConfigState(super::ConfigState),
+        #[prost(message, tag = "11")]
+        AnswerTaken(super::AnswerTaken),
     }
 }
 /// Member names one life of one process.
@@ -56,6 +58,10 @@
     pub member: ::core::option::Option<Member>,
     #[prost(message, optional, tag = "2")]
     pub heartbeat: ::core::option::Option<Heartbeat>,
+    /// Bytes of each answer's body that may be sent beyond those that AnswerTaken has named; zero for
+    /// no limit.
+    #[prost(uint64, tag = "3")]
+    pub answer_window: u64,
 }
 /// Heartbeat is sent at least once in each heartbeat interval.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -183,6 +189,15 @@
     #[prost(message, optional, tag = "1")]
     pub id: ::core::option::Option<AttemptId>,
 }
+/// AnswerTaken says how much of an answer's body the entry no longer holds, since its caller has
+/// taken it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AnswerTaken {
+    #[prost(message, optional, tag = "1")]
+    pub id: ::core::option::Option<AttemptId>,
+    #[prost(uint64, tag = "2")]
+    pub bytes: u64,
+}
 /// AnswerHead starts an answer.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct AnswerHead {
--- a/tests/common/agent.rs
+++ b/tests/common/agent.rs
@@ -250,7 +250,7 @@
         data_centre: "kafr-data-centre".to_owned(),
         ..Default::default()
     };
-    let hello = wire::Hello { member: Some(member), heartbeat: None };
+    let hello = wire::Hello { member: Some(member), ..wire::Hello::default() };
     let mut kind = frame::Kind::Hello(hello);
     for sequence in 1.. {
         if tx.send(wire::Frame { kind: Some(kind) }).await.is_err() {
--- a/tests/common/raw_target.rs
+++ b/tests/common/raw_target.rs
@@ -87,12 +87,19 @@
 /// A caller that keeps one connection.
 pub struct RawCaller {
     stream: TcpStream,
+    /// The pause before each read of a few bytes.
+    pause: Duration,
 }
 
 impl RawCaller {
     pub fn open(entry: SocketAddr) -> Self {
         let stream = TcpStream::connect(entry).expect("a connection");
-        Self { stream }
+        Self { stream, pause: Duration::ZERO }
+    }
+
+    /// Returns the caller with a pause before each read.
+    pub fn reading_slowly(self, pause: Duration) -> Self {
+        Self { pause, ..self }
     }
 
     /// Sends a request to the plain service and returns all bytes that come until the connection is
@@ -110,6 +117,7 @@
         loop {
             let wait = if bytes.is_empty() { MAX_WAIT } else { QUIET_TIME };
             self.stream.set_read_timeout(Some(wait)).expect("a time above zero");
+            thread::sleep(self.pause);
             match self.stream.read(&mut buf) {
                 Ok(length) if length > 0 => bytes.extend_from_slice(&buf[..length]),
                 _ => return String::from_utf8_lossy(&bytes).into_owned(),
--- a/tests/endless_targets.rs
+++ b/tests/endless_targets.rs
@@ -203,27 +203,85 @@
     assert_eq!(target.runs(), 1);
 }
 
-macro_rules! floods {
-    ($($name:ident: $flood:expr, $keyed:expr, $reading:expr;)*) => {
-        $(
-            #[actix_rt::test]
-            async fn $name() {
-                flood($flood, $keyed, $reading).await;
-            }
-        )*
+// Guards against a caller that reads slowly and gets a part of a long answer, or waits for the rest.
+#[actix_rt::test]
+async fn a_caller_that_reads_slowly_gets_a_long_answer_whole() {
+    let _alone = FLOODS.lock().await;
+    let plan = Plan { engines: 0, services: 1, adjust_agent: keep_little, ..Plan::default() };
+    let mut fleet = Fleet::start(&plan).expect("the fleet starts");
+    let body = "valve ".repeat(1024 * 1024);
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let target = RawTarget::start(vec![Form { bytes: answer, resets: false }]);
+    fleet.targets[0].redirect_agent(target.address).expect("the agent starts");
+    common::declare_and_wait(&fleet).await;
+    let meter = Meter::start(fleet.entries[0].process.id());
+    let entry = fleet.entry(0);
+    let read = move || {
+        let mut caller = RawCaller::open(entry).reading_slowly(Duration::from_millis(1));
+        caller.exchange("GET", "/form/0", "")
     };
+    let answer = task::spawn_blocking(read).await.expect("no panic");
+    let (head, chunks) = answer.split_once("\r\n\r\n").expect("a head");
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    assert_eq!(chunks.matches('l').count(), 1024 * 1024, "the answer is whole");
+    assert!(chunks.ends_with("\r\n0\r\n\r\n"), "the answer ends");
+    let growth = meter.finish();
+    assert!(growth < MAX_MEMORY_GROWTH_KB, "the entry took {growth} KB more");
+}
+
+// Each of the following guards against bytes without an end that filled a process.
+
+#[actix_rt::test]
+async fn an_endless_document_is_borne() {
+    flood(Flood::Document, false, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn an_endless_document_that_nobody_reads_is_borne() {
+    flood(Flood::Document, false, Reading::Never).await;
+}
+
+#[actix_rt::test]
+async fn an_endless_document_of_a_keyed_request_is_borne() {
+    flood(Flood::Document, true, Reading::AsTheyCome).await;
 }
 
-// Each guards against bytes without end that filled the memory of the agent or the entry.
-floods! {
-    an_endless_document_is_borne: Flood::Document, false, Reading::AsTheyCome;
-    an_endless_document_of_a_keyed_request_is_borne: Flood::Document, true, Reading::AsTheyCome;
-    endless_chunks_are_borne: Flood::PaddedChunks, false, Reading::AsTheyCome;
-    an_endless_event_is_borne: Flood::Event, false, Reading::AsTheyCome;
-    an_endless_event_of_a_keyed_request_is_borne: Flood::Event, true, Reading::AsTheyCome;
-    an_endless_body_without_a_length_is_borne: Flood::UnframedDocument, false, Reading::AsTheyCome;
-    an_endless_head_is_borne: Flood::HeaderLines, false, Reading::AsTheyCome;
-    endless_interim_answers_are_borne: Flood::InterimHeads, false, Reading::AsTheyCome;
-    endless_trailers_are_borne: Flood::Trailers, false, Reading::AsTheyCome;
-    an_endless_chunk_extension_is_borne: Flood::ChunkExtension, false, Reading::AsTheyCome;
+#[actix_rt::test]
+async fn endless_chunks_are_borne() {
+    flood(Flood::PaddedChunks, false, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn an_endless_event_is_borne() {
+    flood(Flood::Event, false, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn an_endless_event_of_a_keyed_request_is_borne() {
+    flood(Flood::Event, true, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn an_endless_body_without_a_length_is_borne() {
+    flood(Flood::UnframedDocument, false, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn an_endless_head_is_borne() {
+    flood(Flood::HeaderLines, false, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn endless_interim_answers_are_borne() {
+    flood(Flood::InterimHeads, false, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn endless_trailers_are_borne() {
+    flood(Flood::Trailers, false, Reading::AsTheyCome).await;
+}
+
+#[actix_rt::test]
+async fn an_endless_chunk_extension_is_borne() {
+    flood(Flood::ChunkExtension, false, Reading::AsTheyCome).await;
 }
--- a/tests/foreign_lives.rs
+++ b/tests/foreign_lives.rs
@@ -37,7 +37,11 @@
         data_centre: "kafr".to_owned(),
         ..wire::Member::default()
     };
-    Kind::Hello(wire::Hello { member: Some(member), heartbeat: Some(heartbeat()) })
+    Kind::Hello(wire::Hello {
+        member: Some(member),
+        heartbeat: Some(heartbeat()),
+        ..wire::Hello::default()
+    })
 }
 
 /// Sends a complete answer to an attempt.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -185,6 +185,7 @@
     let dialer = client::Dialer {
         address: agent,
         local: wire::Member { name: "stale".to_owned(), ..wire::Member::default() },
+        answer_window: 0,
         deadline: Duration::from_secs(2),
     };
     let id = Some(wire::AttemptId { incarnation: 1, counter });
