The table of agents that send notices has a limit, and its upkeep is linear

Found on reading the diff: each round compared every agent heard with every engine listed, and whoever reaches the port could name engines without a limit for the 2.5 s that a notice counts. Notices that are old are dropped by age alone, and the table holds 32,768 agents at most. No figure was measured.

--- a/src/direct/known/agents.rs
+++ b/src/direct/known/agents.rs
@@ -12,6 +12,9 @@
 /// Time without a notice after which an agent may not know this entry. Agents send one a second.
 const MAX_NOTICE_AGE: Duration = Duration::from_millis(2_500);
 
+/// Limit of the agents on record, above the size of any fleet. Whoever reaches the port can name engines.
+const MAX_AGENTS: usize = 32_768;
+
 /// Entries that introduce themselves to one agent in each round, on average.
 const INTRODUCTIONS_PER_AGENT: usize = 3;
 
@@ -24,12 +27,13 @@
 impl Agents {
     /// Records a notice of the agent beside an engine.
     pub fn record_notice(&mut self, engine: SocketAddr, now: Duration) {
-        self.heard.insert(engine, now);
+        if self.heard.len() < MAX_AGENTS || self.heard.contains_key(&engine) {
+            self.heard.insert(engine, now);
+        }
     }
 
     /// Returns the engines whose agents this entry introduces itself to in this round, of all those
-    /// listed, and forgets the others. `entries` counts the live entries, which do the same; `draw` is
-    /// any random number.
+    /// listed. `entries` counts the live entries, which do the same; `draw` is any random number.
     pub fn to_introduce(
         &mut self,
         engines: &[SocketAddr],
@@ -37,9 +41,7 @@
         draw: usize,
         now: Duration,
     ) -> Vec<SocketAddr> {
-        self.heard.retain(|engine, at| {
-            now.saturating_sub(*at) < MAX_NOTICE_AGE && engines.contains(engine)
-        });
+        self.heard.retain(|_, at| now.saturating_sub(*at) < MAX_NOTICE_AGE);
         let unheard: Vec<SocketAddr> =
             engines.iter().copied().filter(|engine| !self.heard.contains_key(engine)).collect();
         let count = unheard.len() * INTRODUCTIONS_PER_AGENT;
