Tests: an answer that breaks off in its head or body does not look whole

It can't happen: 502, or 503 after the server was ejected; a stream breaks off for its caller as well. The own interface has its test in tests/odd_answers.rs.

--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -47,6 +47,8 @@
     BeforeSlow(&'static str, Duration),
     /// The server executes the request, and writes these bytes in place of its response.
     Instead(&'static str),
+    /// The same, and the connection is closed.
+    InsteadAndClose(&'static str),
     /// The server responds as for [`Fault::NotExecuted`], and then writes these bytes after this time.
     NotExecutedThen(&'static str, Duration),
     /// The stream goes on with these bytes, as they are, after this many events, and is closed.
@@ -358,6 +360,11 @@
             Some(Fault::Instead(bytes)) => {
                 return stream.write_all(bytes.as_bytes()).await.is_ok();
             }
+            Some(Fault::InsteadAndClose(bytes)) => {
+                // The connection is closed whether or not the bytes arrive.
+                drop(stream.write_all(bytes.as_bytes()).await);
+                return false;
+            }
             _ => {}
         }
         if req.is_stream() {
