Entries keep records for others only while some seed is not heard

Cause: a fleet whose seeds are all up needs no records, since whoever starts finds it by them. Change: the store readers keep and read records while some seed is not heard.

--- a/src/direct/decisions/contact_rounds.rs
+++ b/src/direct/decisions/contact_rounds.rs
@@ -1,9 +1,9 @@
 //! When an entry looks for others in the store, and when it keeps a record there for them.
 //!
 //! Load pattern: the whole fleet starts within a fraction of a second, with the hosts that the
-//! settings name as seeds, without them, or while the store is silent. Entries that hear each other
-//! by their seeds leave the calls to the few store readers. Without seeds each one looks once after a
-//! random delay, so that the first of them are on record when the others look.
+//! settings name as seeds, without them, or while the store is silent. While all seeds are heard
+//! nobody needs the store; when one is not, the few store readers keep records. Without seeds each one
+//! looks once after a random delay, so that the first of them are on record when the others look.
 
 use std::time::Duration;
 
@@ -31,6 +31,17 @@
 /// an outage of the store in which leases go on.
 pub const RECORD_LIFETIME: Duration = Duration::from_secs(60);
 
+/// Whom an entry hears.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Heard {
+    /// No other entry.
+    Nobody,
+    /// Others, but not all seeds, so that an entry that starts may find nobody by its seeds.
+    Some,
+    /// Others, and those on all seed hosts.
+    AllSeeds,
+}
+
 /// What an entry does at a check.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Look {
@@ -66,14 +77,13 @@
     }
 
     /// Returns what to do at a check at `now`, a time since the start.
-    pub fn look(&mut self, hears_others: bool, is_reader: bool, now: Duration) -> Look {
-        if !hears_others {
-            return Look::Alone;
-        }
-        if !is_reader || now < self.reader_due.unwrap_or(SETTLING_TIME) {
-            return Look::None;
+    pub fn look(&self, heard: Heard, is_reader: bool, now: Duration) -> Look {
+        let is_due = now >= self.reader_due.unwrap_or(SETTLING_TIME);
+        match heard {
+            Heard::Nobody => Look::Alone,
+            Heard::Some if is_reader && is_due => Look::Reader,
+            Heard::Some | Heard::AllSeeds => Look::None,
         }
-        Look::Reader
     }
 
     /// Records that a look of a reader has succeeded. `draw` is random, from 0 to 1.
--- a/src/direct/peering/contacts.rs
+++ b/src/direct/peering/contacts.rs
@@ -1,8 +1,8 @@
 //! Finds other entries by records in the store, and keeps such a record for them.
 //!
-//! An entry that hears nobody reads the records and writes its own. The store readers keep theirs
-//! while the fleet runs, so that an entry whose seeds are gone finds them, and read those of others
-//! now and then, so that two parts of a fleet that have lost each other meet again.
+//! An entry that hears nobody reads the records and writes its own. While some seed is not heard, the
+//! store readers keep theirs, so that an entry whose seeds are gone finds them, and read those of
+//! others now and then, so that two parts of a fleet that have lost each other meet again.
 //! [`contact_rounds`](crate::direct::decisions::contact_rounds) decides when.
 
 use std::net::SocketAddr;
@@ -10,7 +10,8 @@
 
 use tokio::time;
 
-use crate::direct::decisions::contact_rounds::{ContactRounds, Keep, Look, RECORD_LIFETIME};
+use crate::collections::Set;
+use crate::direct::decisions::contact_rounds::{ContactRounds, Heard, Keep, Look, RECORD_LIFETIME};
 use crate::direct::known::contact::Contact;
 use crate::direct::known::store::{Freshness, Lease, Result, SavedItem, StoreError};
 use crate::direct::peering::sync::StateSync;
@@ -31,8 +32,8 @@
     };
     time::sleep(ContactRounds::first_pause(entry.random_fraction())).await;
     while !entry.is_stopping() {
-        let hears_others = seeker.report_alone(&sync);
-        let look = seeker.rounds.look(hears_others, sync.is_reader(), entry.now());
+        let heard = seeker.check(&sync);
+        let look = seeker.rounds.look(heard, sync.is_reader(), entry.now());
         let new = match seeker.look(&sync, look).await {
             Ok(new) => new,
             Err(error) => {
@@ -55,18 +56,28 @@
 }
 
 impl Seeker {
-    /// Returns true if other entries are heard, and logs when that changes.
-    fn report_alone(&mut self, sync: &StateSync) -> bool {
+    /// Returns who is heard, and logs when that becomes nobody, or somebody again.
+    fn check(&mut self, sync: &StateSync) -> Heard {
         let entry = &sync.entry;
         let interval = entry.options.heartbeat_interval;
-        let heard = entry.peers.borrow().live(interval, entry.now()).count();
+        let live: Set<SocketAddr> = {
+            let peers = entry.peers.borrow();
+            peers.live(interval, entry.now()).map(|peer| peer.addr).collect()
+        };
+        let heard = live.len();
         let is_alone = heard == 0;
         if is_alone != self.is_alone {
             self.is_alone = is_alone;
             let event = if is_alone { events::ENTRY_ALONE } else { events::ENTRY_NOT_ALONE };
             events::log(event, format_args!("heard={heard}"));
         }
-        !is_alone
+        let seeds = sync.seeds.borrow();
+        let is_heard = |seed: &SocketAddr| *seed == self.local.addr || live.contains(seed);
+        match is_alone {
+            true => Heard::Nobody,
+            false if !seeds.is_empty() && seeds.iter().all(is_heard) => Heard::AllSeeds,
+            false => Heard::Some,
+        }
     }
 
     /// Reads the records, if it is time to, and keeps the own one. Returns the number of addresses
--- a/tests/direct/contacts.rs
+++ b/tests/direct/contacts.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bitternwall::direct::decisions::contact_rounds::{ContactRounds, Keep, Look};
+use bitternwall::direct::decisions::contact_rounds::{ContactRounds, Heard, Keep, Look};
 use bitternwall::direct::known::agents::Agents;
 use bitternwall::direct::known::contact::Contact;
 use bitternwall::direct::known::peers::Peers;
@@ -47,14 +47,23 @@
     contacted: Vec<usize>,
 }
 
+/// The seeds of a simulated fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Seeds {
+    Down,
+    /// All entries meet by one of them, and another is down.
+    OneDown,
+    Up,
+}
+
 /// Plays a fleet that starts at once for a time. Returns its calls to the store in order.
-fn play(entries: usize, seeds_up: bool, time: Duration, seed: u64) -> Vec<(Duration, Call)> {
+fn play(entries: usize, seeds: Seeds, time: Duration, seed: u64) -> Vec<(Duration, Call)> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut seekers: Vec<Seeker> = Vec::new();
     let mut checks: BTreeMap<(Duration, usize), ()> = BTreeMap::new();
     for index in 0..entries {
         let started = START_SPREAD.mul_f64(rng.random());
-        let hears_others_from = seeds_up.then_some(START_SPREAD + ACQUAINTANCE_TIME);
+        let hears_others_from = (seeds != Seeds::Down).then_some(START_SPREAD + ACQUAINTANCE_TIME);
         seekers.push(Seeker { started, hears_others_from, ..Seeker::default() });
         checks.insert((started + ContactRounds::first_pause(rng.random()), index), ());
     }
@@ -65,7 +74,12 @@
         }
         let hears_others = seekers[index].hears_others_from.is_some_and(|at| at <= now);
         let uptime = now - seekers[index].started;
-        let look = seekers[index].rounds.look(hears_others, index < READERS, uptime);
+        let heard = match (hears_others, seeds) {
+            (false, _) => Heard::Nobody,
+            (true, Seeds::Up) => Heard::AllSeeds,
+            (true, Seeds::Down | Seeds::OneDown) => Heard::Some,
+        };
+        let look = seekers[index].rounds.look(heard, index < READERS, uptime);
         let mut new = 0;
         if look != Look::None {
             let is_alone = look == Look::Alone;
@@ -117,7 +131,7 @@
 fn a_fleet_that_starts_at_once_without_seeds_stays_within_the_calls_of_the_store() {
     for entries in [2, 13, 60, 1_600] {
         for seed in 1..=5 {
-            let calls = play(entries, false, Duration::from_secs(4), seed);
+            let calls = play(entries, Seeds::Down, Duration::from_secs(4), seed);
             let reads = most_per_second(&calls, &[Call::Read, Call::StaleRead, Call::Renewal]);
             let writes = most_per_second(&calls, &[Call::Write]);
             println!("{entries} entries: {reads} reads and {writes} writes in the worst second");
@@ -128,10 +142,17 @@
 }
 
 #[test]
-fn a_fleet_that_finds_itself_by_seeds_leaves_the_calls_to_its_readers() {
+fn a_fleet_that_hears_all_of_its_seeds_makes_no_calls() {
+    for entries in [13, 60, 1_600] {
+        assert_eq!(play(entries, Seeds::Up, Duration::from_secs(60), 1), []);
+    }
+}
+
+#[test]
+fn a_fleet_that_lacks_a_seed_leaves_the_calls_to_its_readers() {
     for entries in [13, 60, 1_600] {
         let minute = Duration::from_secs(60);
-        let calls = play(entries, true, minute, 1);
+        let calls = play(entries, Seeds::OneDown, minute, 1);
         let count = |kind| calls.iter().filter(|(_, call)| *call == kind).count();
         let first_seconds = calls.iter().filter(|(at, _)| *at < Duration::from_secs(3)).count();
         println!(
@@ -149,13 +170,13 @@
 
 #[test]
 fn an_entry_that_stays_alone_goes_on_looking() {
-    let mut rounds = ContactRounds::default();
+    let rounds = ContactRounds::default();
     let day = Duration::from_secs(86_400);
-    assert_eq!(rounds.look(false, true, day), Look::Alone);
+    assert_eq!(rounds.look(Heard::Nobody, true, day), Look::Alone);
     assert!(ContactRounds::pause(Look::Alone, 0, 1.0) <= Duration::from_millis(1_250));
     assert_eq!(ContactRounds::keep(Look::Alone, 0, false), Keep::Write);
     assert_eq!(ContactRounds::keep(Look::Alone, 2, false), Keep::Nothing);
-    assert_eq!(rounds.look(true, false, day), Look::None);
+    assert_eq!(rounds.look(Heard::Some, false, day), Look::None);
 }
 
 fn addr(number: u8) -> SocketAddr {
