--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::{CONTACT, Rig, Seen, Server, cannot_run, lock};
+use crate::{CONTACT, CRASHING_PART, Rig, Seen, Server, cannot_run, lock};
 
 const HOST: &str = "ficu95.example";
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
@@ -17,6 +17,7 @@
 pub fn run(case: &str) -> i32 {
     match case {
         "copies" => copies(),
+        "parts" => parts(),
         "turned-away" => turned_away(),
         "gone" => gone(),
         _ => cannot_run("no such case"),
@@ -73,15 +74,19 @@
 const COPIES: usize = 8;
 const COPY_PAUSE: Duration = Duration::from_millis(60);
 
-/// Sends copies of one request within half a second, each as an attempt of its own at another entry.
-/// Returns the statuses, 0 for no answer.
-fn send_copies(rig: &Arc<Rig>, first_entry: usize, body: &'static [u8]) -> Vec<u16> {
+/// Sends some requests within half a second, each as an attempt of its own at another entry. Returns
+/// the statuses, 0 for no answer.
+fn send_copies(
+    rig: &Arc<Rig>,
+    first_entry: usize,
+    request: impl Fn(usize) -> (String, Vec<u8>),
+) -> Vec<u16> {
     let senders: Vec<_> = (0..COPIES)
         .map(|index| {
-            let rig = Arc::clone(rig);
+            let (rig, (head, body)) = (Arc::clone(rig), request(index));
             thread::spawn(move || {
                 thread::sleep(COPY_PAUSE * index as u32);
-                let (_, answer) = rig.send(first_entry + index, &head(KEY), body, DEADLINE);
+                let (_, answer) = rig.send(first_entry + index, &head, &body, DEADLINE);
                 answer.map_or(0, |answer| answer.status())
             })
         })
@@ -95,19 +100,14 @@
     let (rig, _servers) = start("copies");
     let body: &'static [u8] =
         if rig.trouble { b"crash {\"valve\":7,\"hold\":true}" } else { b"{\"valve\":7,\"hold\":true}" };
-    for index in 0..13 {
-        let (_, answer) = rig.send(index, &head(KEY), b"{\"valve\":1,\"hold\":false}", DEADLINE);
-        if answer.map_or(0, |answer| answer.status()) != 200 {
-            cannot_run("the calm requests are not served");
-        }
-    }
+    serve_calm_requests(&rig);
     for time in 0..3 {
-        let statuses = send_copies(&rig, time, body);
+        let statuses = send_copies(&rig, time, |_| (head(KEY), body.to_vec()));
         rig.record.line(&format!("time {}: {COPIES} copies get {statuses:?}", time + 1));
         thread::sleep(Duration::from_secs(7));
     }
     let seen = lock(&rig.seen);
-    let late = retries_after_the_third_crash(&seen, body);
+    let late = arrivals_after_crashes(&seen, 3);
     rig.record.line(&format!(
         "{} crashes; {late} arrivals later than {} ms after the third (bound: 3)",
         seen.crashes.len(),
@@ -116,10 +116,48 @@
     i32::from(late > 3)
 }
 
-fn retries_after_the_third_crash(seen: &Seen, body: &[u8]) -> usize {
-    let Some(third) = seen.crashes.get(2) else { return 0 };
-    let from: Instant = *third + CONTACT;
-    seen.arrivals.iter().filter(|arrival| arrival.body == body && arrival.at > from).count()
+/// Sends one request to each entry, which has to be served.
+fn serve_calm_requests(rig: &Rig) {
+    for index in 0..rig.entries.len() {
+        let (_, answer) = rig.send(index, &head(KEY), b"{\"valve\":1,\"hold\":false}", DEADLINE);
+        if answer.map_or(0, |answer| answer.status()) != 200 {
+            cannot_run("the calm requests are not served");
+        }
+    }
+}
+
+/// Returns the crashing requests that arrived later than `contactMs` after so many crashes.
+fn arrivals_after_crashes(seen: &Seen, crashes: usize) -> usize {
+    let Some(last) = crashes.checked_sub(1).and_then(|index| seen.crashes.get(index)) else { return 0 };
+    let from: Instant = *last + CONTACT;
+    seen.arrivals.iter().filter(|arrival| arrival.crashes && arrival.at > from).count()
+}
+
+/// BUDGET: more than three requests with a part that crashes servers reach servers later than
+/// `contactMs` after the fifth crash.
+fn parts() -> i32 {
+    let (rig, _servers) = start("parts");
+    let part = if rig.trouble { CRASHING_PART } else { "91bd3f06:410" };
+    // Traffic starts 10 s after the machines do.
+    thread::sleep(Duration::from_secs(8));
+    serve_calm_requests(&rig);
+    for time in 0..4 {
+        let statuses = send_copies(&rig, time, |index| {
+            let own_part = format!("e4402{time}{index:02}:250");
+            let head = format!("{}Bitternwall-Prefix-Hash: {part},{own_part}\r\n", head(KEY));
+            (head, format!("{{\"valve\":{time}{index:02}}}").into_bytes())
+        });
+        rig.record.line(&format!("time {}: {COPIES} requests get {statuses:?}", time + 1));
+        thread::sleep(Duration::from_secs(7));
+    }
+    let seen = lock(&rig.seen);
+    let late = arrivals_after_crashes(&seen, 5);
+    rig.record.line(&format!(
+        "{} crashes; {late} arrivals later than {} ms after the fifth (bound: 3)",
+        seen.crashes.len(),
+        CONTACT.as_millis()
+    ));
+    i32::from(late > 3)
 }
 
 /// The machines that the store turns away, 4 of 13.
--- a/review/rig-3/rig.rs
+++ b/review/rig-3/rig.rs
@@ -312,7 +312,7 @@
     pub at: Instant,
     pub attempt: String,
     pub server: String,
-    pub tenant: Option<String>,
+    pub crashes: bool,
     pub body: Vec<u8>,
 }
 
@@ -338,6 +338,8 @@
     life: Mutex<(u32, Vec<TcpStream>)>,
 }
 
+/// A part of prompts that crashes the servers which run requests with it, unless it is the last part.
+pub const CRASHING_PART: &str = "5c1e07a2:800";
 /// Time from the beginning of a crashing request to the end of its server.
 const CRASH_AFTER: Duration = Duration::from_millis(700);
 /// Time after which a server that has crashed starts again.
@@ -422,10 +424,11 @@
                 write_answer(&mut out, "421 Misdirected Request", &headers, b"")?;
                 continue;
             }
-            let tenant = request.header("Bitternwall-Tenant").map(str::to_owned);
-            let crashes = request.body.starts_with(b"crash");
+            let parts = request.header("Bitternwall-Prefix-Hash").unwrap_or("");
+            let has_crashing_part = parts.split(',').rev().skip(1).any(|part| part == CRASHING_PART);
+            let crashes = has_crashing_part || request.body.starts_with(b"crash");
             self.record.line(&format!(
-                "server {id} runs {attempt} tenant={tenant:?} {}{}",
+                "server {id} runs {attempt} {}{}",
                 request.first_line,
                 if crashes { ", which crashes it" } else { "" }
             ));
@@ -433,7 +436,7 @@
                 at: Instant::now(),
                 attempt: attempt.clone(),
                 server: id.clone(),
-                tenant,
+                crashes,
                 body: request.body.clone(),
             });
             if crashes {
