--- a/src/direct/peering/mod.rs
+++ b/src/direct/peering/mod.rs
@@ -8,6 +8,7 @@
 pub mod permits;
 pub mod rank_notices;
 mod standing;
+mod store_reader;
 pub mod sync;
 mod target_list;
 pub mod transfer;
