Entries ask the store for themselves when no reader has an answer in time

Cause: only the three store readers noticed the silence, 1.6 s after the last answer, and the entry that replaced one of them was turned away too, so the next one stepped in a time-out (1.5 s) later. The bound rested on one chosen entry after another, by names that never change.

Evidence: turned_away::a_change_was_in_force_late_while_the_store_turned_its_readers_away failed before the change ("Silent to [3, 7, 5, 9]: version 2 is late at" all 13 entries) and passes with it.

Change: 1.6 s after the last confirmation every entry asks for itself, in a fleet of more than 32 a random part of them, 32 on average, in each round. A list without an answer for 0.4 s lets the next reader step in. An entry that was turned away and is not among the first three of all asks in rounds only, so calls in an outage do not grow with the fleet. The first reader asks every 0.9 to 1.1 s (1.0 to 1.2 s before), which leaves 0.1 s more for the way to the others, and heartbeats tell how long the store takes for its answers, so that a slow store is not taken for a silent one.

The test only_the_first_reader_asks_often stated the old wait, 1 s; it states the new one, which is shorter.

Why it works: whoever is served asks at that time, whichever entries are turned away. tests/direct/ turned_away.rs goes through all draws of 4 and 5 of 13 and bounds the probability in fleets of up to 1,600.

--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -80,6 +80,10 @@
     /// Milliseconds since the store last left a call of the sender unanswered; absent while it answers.
     #[prost(uint64, optional, tag = "27")]
     pub store_failed_ms: Option<u64>,
+    /// Milliseconds that the store took for its last answer to the sender, beyond the wait for changes;
+    /// only from the entry that asks often.
+    #[prost(uint64, optional, tag = "29")]
+    pub store_answer_ms: Option<u64>,
     /// Milliseconds since the end of the outage after which the sender keeps targets beside its list;
     /// absent while it keeps none.
     #[prost(uint64, optional, tag = "28")]
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -15,5 +15,7 @@
 pub mod permit;
 pub mod standing;
 pub mod store;
+pub mod store_calls;
 pub mod store_outages;
+pub mod store_readers;
 pub mod target;
--- a/src/direct/known/peers.rs
+++ b/src/direct/known/peers.rs
@@ -47,9 +47,6 @@
 /// The part of what one entry hands out for all while the size of the fleet is not known.
 const UNKNOWN_FLEET_SHARE: f64 = 1.0 / 3.0;
 
-/// Store readers: entries that read the store on behalf of all others.
-pub const STORE_READERS: usize = 3;
-
 /// One other entry.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -321,23 +318,6 @@
         (size > 1 || !self.expects_others).then_some(size)
     }
 
-    /// Returns the position of the entry of this name among the store readers, which are the first by
-    /// hash of the name among the live entries that the store answers; `None` if it is none of them.
-    pub fn reader_position(
-        &self,
-        name: &str,
-        heartbeat_interval: Duration,
-        now: Duration,
-    ) -> Option<usize> {
-        let local_hash = name_hash(name);
-        let readers_before = self
-            .live(heartbeat_interval, now)
-            .filter(|peer| peer.heartbeat.reads_store && !peer.heartbeat.leaving)
-            .filter(|peer| name_hash(&peer.heartbeat.name) < local_hash)
-            .count();
-        (readers_before < STORE_READERS).then_some(readers_before)
-    }
-
     /// Returns the address of the entry that hands out the permits of a target; `None` if it is the
     /// local one, of this name. `leaving` is true while the local entry is stopping.
     pub fn permit_owner(
@@ -394,6 +374,6 @@
     recipients.iter().copied().skip(offset).step_by(rotation)
 }
 
-fn name_hash(name: &str) -> u64 {
+pub(super) fn name_hash(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -94,7 +94,7 @@
         targets_at: state.targets_at().revision,
         standing_era: state.standing().position().era,
         standing_at: state.standing().position().revision,
-        reads_store: entry.store_answers.get(),
+        reads_store: entry.store_calls.answers.get(),
         loads: local_loads,
         known_peers,
         leaving: entry.is_stopping(),
@@ -107,7 +107,8 @@
         configuration_age_ms: age_ms(entry, Collection::Configuration),
         targets_age_ms: age_ms(entry, Collection::Targets),
         lapsed_since_ms: lapsed_since_ms(entry),
-        store_failed_ms: entry.store_failed_at.get().map(|at| millis(now.saturating_sub(at))),
+        store_failed_ms: entry.store_calls.failed_at.get().map(|at| millis(now.saturating_sub(at))),
+        store_answer_ms: entry.store_calls.answer_time.get().map(millis),
         demand: entry.places.borrow().report(now),
         standing: StandingMessage::brief(state.standing()),
     }
--- a/src/direct/peering/store_reader.rs
+++ b/src/direct/peering/store_reader.rs
@@ -18,6 +18,9 @@
 /// Pause between two checks whether this entry is a store reader.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Delay of a check after the moment at which something may have become due.
+const CHECK_DELAY: Duration = Duration::from_millis(1);
+
 /// How the store has answered the calls for one collection.
 #[derive(Debug, Default)]
 struct Calls {
@@ -28,14 +31,12 @@
 }
 
 impl StateSync {
-    /// Reads and watches one collection while this entry is a store reader, until the process ends.
+    /// Reads and watches one collection while this entry is a store reader, and reads it when this
+    /// entry is to ask for itself, until the process ends.
     pub async fn follow(self: Rc<Self>, collection: Collection) {
         let mut calls = Calls::default();
         loop {
-            if !self.is_reader() {
-                time::sleep(ROLE_CHECK_INTERVAL).await;
-                continue;
-            }
+            self.until_due(collection).await;
             let Some(at) = self.read(collection, &mut calls).await else { continue };
             self.watch(collection, at, &mut calls).await;
         }
@@ -43,7 +44,14 @@
 
     fn reader_position(&self) -> Option<usize> {
         let Options { name, heartbeat_interval, .. } = &self.entry.options;
-        self.entry.peers.borrow().reader_position(name, *heartbeat_interval, self.entry.now())
+        let (peers, now) = (self.entry.peers.borrow(), self.entry.now());
+        // In an outage each entry finds that the store answers none of those before it. Only the regular
+        // readers go on asking; the others do so in rounds.
+        let is_turned_away = self.entry.store_calls.failed_at.get().is_some();
+        if is_turned_away && !peers.is_regular_reader(name, *heartbeat_interval, now) {
+            return None;
+        }
+        peers.reader_position(name, *heartbeat_interval, now)
     }
 
     /// Returns true if this entry is one of those that read the store on behalf of all.
@@ -51,10 +59,55 @@
         self.reader_position().is_some()
     }
 
+    /// Waits until this entry is to read a collection: as a store reader, or for itself.
+    async fn until_due(&self, collection: Collection) {
+        let Options { heartbeat_interval, .. } = self.entry.options;
+        while !self.is_reader() {
+            self.entry.store_calls.answer_time.set(None);
+            let (times, now) = (self.read_times(), self.entry.now());
+            // An entry that has heard of no confirmation yet may have been without one since its start.
+            let age = self.entry.confirmations.age(collection, now).unwrap_or(now);
+            let (answer_time, entries) = {
+                let peers = self.entry.peers.borrow();
+                let live = peers.live(heartbeat_interval, now).count();
+                (peers.store_answer_time(heartbeat_interval, now), live + 1)
+            };
+            let left = times.own_read_age(answer_time).saturating_sub(age);
+            if !left.is_zero() {
+                time::sleep((left + CHECK_DELAY).min(ROLE_CHECK_INTERVAL)).await;
+                continue;
+            }
+            let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+            if times.asks_for_itself(entries, self.entry.random_fraction()) {
+                self.entry.metrics.store_own_read();
+                events::log(
+                    events::STORE_ASKED,
+                    format_args!(
+                        "collection={} age_ms={} entries={entries}",
+                        collection.name(),
+                        age.as_millis()
+                    ),
+                );
+                return;
+            }
+            time::sleep(times.round()).await;
+        }
+    }
+
     /// Reads a complete collection. Returns the position to watch from; `None` if the call failed.
     async fn read(&self, collection: Collection, calls: &mut Calls) -> Option<Position> {
         let began = self.entry.now();
-        match (self.store.list)(collection).await {
+        let mut call = (self.store.list)(collection);
+        let in_time = time::timeout(self.read_times().answer_time(calls.answer_took), &mut call);
+        let listing = match in_time.await {
+            Ok(listing) => listing,
+            Err(_) => {
+                // A late answer is used, but the others need not wait for it to ask themselves.
+                self.record_unanswered();
+                call.await
+            }
+        };
+        match listing {
             Ok(listing) => {
                 calls.answer_took = self.entry.now().saturating_sub(began);
                 self.store_answered(collection, calls);
@@ -75,6 +128,8 @@
         while let Some(position) = self.reader_position() {
             let began = self.entry.now();
             let times = self.read_times();
+            let answer_time = (position == 0).then_some(calls.answer_took);
+            self.entry.store_calls.answer_time.set(answer_time);
             let wait = times.watch_wait(position == 0, self.entry.random_fraction());
             let call = Watch {
                 collection,
@@ -137,7 +192,7 @@
             let age = self.entry.confirmations.age(collection, self.entry.now());
             match age.unwrap_or_default() {
                 age if age > max_age => return age,
-                age => time::sleep((max_age - age).max(ROLE_CHECK_INTERVAL)).await,
+                age => time::sleep(max_age - age + CHECK_DELAY).await,
             }
         }
     }
@@ -151,9 +206,9 @@
                 format_args!("collection={} failures={failures}", collection.name()),
             );
         }
-        self.entry.store_failed_at.set(None);
+        self.entry.store_calls.failed_at.set(None);
         self.record_store_answer(now, &self.entry.options.name);
-        if !self.entry.store_answers.replace(true) {
+        if !self.entry.store_calls.answers.replace(true) {
             self.notify_changed();
         }
     }
@@ -184,19 +239,24 @@
             );
         }
         self.entry.metrics.store_failed(collection.name());
-        // The others choose another reader once they know.
-        if self.entry.store_answers.replace(false) {
-            self.notify_changed();
-        }
-        let now = self.entry.now();
-        self.entry.store_failed_at.set(Some(now));
-        self.entry.store_outages.record_failure(now);
+        self.record_unanswered();
         calls.failures = calls.failures.saturating_add(1);
-        let took = now.saturating_sub(began);
+        let took = self.entry.now().saturating_sub(began);
         let draw = self.entry.random_fraction();
         time::sleep(self.read_times().retry_pause(calls.failures, took, draw)).await;
     }
 
+    /// Records that a call has no answer, or none yet.
+    fn record_unanswered(&self) {
+        let now = self.entry.now();
+        self.entry.store_calls.failed_at.set(Some(now));
+        self.entry.store_outages.record_failure(now);
+        // The others choose another reader once they know.
+        if self.entry.store_calls.answers.replace(false) {
+            self.notify_changed();
+        }
+    }
+
     fn read_times(&self) -> ReadTimes {
         ReadTimes::new(self.entry.options.in_force_time)
     }
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -26,6 +26,7 @@
 use crate::direct::known::peers::Peers;
 use crate::direct::known::permit::RateReport;
 use crate::direct::known::store::Position;
+use crate::direct::known::store_calls::StoreCalls;
 use crate::direct::known::store_outages::StoreOutages;
 use crate::direct::known::target::{Outcome, Target};
 use crate::direct::message::TargetProtocol;
@@ -118,10 +119,8 @@
     pub exiting: Cell<bool>,
     /// True once a stopping process refuses new requests.
     pub refusing: Cell<bool>,
-    /// True while the store answers this entry.
-    pub store_answers: Cell<bool>,
-    /// When it last left a call of this entry unanswered; `None` while it answers.
-    pub store_failed_at: Cell<Option<Duration>>,
+    /// How the store has answered the calls of this entry.
+    pub store_calls: StoreCalls,
     /// The outages of the store, as far as this entry knows from all entries.
     pub store_outages: StoreOutages,
     /// Notified when a slot becomes available or targets change.
@@ -169,8 +168,7 @@
             stop: Cell::new(None),
             exiting: Cell::new(false),
             refusing: Cell::new(false),
-            store_answers: Cell::new(false),
-            store_failed_at: Cell::default(),
+            store_calls: StoreCalls::default(),
             store_outages: StoreOutages::new(options.target_renewal_interval),
             slots_changed: Notify::new(),
             silence_changed: Notify::new(),
--- a/src/direct/state/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -24,6 +24,7 @@
     store_era: IntGauge,
     store_returns: IntCounter,
     store_outages: IntCounter,
+    store_own_reads: IntCounter,
     lapsed_targets: IntGauge,
     first_event: Histogram,
     pause: Histogram,
@@ -104,6 +105,10 @@
                 "bitternwall_direct_store_outages_total",
                 "Outages in which the store answered no entry and leases may have expired.",
             )?,
+            store_own_reads: counter(
+                "bitternwall_direct_store_own_reads_total",
+                "Reads of the store by this entry for itself, since no reader had an answer in time.",
+            )?,
             lapsed_targets: gauge(
                 "bitternwall_direct_lapsed_targets",
                 "Targets that went off the list around an outage and may register again.",
@@ -265,6 +270,11 @@
         self.store_outages.inc();
     }
 
+    /// Counts a read of the store by an entry that is no reader.
+    pub fn store_own_read(&self) {
+        self.store_own_reads.inc();
+    }
+
     /// Sets the number of targets that are off the list and may register again.
     pub fn lapsed_targets(&self, targets: usize) {
         self.lapsed_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -78,6 +78,7 @@
     events::PLACE_GRANTED,
     events::CONTACT_FOUND,
     events::CONTACTS_FAILED,
+    events::STORE_ASKED,
     events::BUFFERS_SHORT,
     events::BODY_REFUSED,
     events::OUTAGE_LASTS,
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -253,6 +253,10 @@
 /// The records by which entries find each other could not be read or written.
 pub const CONTACTS_FAILED: LogEvent =
     LogEvent { number: 7056, severity: Severity::Warning, title: "contacts failed" };
+/// No entry has told of a recent confirmation of the state, so this one, which is no reader, asks the
+/// store for itself.
+pub const STORE_ASKED: LogEvent =
+    LogEvent { number: 7057, severity: Severity::Info, title: "store asked" };
 /// Buffers for callers became short, or free again.
 pub const BUFFERS_SHORT: LogEvent =
     LogEvent { number: 7070, severity: Severity::Warning, title: "buffers short" };
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -52,3 +52,5 @@
 mod store_outages;
 #[path = "direct/target_choice.rs"]
 mod target_choice;
+#[path = "direct/turned_away.rs"]
+mod turned_away;
--- a/tests/direct/read_times.rs
+++ b/tests/direct/read_times.rs
@@ -27,6 +27,9 @@
         let max_age = times.max_age(USUAL_ANSWER);
         prop_assert!(max_age + USUAL_ANSWER + SPREAD_TIME <= in_force, "the others give up in time");
         prop_assert!(max_age >= unanswered, "the others do not give up before the first reader");
+        let own_read_age = times.own_read_age(USUAL_ANSWER);
+        prop_assert!(own_read_age > max_age, "the readers go before all others");
+        prop_assert!(own_read_age + USUAL_ANSWER + SPREAD_TIME <= in_force, "all others ask in time");
     }
 
     /// Each pause between two failed calls leaves time for a call, whatever failed before.
@@ -50,7 +53,7 @@
 #[test]
 fn only_the_first_reader_asks_often() {
     let times = ReadTimes::new(Duration::from_secs(2));
-    assert_eq!(times.watch_wait(true, 0.0), Duration::from_secs(1));
+    assert_eq!(times.watch_wait(true, 0.0), Duration::from_millis(900));
     assert_eq!(times.watch_wait(false, 0.0), Duration::from_secs(8));
     let large = ReadTimes::new(Duration::from_secs(600));
     assert!(large.watch_wait(false, 0.0) <= Duration::from_secs(30), "stores allow no more");
