An outage of the store is evident once a majority of the entries asked in vain

Cause: any time of two renewal intervals in which nobody had an answer and some call failed counted as an outage. The readers had failed; nobody else had asked. So each target that went off the list in that time, or 2.3 s after it, was kept as one that may register again.

Evidence: by the old rule one failed call is enough: the first step of entries_that_have_not_asked_are_ no_evidence_of_an_outage, put to the old store_outages.rs, fails ("1 asked", MayHaveLapsed, not Gone).

Change: an outage is evident once more than half of the live entries, or twelve of a large fleet, have had a call without an answer since the store last answered any. Calls follow from the shorter of the time for changes and five sixths of two renewal intervals, so that the evidence is there before leases expire. Event 7058 and two metrics tell an outage from a share that is turned away.

Why it works: a third of the entries is no majority, and in an outage all that ask fail. Tests: outages before and after a share, fleets that shrink, and fleets of 58 to 1,600.

--- a/src/direct/daemon.rs
+++ b/src/direct/daemon.rs
@@ -299,6 +299,7 @@
     sync.drop_due_lapses();
     sync.release_withheld();
     sync.report_ages();
+    sync.report_unanswered();
     entry.crashes.borrow_mut().expire(now);
     let (requests, parts) = entry.crashes.borrow().refused_counts();
     entry.metrics.refused(requests, parts);
--- a/src/direct/known/store_calls.rs
+++ b/src/direct/known/store_calls.rs
@@ -3,6 +3,29 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+/// Which entries the store answers, as the local one knows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Served {
+    /// All that have called it.
+    #[default]
+    All,
+    /// Some of those that have called it lately.
+    Some,
+    /// None, so that leases may expire.
+    Nobody,
+}
+
+impl Served {
+    /// Returns the name that logs use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::All => "all",
+            Self::Some => "some",
+            Self::Nobody => "nobody",
+        }
+    }
+}
+
 /// The answers of the store to the calls of one entry. Times are those of the entry's clock.
 #[derive(Debug, Default)]
 pub struct StoreCalls {
@@ -13,4 +36,6 @@
     /// How long it took for its last answer, beyond the wait for changes; `None` unless the entry is the
     /// one that asks often.
     pub answer_time: Cell<Option<Duration>>,
+    /// Which entries the store answered when that was logged last.
+    pub served: Cell<Served>,
 }
--- a/src/direct/known/store_outages.rs
+++ b/src/direct/known/store_outages.rs
@@ -5,17 +5,33 @@
 //! callers without targets for that time. A target that leaves while the store is available is gone,
 //! and a request that is sent there later is lost.
 //!
-//! A failed call alone does not tell the two apart: a watch was cut, or one entry cannot reach the
-//! store. Leases expire only while the store answers nobody, so what counts is when it last answered
-//! any entry, which heartbeats tell. See docs/PLATFORM.md.
+//! A failed call alone does not tell the two apart: a watch was cut, or the store turns some entries away
+//! and serves the others. Leases expire only while the store answers nobody, so what counts is when it last
+//! answered any entry, which heartbeats tell. Nor does the silence of the few entries that had asked tell
+//! anything of those that had not: an outage is evident once a majority has asked in vain. The largest
+//! numbers of entries ask only in part, so a fixed number is enough there. See docs/PLATFORM.md.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
+use crate::collections::Map;
+
 /// Renewals of its lease that a target must miss before the lease expires. It expires after three
 /// intervals, of which one may have passed when the outage began.
 const MISSED_RENEWALS: u32 = 2;
 
+/// Entries without an answer that make an outage evident in any fleet. If the store turns a third of the
+/// entries away, the probability that as many ask and all of them are among these is below one in a
+/// hundred thousand.
+const MAX_EVIDENCE: u32 = 12;
+
+/// Entries whose calls are remembered, above the size of any fleet.
+const MAX_ENTRIES: usize = 4_096;
+
+/// Share of the shortest outage in which leases expire that is left for entries to ask and for the others
+/// to hear that they had no answer.
+const EVIDENCE_SHARE: f64 = 5.0 / 6.0;
+
 /// Time after the store's recovery within which running targets are on the list again, as the
 /// platform guarantees.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_000);
@@ -40,8 +56,10 @@
     min_silence: Duration,
     /// When the store last answered any entry.
     answered_at: Cell<Option<Duration>>,
-    /// When it last left a call of any entry unanswered.
-    failed_at: Cell<Option<Duration>>,
+    /// When it last left a call unanswered, by the entry that made it; only since the last answer.
+    failed_at: RefCell<Map<String, Duration>>,
+    /// The number of live entries, including the local one.
+    entries: Cell<u32>,
     /// The end of the last outage.
     ended_at: Cell<Option<Duration>>,
 }
@@ -52,23 +70,56 @@
         Self {
             min_silence: renewal_interval * MISSED_RENEWALS,
             answered_at: Cell::default(),
-            failed_at: Cell::default(),
+            failed_at: RefCell::default(),
+            entries: Cell::new(1),
             ended_at: Cell::default(),
         }
     }
 
-    /// Records that a call of some entry failed at a time.
-    pub fn record_failure(&self, at: Duration) {
-        self.failed_at.set(self.failed_at.get().max(Some(at)));
+    /// Returns the time from the last answer within which entries have to have asked in vain, so that an
+    /// outage is evident before the first leases expire in it.
+    pub fn evidence_time(&self) -> Duration {
+        self.min_silence.mul_f64(EVIDENCE_SHARE)
+    }
+
+    /// Sets the number of live entries, including the local one.
+    pub fn set_entries(&self, entries: u32) {
+        self.entries.set(entries.max(1));
+    }
+
+    /// Records that a call of the entry of this name failed at a time. Returns true if that is its first
+    /// one since the store last answered any entry.
+    pub fn record_failure(&self, entry: &str, at: Duration) -> bool {
+        let mut failed_at = self.failed_at.borrow_mut();
+        if self.answered_at.get() >= Some(at) {
+            return false;
+        }
+        if let Some(last) = failed_at.get_mut(entry) {
+            *last = at.max(*last);
+            return false;
+        }
+        let is_first = failed_at.len() < MAX_ENTRIES;
+        if is_first {
+            failed_at.insert(entry.to_owned(), at);
+        }
+        is_first
+    }
+
+    /// Returns true if enough entries have asked in vain since the last answer.
+    fn is_evident(&self) -> bool {
+        let enough = (self.entries.get() / 2 + 1).min(MAX_EVIDENCE);
+        self.failed_at.borrow().len() >= usize::try_from(enough).unwrap_or(usize::MAX)
     }
 
     /// Records that the store answered some entry at a time. Returns how long it had been silent if
     /// that ends an outage.
     pub fn record_answer(&self, at: Duration) -> Option<Duration> {
         let last = self.answered_at.get();
+        let is_evident = self.is_evident();
         self.answered_at.set(last.max(Some(at)));
+        self.failed_at.borrow_mut().retain(|_, failed_at| *failed_at > at);
         let silence = at.checked_sub(last?)?;
-        let outage = silence >= self.min_silence && self.failed_at.get() > last;
+        let outage = silence >= self.min_silence && is_evident;
         if outage {
             self.ended_at.set(Some(at));
         }
@@ -113,9 +164,9 @@
     }
 
     /// Returns true while the store answers no entry, for longer than leases last.
-    fn is_out(&self, now: Duration) -> bool {
+    pub fn is_out(&self, now: Duration) -> bool {
         let Some(last) = self.answered_at.get() else { return false };
-        now.saturating_sub(last) >= self.min_silence && self.failed_at.get() > Some(last)
+        now.saturating_sub(last) >= self.min_silence && self.is_evident()
     }
 
     /// Returns true until the time to register again has passed and the store has answered since.
--- a/src/direct/known/store_readers.rs
+++ b/src/direct/known/store_readers.rs
@@ -39,6 +39,22 @@
             < STORE_READERS
     }
 
+    /// Returns the live entries that had no answer to their last call, made at most a time ago, with the time
+    /// since that call failed.
+    pub fn unanswered(
+        &self,
+        recent: Duration,
+        heartbeat_interval: Duration,
+        now: Duration,
+    ) -> Vec<(&str, Duration)> {
+        let failed = self.live(heartbeat_interval, now).filter_map(|peer| {
+            let before = Duration::from_millis(peer.heartbeat.store_failed_ms?);
+            let ago = before.saturating_add(now.saturating_sub(peer.last_received));
+            Some((peer.heartbeat.name.as_str(), ago))
+        });
+        failed.filter(|(_, ago)| *ago <= recent).collect()
+    }
+
     /// Returns how long the store took for its last answer to the entry that asks often, as heartbeats
     /// tell; zero if none does.
     pub fn store_answer_time(&self, heartbeat_interval: Duration, now: Duration) -> Duration {
--- a/src/direct/peering/mod.rs
+++ b/src/direct/peering/mod.rs
@@ -9,6 +9,7 @@
 pub mod rank_notices;
 mod standing;
 mod store_reader;
+mod store_report;
 pub mod sync;
 mod target_list;
 pub mod transfer;
--- a/src/direct/peering/store_reader.rs
+++ b/src/direct/peering/store_reader.rs
@@ -18,6 +18,10 @@
 /// Pause between two checks whether this entry is a store reader.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Shortest time in which entries ask whether the store answers; outages that end sooner are not told from
+/// entries that are turned away.
+const MIN_EVIDENCE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Delay of a check after the moment at which something may have become due.
 const CHECK_DELAY: Duration = Duration::from_millis(1);
 
@@ -250,14 +254,16 @@
     fn record_unanswered(&self) {
         let now = self.entry.now();
         self.entry.store_calls.failed_at.set(Some(now));
-        self.entry.store_outages.record_failure(now);
-        // The others choose another reader once they know.
-        if self.entry.store_calls.answers.replace(false) {
+        let is_first = self.entry.store_outages.record_failure(&self.entry.options.name, now);
+        // The others choose another reader once they know, and tell an outage by it.
+        if self.entry.store_calls.answers.replace(false) || is_first {
             self.notify_changed();
         }
     }
 
     fn read_times(&self) -> ReadTimes {
-        ReadTimes::new(self.entry.options.in_force_time)
+        let Options { in_force_time, .. } = self.entry.options;
+        let evidence_time = self.entry.store_outages.evidence_time().max(MIN_EVIDENCE_TIME);
+        ReadTimes::new(in_force_time.min(evidence_time))
     }
 }
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -148,7 +148,7 @@
         let before = |ms: u64| now.saturating_sub(Duration::from_millis(ms));
         let ages_ms = [peer.configuration_age_ms, peer.targets_age_ms];
         if let Some(failed_ms) = peer.store_failed_ms {
-            self.entry.store_outages.record_failure(before(failed_ms));
+            self.entry.store_outages.record_failure(&peer.name, before(failed_ms));
         }
         if let Some(age_ms) = ages_ms.into_iter().flatten().min() {
             self.record_store_answer(before(age_ms), &peer.name);
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -256,6 +256,7 @@
         let heard = peers.count(self.options.heartbeat_interval, self.now()).saturating_sub(1);
         let entries = peers.fleet_size().unwrap_or(0);
         self.metrics.entries(entries, heard);
+        self.store_outages.set_entries(heard + 1);
         if entries > self.known_entries.replace(entries) {
             events::log(events::FLEET_GREW, format_args!("entries={entries}"));
         }
--- a/src/direct/state/metrics.rs
+++ b/src/direct/state/metrics.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::direct::known::permit::Grant;
+use crate::direct::known::store_calls::Served;
 use crate::telemetry::metrics::{self, Result};
 
 /// Bucket bounds of the histograms in seconds, around the objectives of first events and documents.
@@ -25,6 +26,8 @@
     store_returns: IntCounter,
     store_outages: IntCounter,
     store_own_reads: IntCounter,
+    store_unanswered: IntGauge,
+    store_out: IntGauge,
     lapsed_targets: IntGauge,
     first_event: Histogram,
     pause: Histogram,
@@ -105,6 +108,14 @@
                 "bitternwall_direct_store_outages_total",
                 "Outages in which the store answered no entry and leases may have expired.",
             )?,
+            store_unanswered: gauge(
+                "bitternwall_direct_store_unanswered_entries",
+                "Live entries whose last call to the store had no answer, lately.",
+            )?,
+            store_out: gauge(
+                "bitternwall_direct_store_out",
+                "1 while the store answers no entry for so long that leases may expire.",
+            )?,
             store_own_reads: counter(
                 "bitternwall_direct_store_own_reads_total",
                 "Reads of the store by this entry for itself, since no reader had an answer in time.",
@@ -270,6 +281,12 @@
         self.store_outages.inc();
     }
 
+    /// Sets how many entries have had no answer of the store lately, and whom it answers.
+    pub fn store_served(&self, unanswered: usize, served: Served) {
+        self.store_unanswered.set(i64::try_from(unanswered).unwrap_or(i64::MAX));
+        self.store_out.set(i64::from(served == Served::Nobody));
+    }
+
     /// Counts a read of the store by an entry that is no reader.
     pub fn store_own_read(&self) {
         self.store_own_reads.inc();
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -79,6 +79,7 @@
     events::CONTACT_FOUND,
     events::CONTACTS_FAILED,
     events::STORE_ASKED,
+    events::STORE_SERVES,
     events::BUFFERS_SHORT,
     events::BODY_REFUSED,
     events::OUTAGE_LASTS,
--- a/src/telemetry/events.rs
+++ b/src/telemetry/events.rs
@@ -257,6 +257,9 @@
 /// store for itself.
 pub const STORE_ASKED: LogEvent =
     LogEvent { number: 7057, severity: Severity::Info, title: "store asked" };
+/// The store began to answer all, some or none of the entries that call it.
+pub const STORE_SERVES: LogEvent =
+    LogEvent { number: 7058, severity: Severity::Warning, title: "store serves" };
 /// Buffers for callers became short, or free again.
 pub const BUFFERS_SHORT: LogEvent =
     LogEvent { number: 7070, severity: Severity::Warning, title: "buffers short" };
--- a/tests/direct/store_outages.rs
+++ b/tests/direct/store_outages.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bitternwall::direct::decisions::read_times::ReadTimes;
 use bitternwall::direct::known::cluster_state::{ClusterState, TargetRecord};
 use bitternwall::direct::known::store::Position;
 use bitternwall::direct::known::store_outages::{Absence, StoreOutages};
@@ -53,7 +54,7 @@
 fn a_target_whose_lease_expired_in_a_store_outage_stays_until_it_had_time_to_register_again() {
     let outages = calm_until(ms(1_000));
     assert_eq!(outages.absence(ms(1_000)), Absence::Gone);
-    outages.record_failure(ms(2_000));
+    outages.record_failure("e0", ms(2_000));
     assert_eq!(outages.absence(ms(4_000)), Absence::MayHaveLapsed, "still unavailable");
     assert_eq!(outages.absence(ms(60_000)), Absence::MayHaveLapsed, "still unavailable");
     assert_eq!(outages.record_answer(ms(61_000)), Some(ms(60_000)));
@@ -70,9 +71,9 @@
 #[test]
 fn a_second_outage_gives_lapsed_targets_the_full_time_again() {
     let outages = calm_until(ms(1_000));
-    outages.record_failure(ms(1_100));
+    outages.record_failure("e0", ms(1_100));
     outages.record_answer(ms(5_000));
-    outages.record_failure(ms(5_600));
+    outages.record_failure("e0", ms(5_600));
     // The first time to register again has passed, but the store has not answered since.
     assert_eq!(outages.absence(ms(7_900)), Absence::MayHaveLapsed);
     outages.record_answer(ms(9_000));
@@ -87,7 +88,7 @@
     // Its own calls fail for five seconds, and others hear answers.
     for step in 0..50 {
         let now = ms(1_000 + step * 100);
-        outages.record_failure(now);
+        outages.record_failure("e0", now);
         if step % 12 == 0 {
             outages.record_answer(now);
         }
@@ -106,7 +107,7 @@
 #[test]
 fn an_answer_that_is_heard_of_late_counts_from_when_it_was_given() {
     let outages = calm_until(ms(1_000));
-    outages.record_failure(ms(1_100));
+    outages.record_failure("e0", ms(1_100));
     assert_eq!(outages.absence(ms(3_500)), Absence::MayHaveLapsed);
     // At 3.6 s a heartbeat tells of an answer at 2 s.
     assert_eq!(outages.record_answer(ms(2_000)), None);
@@ -124,7 +125,7 @@
         let mut now = 1_000;
         for (pause, failures) in steps {
             for failed_after in failures.into_iter().filter(|after| *after <= pause) {
-                outages.record_failure(ms(now + failed_after));
+                outages.record_failure("e0", ms(now + failed_after));
                 prop_assert_eq!(outages.absence(ms(now + failed_after)), Absence::Gone);
             }
             now += pause;
@@ -216,3 +217,106 @@
     outages.record_answer(ms(2_100));
     assert_eq!(outages.absence(ms(2_400)), Absence::Gone);
 }
+
+/// Entries of a fleet, as many of them as the store may turn away, and a majority.
+const ENTRIES: u32 = 13;
+const TURNED_AWAY: u32 = 5;
+const MAJORITY: u32 = 7;
+
+/// Returns the record of an entry of the fleet, of which so many entries have asked in vain by a time.
+fn fleet_silent_since(answered: Duration, asked: u32, at: Duration) -> StoreOutages {
+    let outages = calm_until(answered);
+    outages.set_entries(ENTRIES);
+    for entry in 0..asked {
+        outages.record_failure(&format!("e{entry}"), at);
+    }
+    outages
+}
+
+/// The entries that asked were turned away, and the others had not asked: their silence was taken for that
+/// of all, and targets that had left were used for seconds.
+#[test]
+fn entries_that_have_not_asked_are_no_evidence_of_an_outage() {
+    for asked in 1..=TURNED_AWAY {
+        let outages = fleet_silent_since(ms(1_000), asked, ms(2_500));
+        assert_eq!(outages.absence(ms(5_000)), Absence::Gone, "{asked} asked");
+        assert_eq!(outages.record_answer(ms(5_000)), None, "{asked} asked");
+        assert_eq!(outages.absence(ms(5_000)), Absence::Gone, "{asked} asked");
+    }
+}
+
+#[test]
+fn an_outage_is_evident_once_a_majority_has_asked_in_vain() {
+    for asked in [MAJORITY, ENTRIES] {
+        let outages = fleet_silent_since(ms(1_000), asked, ms(3_000));
+        assert_eq!(outages.absence(ms(3_399)), Absence::Gone, "leases have not expired yet");
+        assert_eq!(outages.absence(ms(3_400)), Absence::MayHaveLapsed);
+        assert_eq!(outages.record_answer(ms(3_400)), Some(ms(2_400)));
+        assert_eq!(outages.absence(ms(3_400)), Absence::MayHaveLapsed);
+    }
+}
+
+/// One entry that asks again and again is one witness, and so are its heartbeats.
+#[test]
+fn an_entry_counts_once_however_often_it_asks() {
+    let outages = fleet_silent_since(ms(1_000), 1, ms(1_500));
+    for step in 0..40 {
+        assert!(!outages.record_failure("e0", ms(1_500 + step * 100)));
+    }
+    assert_eq!(outages.absence(ms(5_000)), Absence::Gone);
+}
+
+#[test]
+fn an_outage_that_follows_on_a_share_turned_away_and_the_other_way_round_is_told_from_it() {
+    let outages = fleet_silent_since(ms(1_000), TURNED_AWAY, ms(1_500));
+    // The others are answered, so the calls before are forgotten.
+    assert_eq!(outages.record_answer(ms(2_600)), None);
+    assert!(!outages.record_failure("e0", ms(2_600)), "it failed before the answer");
+    // Then the store answers nobody: all ask, those that are turned away as well.
+    for entry in 0..ENTRIES {
+        assert!(outages.record_failure(&format!("e{entry}"), ms(4_600)));
+    }
+    assert_eq!(outages.absence(ms(5_000)), Absence::MayHaveLapsed);
+    // It comes back, and turns a share away for three more seconds.
+    assert_eq!(outages.record_answer(ms(9_000)), Some(ms(6_400)));
+    for step in 1..40 {
+        let now = ms(9_000 + step * 100);
+        (0..TURNED_AWAY).for_each(|entry| {
+            outages.record_failure(&format!("e{entry}"), now);
+        });
+        if step % 11 == 0 {
+            assert_eq!(outages.record_answer(now), None, "no outage of its own");
+        }
+        let expected = if step < 23 { Absence::MayHaveLapsed } else { Absence::Gone };
+        assert_eq!(outages.absence(now), expected, "{step}00 ms after the return");
+    }
+}
+
+/// Entries that are gone do not ask.
+#[test]
+fn an_outage_is_evident_to_what_is_left_of_a_fleet() {
+    let outages = fleet_silent_since(ms(1_000), 3, ms(3_000));
+    assert_eq!(outages.absence(ms(4_000)), Absence::Gone);
+    outages.set_entries(4);
+    assert_eq!(outages.absence(ms(4_000)), Absence::MayHaveLapsed);
+}
+
+/// A large fleet asks only in part.
+#[test]
+fn an_outage_is_evident_to_a_large_fleet_of_which_a_part_asks() {
+    for entries in [58, 98, 1_600] {
+        let outages = fleet_silent_since(ms(1_000), 20, ms(3_000));
+        outages.set_entries(entries);
+        assert_eq!(outages.absence(ms(4_000)), Absence::MayHaveLapsed, "{entries}");
+    }
+}
+
+#[test]
+fn entries_ask_early_enough_to_tell_an_outage_before_the_first_lease_expires() {
+    let outages = StoreOutages::new(RENEWAL_INTERVAL);
+    let usual_answer = ms(4);
+    let times = ReadTimes::new(outages.evidence_time());
+    let unanswered = times.own_read_age(usual_answer) + times.answer_time(usual_answer);
+    let spread_time = ms(200);
+    assert!(unanswered + spread_time <= RENEWAL_INTERVAL * 2, "{unanswered:?}");
+}
