Requests with a crash on record run one copy at a time, over all entries

More than three reached servers later than contactMs after the third and the fifth crash.

Cause: crashes under copies in progress count once, which is right, since servers also end for other reasons while copies of a sound request run there. But nothing bounded how many copies are in progress before the second crash is counted.

Evidence: copies_that_came_at_once_crashed_a_server_each_after_the_first_crash, put to the code before, failed: "4 more after 3: [502, 502, 502, 502]". It passes with the change.

Change: once a crash is on record that no answer has cleared, an attempt is a trial, which heartbeats tell at once; copies wait for it as long as they would for a place, and are then refused as not run. An answer clears the record, a crash adds to it. The same for parts of prompts that were never answered.

Why it works: a round holds one copy, two if two entries start at the same moment, so the count of rounds bounds the copies. What has no crash on record waits for nobody.

Process tests of crashes, budgets, refusals and the soak: 26 passed.

--- a/src/direct/exchange/call.rs
+++ b/src/direct/exchange/call.rs
@@ -12,6 +12,7 @@
 use crate::direct::known::configuration::{AnswerForm, Configuration, Route};
 use crate::direct::known::confirmation;
 use crate::direct::known::crash_memory::Attempt;
+use crate::direct::known::crash_trials::Trials;
 use crate::direct::known::store::Collection;
 use crate::direct::known::target::Target;
 use crate::direct::message::{CallerRequest, Cause, LocalAnswer};
@@ -77,6 +78,8 @@
     pub longest_pause: Duration,
     /// The attempt that a target is running, as far as known.
     attempt: Option<Attempt>,
+    /// What of it is on trial, which others wait for.
+    pub(super) trials: Trials,
     finished: bool,
 }
 
@@ -148,6 +151,7 @@
             first_event: None,
             longest_pause: Duration::ZERO,
             attempt: None,
+            trials: Trials::default(),
             finished: false,
             caller,
         }
@@ -189,6 +193,7 @@
     /// Records that the target answered completely with this status.
     pub fn record_target_answered(&mut self, status: u16) {
         self.attempt = None;
+        self.end_trials();
         let succeeded = (200..300).contains(&status);
         self.entry.record_answered(self.fingerprint, &self.prompt_parts, succeeded);
     }
@@ -196,6 +201,7 @@
     /// Records that the target answered that it did not run the request.
     pub fn record_target_refused(&mut self) {
         self.attempt = None;
+        self.end_trials();
     }
 
     /// Records that the target gave no complete answer. If the connection to it was lost, this also
@@ -207,6 +213,7 @@
         if connection_lost {
             crash_probe::check(&self.entry, target).await;
         }
+        self.end_trials();
     }
 
     /// Records and logs a failed attempt.
@@ -310,6 +317,7 @@
         if let Some(attempt) = self.attempt.take() {
             self.entry.record_unanswered(attempt);
         }
+        self.end_trials();
         let entry = &self.entry;
         entry.in_progress.set(entry.in_progress.get().saturating_sub(1));
         entry.metrics.in_progress(entry.in_progress.get());
--- a/src/direct/exchange/mod.rs
+++ b/src/direct/exchange/mod.rs
@@ -13,3 +13,4 @@
 mod slot;
 pub mod slot_wait;
 mod target_notices;
+mod trial;
--- a/src/direct/exchange/slot_wait.rs
+++ b/src/direct/exchange/slot_wait.rs
@@ -15,7 +15,7 @@
 use crate::direct::exchange::claim::Claim;
 use crate::direct::exchange::outage;
 use crate::direct::exchange::slot::Slot;
-use crate::direct::known::crash_memory::Subject;
+use crate::direct::exchange::trial;
 use crate::direct::known::target::Target;
 use crate::direct::message::{Cause, LocalAnswer};
 use crate::direct::peering::permits;
@@ -36,18 +36,12 @@
 pub async fn acquire(call: &mut Call, max_wait: Duration) -> Result<(Target, Slot)> {
     let entry = Rc::clone(&call.entry);
     let started = entry.now();
+    // Others do not wait behind a request that waits for a trial.
+    trial::wait(call, max_wait).await?;
     let mut claim = Claim::join(call);
     let result = loop {
         let now = entry.now();
-        let refused = entry.crashes.borrow().refused_for(call.fingerprint, &call.prompt_parts, now);
-        if let Some((subject, left)) = refused {
-            let cause = match subject {
-                Subject::Request(_) => Cause::CrashingRequest,
-                Subject::Part(_) => Cause::CrashingPart,
-            };
-            let executed = if call.may_have_run { Executed::Unknown } else { Executed::No };
-            return Err(LocalAnswer { cause, executed, retry_after: Some(left) });
-        }
+        trial::check_refusal(call)?;
         entry.refresh_peer_loads();
         let mut wanted = criteria(call);
         if let Some(claim) = &mut claim {
--- a/src/direct/known/crash_history.rs
+++ b/src/direct/known/crash_history.rs
@@ -9,6 +9,7 @@
 //! Two rules keep harmless requests from being refused. An attempt carries the number of crashes
 //! that were known when it was dispatched, and a crash under it raises the record to one more than
 //! that; so however many targets crash at once, copies of one request in progress there count once.
+//! From the first crash on, [`crash_trials`](crate::direct::known::crash_trials) lets one copy run at a time.
 //! And a complete answer to the request clears all crashes known by then.
 //!
 //! The same holds for the parts of prompts, which many requests share; see
@@ -24,7 +25,8 @@
 use crate::collections::Map;
 use crate::direct::known::answered_parts::{AnsweredParts, MAX_CRASH_LIMIT, MIN_CRASH_LIMIT};
 use crate::direct::known::companions;
-use crate::direct::known::crash_record::{ANNOUNCEMENT_TIME, Crash, CrashReport, Record};
+use crate::direct::known::crash_record::{ANNOUNCEMENT_TIME, Crash, CrashReport, Record, Trial};
+use crate::direct::known::crash_trials::MAX_TRIAL_TIME;
 use crate::entry::core::crashes::MAX_CRASHES;
 
 /// Time after the end of an attempt in which the end of its target is attributed to it. The target
@@ -56,7 +58,7 @@
 #[derive(Debug)]
 pub struct CrashHistory {
     /// The records by fingerprint.
-    records: Map<u64, Record>,
+    pub(super) records: Map<u64, Record>,
     /// Attempts that ended without an answer, oldest first, with the time of their end.
     unanswered: VecDeque<(Dispatch, Duration)>,
     /// When targets were found to have ended.
@@ -64,7 +66,7 @@
     /// The time for which a record is kept after its last change.
     ttl: Duration,
     /// The answered parts, if the records are about parts of prompts.
-    answered_parts: Option<AnsweredParts>,
+    pub(super) answered_parts: Option<AnsweredParts>,
 }
 
 impl CrashHistory {
@@ -105,7 +107,7 @@
     }
 
     /// Returns true unless a part is known to be sound: an answer has cleared it, here or elsewhere.
-    fn may_be_at_fault(&self, part: u64) -> bool {
+    pub(super) fn may_be_at_fault(&self, part: u64) -> bool {
         let unanswered = self.limit(part) <= MIN_CRASH_LIMIT;
         let record = self.records.get(&part);
         unanswered && record.is_none_or(|record| record.cleared == 0)
@@ -230,6 +232,10 @@
         record.crashes = record.crashes.max(report.crashes);
         record.cleared = record.cleared.max(report.cleared);
         record.until = record.until.max(now + ttl);
+        if report.trial_ms > 0 {
+            let until = now + Duration::from_millis(report.trial_ms).min(MAX_TRIAL_TIME);
+            record.remote_trial = Some(Trial { crashes: report.crashes, until });
+        }
         if own_limit > report.limit.max(record.limit) && report.crashes > report.cleared {
             // The sender does not know of the answers here.
             record.announced_until = now + ANNOUNCEMENT_TIME;
@@ -252,12 +258,12 @@
         }
     }
 
-    /// Returns the reports for one heartbeat: those of refused subjects first, then those with
+    /// Returns the reports for one heartbeat: those of subjects refused or on trial first, then those with
     /// several crashes, and the others in turn. `sequence` is the number of the heartbeat.
     pub fn reports(&self, sequence: u64, now: Duration) -> Vec<CrashReport> {
         let announced = self.records.iter().filter(|(_, record)| record.announced_until > now);
         let (mut refused, others): (Vec<_>, Vec<_>) =
-            announced.partition(|(_, record)| record.is_refused());
+            announced.partition(|(_, record)| record.is_refused() || record.is_on_trial_here(now));
         let (mut repeated, mut others): (Vec<_>, Vec<_>) =
             others.into_iter().partition(|(_, record)| record.uncleared() > 1);
         let sequence = usize::try_from(sequence).unwrap_or(0);
--- a/src/direct/known/crash_memory.rs
+++ b/src/direct/known/crash_memory.rs
@@ -54,8 +54,8 @@
 /// The records of requests and of the parts of prompts.
 #[derive(Debug)]
 pub struct CrashMemory {
-    requests: CrashHistory,
-    parts: CrashHistory,
+    pub(super) requests: CrashHistory,
+    pub(super) parts: CrashHistory,
 }
 
 impl CrashMemory {
--- a/src/direct/known/crash_record.rs
+++ b/src/direct/known/crash_record.rs
@@ -34,6 +34,19 @@
     /// The parts of prompts that were in all crashes of this one and are not known to be sound.
     #[prost(fixed64, repeated, tag = "7")]
     pub companions: Vec<u64>,
+    /// Milliseconds for which others wait for an attempt of the sender; 0 if none is under way. See
+    /// [`crash_trials`](crate::direct::known::crash_trials).
+    #[prost(uint64, tag = "8")]
+    pub trial_ms: u64,
+}
+
+/// An attempt that other requests with the same subject wait for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Trial {
+    /// The crashes on record when it began; another one ends it.
+    pub crashes: u32,
+    /// When the others wait no longer, on the entry's clock.
+    pub until: Duration,
 }
 
 /// A crash that was added to a request's record.
@@ -70,6 +83,10 @@
     pub unsaved: bool,
     /// True if this entry has written the record to the store.
     pub saved: bool,
+    /// The trial of this entry.
+    pub local_trial: Option<Trial>,
+    /// The trial of another entry of which this one has heard last.
+    pub remote_trial: Option<Trial>,
 }
 
 impl Record {
@@ -98,15 +115,16 @@
 
     /// Returns the record as entries send it to each other.
     pub fn report(&self, fingerprint: u64, part: bool, now: Duration) -> CrashReport {
-        let ttl_ms = self.until.saturating_sub(now).as_millis();
+        let ttl_ms = millis(self.until.saturating_sub(now));
         CrashReport {
             fingerprint,
             crashes: self.crashes,
             cleared: self.cleared,
-            ttl_ms: u64::try_from(ttl_ms).unwrap_or(u64::MAX),
+            ttl_ms,
             part,
             limit: self.limit,
             companions: self.companions.clone(),
+            trial_ms: self.local_trial_left(now).map_or(0, millis),
         }
     }
 
@@ -116,3 +134,7 @@
         Crash { fingerprint, crashes, limit: self.limit, refused }
     }
 }
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/direct/known/mod.rs
+++ b/src/direct/known/mod.rs
@@ -10,6 +10,7 @@
 pub mod crash_history;
 pub mod crash_memory;
 pub mod crash_record;
+pub mod crash_trials;
 pub mod heartbeat;
 pub mod peers;
 pub mod permit;
--- a/src/direct/peering/crash_store.rs
+++ b/src/direct/peering/crash_store.rs
@@ -76,7 +76,7 @@
         serde_json::from_slice(&item.value).map_err(|error| unreadable(".", error.to_string()))?;
     let ttl_ms = expires_unix_ms.saturating_sub(unix_ms(wall));
     let part = part_id.is_some();
-    Ok(CrashReport { fingerprint, crashes, cleared, ttl_ms, part, limit, companions })
+    Ok(CrashReport { fingerprint, crashes, cleared, ttl_ms, part, limit, companions, trial_ms: 0 })
 }
 
 /// Adds the records that the store holds to those of the entry, once the store answers.
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -20,6 +20,8 @@
 mod crash_history;
 #[path = "direct/crash_store.rs"]
 mod crash_store;
+#[path = "direct/crash_trials.rs"]
+mod crash_trials;
 #[path = "direct/crashing_parts.rs"]
 mod crashing_parts;
 #[path = "direct/evacuation.rs"]
--- a/tests/direct/crash_history.rs
+++ b/tests/direct/crash_history.rs
@@ -176,7 +176,7 @@
             .into_iter()
             .map(|(crashes, cleared)| {
                 let (cleared, ttl_ms) = (cleared.min(crashes), 600_000);
-                CrashReport { fingerprint: REQUEST, crashes, cleared, ttl_ms, part: false, limit: LIMIT, companions: Vec::new() }
+                CrashReport { fingerprint: REQUEST, crashes, cleared, ttl_ms, part: false, limit: LIMIT, companions: Vec::new(), trial_ms: 0 }
             })
             .collect();
         let (mut straight, mut shuffled) = (CrashHistory::new(TTL), CrashHistory::new(TTL));
--- a/tests/direct/crash_store.rs
+++ b/tests/direct/crash_store.rs
@@ -15,6 +15,7 @@
     part: false,
     limit: 2,
     companions: Vec::new(),
+    trial_ms: 0,
 };
 
 fn wall(seconds: u64) -> SystemTime {
--- a/tests/direct/crashing_parts.rs
+++ b/tests/direct/crashing_parts.rs
@@ -154,6 +154,7 @@
         part: true,
         limit: u32::MAX,
         companions: Vec::new(),
+        trial_ms: 0,
     };
     memory.merge(&report, NOW);
     assert!(is_refused(&memory, &[CRASHING]));
