Ages of confirmations belong to answers of the store, so that they do not become younger on the way

Cause: entries took the youngest age that a heartbeat told and passed it on, without the time that the message was under way. So a slow host, or one that was frozen, made old news young for the whole fleet.

Change: heartbeats carry the id of the answer with its age, and an entry keeps when it first heard of an answer. Answers that end an outage are told apart by the same ids. Heartbeats grow by some 30 bytes.

The test an_age_counts_from_the_latest_confirmation_and_changes_are_told_once names answers now; its checks are the same.

--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use crate::direct::known::cluster_state::KnownVersions;
+use crate::direct::known::confirmation::AnswerId;
 use crate::direct::known::crash_record::CrashReport;
 use crate::direct::known::permit::{PermitReply, PermitRequest, RateReport};
 use crate::direct::known::standing::StandingMessage;
@@ -80,6 +81,19 @@
     /// Milliseconds since the store last left a call of the sender unanswered; absent while it answers.
     #[prost(uint64, optional, tag = "27")]
     pub store_failed_ms: Option<u64>,
+    /// The process whose answer of the store confirmed its configuration last; 0 if that is not stated. See
+    /// [`AnswerId`].
+    #[prost(fixed64, tag = "30")]
+    pub configuration_origin: u64,
+    /// The number of that answer.
+    #[prost(uint64, tag = "31")]
+    pub configuration_answer: u64,
+    /// The same for its target list.
+    #[prost(fixed64, tag = "32")]
+    pub targets_origin: u64,
+    /// The number of that answer.
+    #[prost(uint64, tag = "33")]
+    pub targets_answer: u64,
     /// Milliseconds that the store took for its last answer to the sender, beyond the wait for changes;
     /// only from the entry that asks often.
     #[prost(uint64, optional, tag = "29")]
@@ -103,6 +117,17 @@
 }
 
 impl Heartbeat {
+    /// Returns the answers of the store that confirmed the sender's configuration and its target list last,
+    /// and their ages in milliseconds, in the order of
+    /// [`Collection::ALL`](crate::direct::known::store::Collection::ALL).
+    pub fn answers(&self) -> [(AnswerId, Option<u64>); 2] {
+        let id = |origin, number| AnswerId { origin, number };
+        [
+            (id(self.configuration_origin, self.configuration_answer), self.configuration_age_ms),
+            (id(self.targets_origin, self.targets_answer), self.targets_age_ms),
+        ]
+    }
+
     /// Returns how recent the sender's cluster state is.
     pub fn known(&self) -> KnownVersions {
         let targets_at = Position { era: self.targets_era, revision: self.targets_at };
--- a/src/direct/known/store_calls.rs
+++ b/src/direct/known/store_calls.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use crate::direct::known::confirmation::{AnswerId, HeardAnswers};
+
 /// Which entries the store answers, as the local one knows.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Served {
@@ -36,6 +38,28 @@
     /// How long it took for its last answer, beyond the wait for changes; `None` unless the entry is the
     /// one that asks often.
     pub answer_time: Cell<Option<Duration>>,
+    /// A random number of this process.
+    origin: u64,
+    /// The number of answers so far.
+    count: Cell<u64>,
+    /// The answers to other entries that this one has heard of.
+    pub heard: HeardAnswers,
     /// Which entries the store answered when that was logged last.
     pub served: Cell<Served>,
 }
+
+impl StoreCalls {
+    /// Returns the record of a process that has not called yet. `origin` is a random number.
+    pub fn new(origin: u64) -> Self {
+        Self { origin: origin.max(1), ..Self::default() }
+    }
+
+    /// Returns the id of an answer that has just come.
+    pub fn next_answer(&self) -> AnswerId {
+        self.count.set(self.count.get().saturating_add(1));
+        let id = AnswerId { origin: self.origin, number: self.count.get() };
+        // Others tell of it later.
+        self.heard.record(id);
+        id
+    }
+}
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -82,6 +82,12 @@
     let peers = entry.peers.borrow();
     let known_peers = peers.peers_to_announce(entry.options.heartbeat_interval, now, sequence);
     let state = entry.cluster_state.borrow();
+    let answer = |collection| {
+        let answer = entry.confirmations.answer(collection);
+        answer.map_or((0, 0), |answer| (answer.origin, answer.number))
+    };
+    let (configuration_origin, configuration_answer) = answer(Collection::Configuration);
+    let (targets_origin, targets_answer) = answer(Collection::Targets);
     Heartbeat {
         name: entry.options.name.clone(),
         incarnation: identity.incarnation,
@@ -106,6 +112,10 @@
         permit_reply: None,
         configuration_age_ms: age_ms(entry, Collection::Configuration),
         targets_age_ms: age_ms(entry, Collection::Targets),
+        configuration_origin,
+        configuration_answer,
+        targets_origin,
+        targets_answer,
         lapsed_since_ms: lapsed_since_ms(entry),
         store_failed_ms: entry.store_calls.failed_at.get().map(|at| millis(now.saturating_sub(at))),
         store_answer_ms: entry.store_calls.answer_time.get().map(millis),
--- a/src/direct/peering/sync.rs
+++ b/src/direct/peering/sync.rs
@@ -138,7 +138,8 @@
 
     /// Records that the store has just confirmed what this entry knows of a collection.
     pub(super) fn record_confirmed(&self, collection: Collection) {
-        self.entry.confirmations.record(collection, self.entry.now());
+        let answer = self.entry.store_calls.next_answer();
+        self.entry.confirmations.record(collection, answer, self.entry.now());
     }
 
     /// Records how the store has answered another entry, and confirms what that entry knows, if it is
@@ -146,29 +147,22 @@
     pub fn record_peer_calls(&self, peer: &Heartbeat) {
         let now = self.entry.now();
         let before = |ms: u64| now.saturating_sub(Duration::from_millis(ms));
-        let ages_ms = [peer.configuration_age_ms, peer.targets_age_ms];
         if let Some(failed_ms) = peer.store_failed_ms {
             self.entry.store_outages.record_failure(&peer.name, before(failed_ms));
         }
-        if let Some(age_ms) = ages_ms.into_iter().flatten().min() {
-            self.record_store_answer(before(age_ms), &peer.name);
-        }
-        self.record_confirmed_by_peer(peer.known(), ages_ms, now);
-    }
-
-    fn record_confirmed_by_peer(
-        &self,
-        peer: KnownVersions,
-        ages_ms: [Option<u64>; 2],
-        now: Duration,
-    ) {
-        let known = self.entry.cluster_state.borrow().known();
-        let same_requests = peer.version == known.version && peer.standing_at == known.standing_at;
-        let same = [same_requests, peer.targets_at == known.targets_at];
-        for ((collection, age_ms), same) in Collection::ALL.into_iter().zip(ages_ms).zip(same) {
-            if let Some(age_ms) = age_ms.filter(|_| same) {
-                let at = now.saturating_sub(Duration::from_millis(age_ms));
-                self.entry.confirmations.record(collection, at);
+        let (known, peer_known) = (self.entry.cluster_state.borrow().known(), peer.known());
+        let same_requests =
+            peer_known.version == known.version && peer_known.standing_at == known.standing_at;
+        let same = [same_requests, peer_known.targets_at == known.targets_at];
+        for ((collection, answer), same) in
+            Collection::ALL.into_iter().zip(peer.answers()).zip(same)
+        {
+            let (id, Some(age_ms)) = answer else { continue };
+            if self.entry.store_calls.heard.record(id) {
+                self.record_store_answer(before(age_ms), &peer.name);
+            }
+            if same {
+                self.entry.confirmations.record(collection, id, before(age_ms));
             }
         }
     }
--- a/src/direct/state/entry.rs
+++ b/src/direct/state/entry.rs
@@ -168,7 +168,7 @@
             stop: Cell::new(None),
             exiting: Cell::new(false),
             refusing: Cell::new(false),
-            store_calls: StoreCalls::default(),
+            store_calls: StoreCalls::new(rand::random()),
             store_outages: StoreOutages::new(options.target_renewal_interval),
             slots_changed: Notify::new(),
             silence_changed: Notify::new(),
--- a/tests/direct/read_times.rs
+++ b/tests/direct/read_times.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bitternwall::direct::decisions::read_times::ReadTimes;
-use bitternwall::direct::known::confirmation::Confirmations;
+use bitternwall::direct::known::confirmation::{AnswerId, Confirmations};
 use bitternwall::direct::known::store::Collection;
 use proptest::prelude::*;
 
@@ -72,13 +72,75 @@
     let at = Duration::from_secs;
     assert_eq!(confirmations.age(collection, at(5)), None);
     assert_eq!(confirmations.overdue_change(collection, limit, at(5)), None);
-    confirmations.record(collection, at(6));
-    confirmations.record(collection, at(4));
+    confirmations.record(collection, answer(1, 1), at(6));
+    confirmations.record(collection, answer(2, 1), at(4));
     assert_eq!(confirmations.age(collection, at(7)), Some(at(1)));
     assert_eq!(confirmations.age(Collection::Targets, at(7)), None);
     assert_eq!(confirmations.overdue_change(collection, limit, at(8)), None);
     assert_eq!(confirmations.overdue_change(collection, limit, at(9)), Some(true));
     assert_eq!(confirmations.overdue_change(collection, limit, at(10)), None);
-    confirmations.record(collection, at(10));
+    confirmations.record(collection, answer(2, 2), at(10));
     assert_eq!(confirmations.overdue_change(collection, limit, at(11)), Some(false));
 }
+
+fn answer(origin: u64, number: u64) -> AnswerId {
+    AnswerId { origin, number }
+}
+
+/// Entries that pass an age on to each other, and each time that a message is under way is missing from it.
+struct Circle {
+    entries: Vec<Confirmations>,
+    transit: Duration,
+}
+
+impl Circle {
+    /// Lets each entry tell all others what it knows, by messages that arrive at `now`.
+    fn exchange(&self, now: Duration) {
+        let sent = now - self.transit;
+        let told = |entry: &Confirmations| {
+            let answer = entry.answer(COLLECTION)?;
+            Some((answer, entry.age(COLLECTION, sent)?))
+        };
+        let told: Vec<_> = self.entries.iter().map(told).collect();
+        for (from, told) in told.iter().enumerate() {
+            let Some((answer, age)) = told else { continue };
+            let others = self.entries.iter().enumerate().filter(|(to, _)| *to != from);
+            others.for_each(|(_, entry)| entry.record(COLLECTION, *answer, now - *age));
+        }
+    }
+}
+
+const COLLECTION: Collection = Collection::Targets;
+
+/// Slow hosts made old news young again, and no entry found that the store was silent.
+#[test]
+fn an_age_that_is_passed_on_does_not_become_younger_each_time() {
+    let (seconds, interval) = (Duration::from_secs, Duration::from_millis(100));
+    let entries = (0..13).map(|_| Confirmations::default()).collect();
+    let circle = Circle { entries, transit: interval };
+    circle.entries[0].record(COLLECTION, answer(1, 1), seconds(1));
+    circle.entries[1].record(COLLECTION, answer(2, 1), seconds(1) + interval / 2);
+    for step in 1..=50 {
+        circle.exchange(seconds(1) + interval * step);
+    }
+    // The answers of two processes have passed two entries at most before all had heard of both.
+    let youngest = seconds(5) - interval * 3;
+    for entry in &circle.entries {
+        let age = entry.age(COLLECTION, seconds(6)).expect("all have heard");
+        assert!(age >= youngest, "{age:?}");
+    }
+}
+
+/// A host that was frozen takes what waited in its buffer for new, and tells the others.
+#[test]
+fn what_a_frozen_host_takes_for_new_does_not_convince_the_others() {
+    let at = Duration::from_secs;
+    let (calm, frozen) = (Confirmations::default(), Confirmations::default());
+    calm.record(COLLECTION, answer(1, 1), at(1));
+    frozen.record(COLLECTION, answer(1, 1), at(9));
+    let told = frozen.answer(COLLECTION).expect("an answer");
+    calm.record(COLLECTION, told, at(9));
+    assert_eq!(calm.age(COLLECTION, at(10)), Some(at(9)));
+    calm.record(COLLECTION, answer(1, 2), at(10));
+    assert_eq!(calm.age(COLLECTION, at(10)), Some(Duration::ZERO));
+}
