A refusal that waits for a trial names what is on trial; comments of the store's outages

Change: a request that waits for the trial of a part is refused as one with a crashing part, not as a crashing request. Comments that a reader of the diff would stumble over say what is meant; one bound has one name.

--- a/src/direct/exchange/trial.rs
+++ b/src/direct/exchange/trial.rs
@@ -49,8 +49,7 @@
 pub(super) fn check_refusal(call: &Call) -> Result<()> {
     let (crashes, now) = (call.entry.crashes.borrow(), call.entry.now());
     match crashes.refused_for(call.fingerprint, &call.prompt_parts, now) {
-        Some((Subject::Request(_), left)) => Err(suspected(call, Cause::CrashingRequest, left)),
-        Some((Subject::Part(_), left)) => Err(suspected(call, Cause::CrashingPart, left)),
+        Some((subject, left)) => Err(suspected(call, subject, left)),
         None => Ok(()),
     }
 }
@@ -69,19 +68,23 @@
         check_refusal(call)?;
         let now = entry.now();
         let left = entry.crashes.borrow().trial_left(call.fingerprint, &call.prompt_parts, now);
-        let Some(left) = left else {
+        let Some((subject, left)) = left else {
             call.begin_trials();
             return Ok(());
         };
         let wait = max_wait.saturating_sub(now.saturating_sub(started));
         if wait.is_zero() {
-            return Err(suspected(call, Cause::CrashingRequest, left));
+            return Err(suspected(call, subject, left));
         }
         time::sleep(TRIAL_CHECK_INTERVAL.min(wait)).await;
     }
 }
 
-fn suspected(call: &Call, cause: Cause, retry_after: Duration) -> LocalAnswer {
+fn suspected(call: &Call, subject: Subject, retry_after: Duration) -> LocalAnswer {
+    let cause = match subject {
+        Subject::Request(_) => Cause::CrashingRequest,
+        Subject::Part(_) => Cause::CrashingPart,
+    };
     let executed = if call.may_have_run { Executed::Unknown } else { Executed::No };
     LocalAnswer { cause, executed, retry_after: Some(retry_after) }
 }
--- a/src/direct/known/crash_trials.rs
+++ b/src/direct/known/crash_trials.rs
@@ -13,7 +13,7 @@
 
 use crate::direct::known::answered_parts::MIN_CRASH_LIMIT;
 use crate::direct::known::crash_history::CrashHistory;
-use crate::direct::known::crash_memory::CrashMemory;
+use crate::direct::known::crash_memory::{CrashMemory, Subject};
 use crate::direct::known::crash_record::{ANNOUNCEMENT_TIME, Record, Trial};
 
 /// Longest time for which others wait for a trial of which nothing more is heard.
@@ -89,12 +89,21 @@
 }
 
 impl CrashMemory {
-    /// Returns the time for which a request waits for the trial of a copy, or of a request with a part
-    /// in common; `None` if it need not wait.
-    pub fn trial_left(&self, fingerprint: u64, parts: &[u64], now: Duration) -> Option<Duration> {
+    /// Returns what is on trial that a request waits for, itself by a copy or a part that another request has
+    /// in common with it, and for how long; `None` if it need not wait.
+    pub fn trial_left(
+        &self,
+        fingerprint: u64,
+        parts: &[u64],
+        now: Duration,
+    ) -> Option<(Subject, Duration)> {
         let request = self.requests.trial_left(fingerprint, &[], now);
-        let parts = parts.iter().filter_map(|part| self.parts.trial_left(*part, parts, now));
-        request.into_iter().chain(parts).max()
+        let request = request.map(|left| (Subject::Request(fingerprint), left));
+        let parts = parts.iter().filter_map(|part| {
+            let left = self.parts.trial_left(*part, parts, now)?;
+            Some((Subject::Part(*part), left))
+        });
+        request.into_iter().chain(parts).max_by_key(|(_, left)| *left)
     }
 
     /// Begins a trial of a request that is about to be sent, for all of it that may be at fault in a
--- a/src/direct/known/store_outages.rs
+++ b/src/direct/known/store_outages.rs
@@ -8,13 +8,14 @@
 //! A failed call alone does not tell the two apart: a watch was cut, or the store turns some entries away
 //! and serves the others. Leases expire only while the store answers nobody, so what counts is when it last
 //! answered any entry, which heartbeats tell. Nor does the silence of the few entries that had asked tell
-//! anything of those that had not: an outage is evident once a majority has asked in vain. The largest
-//! numbers of entries ask only in part, so a fixed number is enough there. See docs/PLATFORM.md.
+//! anything of those that had not: an outage is evident once a majority has asked in vain. Only a part of a
+//! large fleet asks, so a fixed number is enough there. See docs/PLATFORM.md.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use crate::collections::Map;
+use crate::direct::known::peers;
 
 /// Renewals of its lease that a target must miss before the lease expires. It expires after three
 /// intervals, of which one may have passed when the outage began.
@@ -25,11 +26,8 @@
 /// hundred thousand.
 const MAX_EVIDENCE: u32 = 12;
 
-/// Entries whose calls are remembered, above the size of any fleet.
-const MAX_ENTRIES: usize = 4_096;
-
-/// Share of the shortest outage in which leases expire that is left for entries to ask and for the others
-/// to hear that they had no answer.
+/// Share of the shortest silence in which leases expire within which entries ask in vain; the others hear
+/// of it in the rest.
 const EVIDENCE_SHARE: f64 = 5.0 / 6.0;
 
 /// Time after the store's recovery within which running targets are on the list again, as the
@@ -98,7 +96,7 @@
             *last = at.max(*last);
             return false;
         }
-        let is_first = failed_at.len() < MAX_ENTRIES;
+        let is_first = failed_at.len() < peers::MAX_ENTRIES;
         if is_first {
             failed_at.insert(entry.to_owned(), at);
         }
--- a/src/direct/peering/store_reader.rs
+++ b/src/direct/peering/store_reader.rs
@@ -1,4 +1,5 @@
-//! Reads the store on behalf of all entries, while this entry is one of the few store readers.
+//! Reads the store on behalf of all entries, while this entry is one of the few store readers, and for itself
+//! when none of these has an answer in time.
 
 use std::mem;
 use std::rc::Rc;
--- a/tests/direct/crash_trials.rs
+++ b/tests/direct/crash_trials.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bitternwall::direct::known::crash_memory::{Attempt, CrashMemory};
+use bitternwall::direct::known::crash_memory::{Attempt, CrashMemory, Subject};
 use bitternwall::direct::known::crash_trials::Trials;
 
 const TTL: Duration = Duration::from_secs(600);
@@ -51,7 +51,8 @@
 fn copies_wait_for_the_one_under_way_once_a_crash_is_on_record() {
     let mut memory = with_a_crash(REQUEST, &[]);
     let trials = start(&mut memory, REQUEST, &[], START).expect("the first copy");
-    assert_eq!(memory.trial_left(REQUEST, &[], START), Some(DEADLINE));
+    let on_trial = memory.trial_left(REQUEST, &[], START);
+    assert_eq!(on_trial, Some((Subject::Request(REQUEST), DEADLINE)));
     assert!(start(&mut memory, REQUEST, &[], START).is_none());
     assert!(start(&mut memory, REQUEST + 1, &[], START).is_some_and(|trials| trials.is_empty()));
     memory.end_trials(&trials);
