Read of the diff: one piece of code where two did the same

Change: which entries precede one by hash is one function; times in messages are converted by one function, beside the messages. A trial ended twice before it began; the parts of a prompt were copied for every request, also without a crash on record; live entries were counted at each check whether an entry asks for itself, and names were sorted for log lines that are not written. Behaviour is the same.

--- a/src/direct/exchange/trial.rs
+++ b/src/direct/exchange/trial.rs
@@ -22,8 +22,7 @@
 impl Call {
     /// Begins a trial of the request, if a crash on record may be its fault, and tells the other entries
     /// at once. A trial of an earlier attempt has ended.
-    pub fn begin_trials(&mut self) {
-        self.end_trials();
+    fn begin_trials(&mut self) {
         let (left, now) = (self.time_left(), self.entry.now());
         let mut crashes = self.entry.crashes.borrow_mut();
         self.trials = crashes.begin_trials(self.fingerprint, &self.prompt_parts, left, now);
--- a/src/direct/known/crash_record.rs
+++ b/src/direct/known/crash_record.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::direct::known::companions;
+use crate::direct::known::heartbeat;
 
 /// Time for which heartbeats repeat a report, so that the loss of some of them does not matter.
 pub(super) const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(2);
@@ -115,7 +116,7 @@
 
     /// Returns the record as entries send it to each other.
     pub fn report(&self, fingerprint: u64, part: bool, now: Duration) -> CrashReport {
-        let ttl_ms = millis(self.until.saturating_sub(now));
+        let ttl_ms = heartbeat::millis(self.until.saturating_sub(now));
         CrashReport {
             fingerprint,
             crashes: self.crashes,
@@ -124,7 +125,7 @@
             part,
             limit: self.limit,
             companions: self.companions.clone(),
-            trial_ms: self.local_trial_left(now).map_or(0, millis),
+            trial_ms: self.local_trial_left(now).map_or(0, heartbeat::millis),
         }
     }
 
@@ -134,7 +135,3 @@
         Crash { fingerprint, crashes, limit: self.limit, refused }
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/direct/known/crash_trials.rs
+++ b/src/direct/known/crash_trials.rs
@@ -117,9 +117,9 @@
     ) -> Trials {
         let until = now + time_left.min(MAX_TRIAL_TIME);
         let is_request = self.requests.begin_trial(fingerprint, &[], until, now);
-        let mut on_trial = parts.to_vec();
-        on_trial.retain(|part| self.parts.begin_trial(*part, parts, until, now));
-        Trials { request: is_request.then_some(fingerprint), parts: on_trial }
+        let on_trial = parts.iter().copied();
+        let on_trial = on_trial.filter(|part| self.parts.begin_trial(*part, parts, until, now));
+        Trials { request: is_request.then_some(fingerprint), parts: on_trial.collect() }
     }
 
     /// Ends the trials of an attempt.
--- a/src/direct/known/heartbeat.rs
+++ b/src/direct/known/heartbeat.rs
@@ -1,6 +1,7 @@
 //! The messages that entries, and agents beside ranks, send to entries at short intervals.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
 
 use crate::direct::known::cluster_state::KnownVersions;
 use crate::direct::known::confirmation::AnswerId;
@@ -234,3 +235,8 @@
         Some(SocketAddrV4::new(Ipv4Addr::from_bits(self.ip), port).into())
     }
 }
+
+/// Returns a time as messages between entries state it.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/direct/known/store_readers.rs
+++ b/src/direct/known/store_readers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::direct::known::peers::{self, Peers};
+use crate::direct::known::peers::{self, Peer, Peers};
 
 /// Store readers: entries that read the store on behalf of all others.
 pub const STORE_READERS: usize = 3;
@@ -16,12 +16,8 @@
         heartbeat_interval: Duration,
         now: Duration,
     ) -> Option<usize> {
-        let local_hash = peers::name_hash(name);
-        let readers_before = self
-            .live(heartbeat_interval, now)
-            .filter(|peer| peer.heartbeat.reads_store && !peer.heartbeat.leaving)
-            .filter(|peer| peers::name_hash(&peer.heartbeat.name) < local_hash)
-            .count();
+        let before = self.before(name, heartbeat_interval, now);
+        let readers_before = before.filter(|peer| peer.heartbeat.reads_store).count();
         (readers_before < STORE_READERS).then_some(readers_before)
     }
 
@@ -33,10 +29,19 @@
         heartbeat_interval: Duration,
         now: Duration,
     ) -> bool {
+        self.before(name, heartbeat_interval, now).count() < STORE_READERS
+    }
+
+    /// Returns the live entries that stay and precede the entry of this name by hash of the name.
+    fn before(
+        &self,
+        name: &str,
+        heartbeat_interval: Duration,
+        now: Duration,
+    ) -> impl Iterator<Item = &Peer> {
         let local_hash = peers::name_hash(name);
         let live = self.live(heartbeat_interval, now).filter(|peer| !peer.heartbeat.leaving);
-        live.filter(|peer| peers::name_hash(&peer.heartbeat.name) < local_hash).count()
-            < STORE_READERS
+        live.filter(move |peer| peers::name_hash(&peer.heartbeat.name) < local_hash)
     }
 
     /// Returns the live entries that had no answer to their last call, made at most a time ago, with the time
--- a/src/direct/peering/gossip.rs
+++ b/src/direct/peering/gossip.rs
@@ -3,14 +3,13 @@
 use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use prost::Message as _;
 use tokio::net::UdpSocket;
 use tokio::time;
 
 use crate::direct::known::cluster_state::KnownVersions;
-use crate::direct::known::heartbeat::{Heartbeat, Load};
+use crate::direct::known::heartbeat::{self, Heartbeat, Load};
 use crate::direct::known::standing::StandingMessage;
 use crate::direct::known::store::Collection;
 use crate::direct::peering::permits;
@@ -117,27 +116,26 @@
         targets_origin,
         targets_answer,
         lapsed_since_ms: lapsed_since_ms(entry),
-        store_failed_ms: entry.store_calls.failed_at.get().map(|at| millis(now.saturating_sub(at))),
-        store_answer_ms: entry.store_calls.answer_time.get().map(millis),
+        store_failed_ms: entry
+            .store_calls
+            .failed_at
+            .get()
+            .map(|at| heartbeat::millis(now.saturating_sub(at))),
+        store_answer_ms: entry.store_calls.answer_time.get().map(heartbeat::millis),
         demand: entry.places.borrow().report(now),
         standing: StandingMessage::brief(state.standing()),
     }
 }
 
 fn age_ms(entry: &Entry, collection: Collection) -> Option<u64> {
-    entry.confirmations.age(collection, entry.now()).map(millis)
+    entry.confirmations.age(collection, entry.now()).map(heartbeat::millis)
 }
 
 /// Returns the time since the end of the outage after which targets are kept beside the list, in
 /// milliseconds; `None` while there are none.
 fn lapsed_since_ms(entry: &Entry) -> Option<u64> {
     entry.cluster_state.borrow().lapsed().next()?;
-    entry.store_outages.ended_at().map(|at| millis(entry.now().saturating_sub(at)))
-}
-
-/// Returns a time as messages between entries state it.
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    entry.store_outages.ended_at().map(|at| heartbeat::millis(entry.now().saturating_sub(at)))
 }
 
 /// Receives heartbeats until the process ends.
--- a/src/direct/peering/store_reader.rs
+++ b/src/direct/peering/store_reader.rs
@@ -72,17 +72,14 @@
             let (times, now) = (self.read_times(), self.entry.now());
             // An entry that has heard of no confirmation yet may have been without one since its start.
             let age = self.entry.confirmations.age(collection, now).unwrap_or(now);
-            let (answer_time, entries) = {
-                let peers = self.entry.peers.borrow();
-                let live = peers.live(heartbeat_interval, now).count();
-                (peers.store_answer_time(heartbeat_interval, now), live + 1)
-            };
+            let answer_time = self.entry.peers.borrow().store_answer_time(heartbeat_interval, now);
             let left = times.own_read_age(answer_time).saturating_sub(age);
             if !left.is_zero() {
                 time::sleep((left + CHECK_DELAY).min(ROLE_CHECK_INTERVAL)).await;
                 continue;
             }
-            let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+            let live = self.entry.peers.borrow().live(heartbeat_interval, now).count();
+            let entries = u32::try_from(live + 1).unwrap_or(u32::MAX);
             if times.asks_for_itself(entries, self.entry.random_fraction()) {
                 self.entry.metrics.store_own_read();
                 events::log(
--- a/src/direct/peering/store_report.rs
+++ b/src/direct/peering/store_report.rs
@@ -29,7 +29,6 @@
         let own = own_failure.filter(|ago| *ago <= recent).map(|ago| (name.as_str(), ago));
         let mut unanswered = peers.unanswered(recent, *heartbeat_interval, now);
         unanswered.extend(own);
-        unanswered.sort_unstable();
         let served = match unanswered.len() {
             _ if entry.store_outages.is_out(now) => Served::Nobody,
             0 => Served::All,
@@ -39,6 +38,7 @@
         if entry.store_calls.served.replace(served) == served {
             return;
         }
+        unanswered.sort_unstable();
         let entries = peers.live(*heartbeat_interval, now).count() + 1;
         let ages = Collection::ALL.map(|collection| entry.confirmations.age(collection, now));
         let answered_ms = ages.into_iter().flatten().min().unwrap_or(now).as_millis();
--- a/src/direct/peering/transfer.rs
+++ b/src/direct/peering/transfer.rs
@@ -17,9 +17,9 @@
 use crate::direct::connections::codecs::Codecs;
 use crate::direct::connections::internal::{self, ExchangeError, InternalRequest};
 use crate::direct::known::cluster_state::{ClusterState, KnownVersions, TargetRecord};
+use crate::direct::known::heartbeat;
 use crate::direct::known::standing::StandingMessage;
 use crate::direct::known::store::{Item, Position};
-use crate::direct::peering::gossip;
 use crate::direct::peering::sync::StateSync;
 use crate::direct::state::entry::Entry;
 use crate::telemetry::events;
@@ -237,7 +237,7 @@
 fn add_lapsed(entry: &Entry, message: &mut ClusterStateMessage) {
     let Some(ended_at) = entry.store_outages.ended_at() else { return };
     message.lapsed = record_messages(entry.cluster_state.borrow().lapsed());
-    message.outage_ended_ms = gossip::millis(entry.now().saturating_sub(ended_at));
+    message.outage_ended_ms = heartbeat::millis(entry.now().saturating_sub(ended_at));
 }
 
 fn record_messages<'a>(
